Set down the pipeline shape, the core types and the tool chain

The folders, Filter, Pipeline, Failure, the code table and the typed values of the request path come first, so that every later part is built in this shape. Linter rules keep it: one export a file, no enum, function names from the verb list, edge libraries below src/edge only, no import cycles, no threads.

--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,16 @@
+#!/bin/sh
+# Runs unit and property tests, builds the program, runs the features against it, and prints the total.
+set -u
+cd "$(dirname "$0")/.."
+mkdir -p dist
+status=0
+files=$(find src standin proof measure scripts demo -name '*.test.ts' 2>/dev/null | sort)
+# shellcheck disable=SC2086
+node --import tsx --test --test-reporter=spec $files > dist/unit_tests.txt 2>&1 || status=1
+grep -E '✖|^ℹ ' dist/unit_tests.txt
+[ $status -eq 0 ] || cat dist/unit_tests.txt
+sh scripts/build.sh || status=1
+NODE_OPTIONS="--import tsx" npx --no-install cucumber-js > dist/features.txt 2>&1 || status=1
+tail -n 40 dist/features.txt
+node --import tsx scripts/count_tests.ts dist/unit_tests.txt dist/features.txt || status=1
+exit $status
--- /dev/null
+++ b/src/config/configuration.ts
@@ -0,0 +1,8 @@
+import type { ServiceConfig } from "./service_config.ts";
+
+/** The operators' configuration with every value filled in. */
+export interface Configuration {
+    /** Who answers for this configuration. */
+    readonly team: string;
+    readonly services: ReadonlyMap<string, ServiceConfig>;
+}
--- /dev/null
+++ b/src/config/limits_config.ts
@@ -0,0 +1,16 @@
+/** Limits of one service; those of the queue hold for each upstream. */
+export interface LimitsConfig {
+    readonly queueLength: number;
+    /** Slots that long work never uses. */
+    readonly reserveShort: number;
+    /** Wait in milliseconds that the queue aims to stay below. */
+    readonly targetWaitMs: number;
+    /** Share of the queue in percent that one organisation may hold. */
+    readonly organisationPercent: number;
+    /** Retries in percent of first attempts. */
+    readonly retryPercent: number;
+    /** Hedged reads in percent of first attempts; they come out of the retry budget. */
+    readonly hedgePercent: number;
+    /** Requests in flight for the service at one entry daemon. */
+    readonly entryConcurrency: number;
+}
--- /dev/null
+++ b/src/config/route_config.ts
@@ -0,0 +1,22 @@
+import type { WorkClass } from "../core/work_class.ts";
+import type { ExpectConfig } from "./expect_config.ts";
+
+/** One route of a service. */
+export interface RouteConfig {
+    /** Unique in the configuration. */
+    readonly name: string;
+    readonly service: string;
+    readonly method: string;
+    /** Path pattern; `{name}` matches one segment, a trailing `*` the rest. */
+    readonly path: string;
+    readonly workClass: WorkClass;
+    readonly idempotent: boolean;
+    readonly deadlineMs: number;
+    /** Service time in milliseconds to assume before any is measured. */
+    readonly serviceMs: number;
+    readonly maxRequestBytes: number;
+    readonly maxAnswerBytes: number;
+    readonly expect: ExpectConfig;
+    /** Statuses by which the upstream declares that it did not run the request. */
+    readonly shedStatuses: readonly number[];
+}
--- /dev/null
+++ b/src/core/answer.ts
@@ -0,0 +1,8 @@
+import type { MessageHeader } from "./message_header.ts";
+
+/** A complete HTTP answer. */
+export interface Answer {
+    readonly status: number;
+    readonly headers: readonly MessageHeader[];
+    readonly body: Uint8Array;
+}
--- /dev/null
+++ b/src/core/failure.ts
@@ -0,0 +1,10 @@
+import type { Code } from "./code.ts";
+import type { Outcome } from "./outcome.ts";
+
+/** Numbered error that a filter returns. */
+export interface Failure {
+    readonly code: Code;
+    readonly outcome: Outcome;
+    /** One sentence for logs and for the problem document. */
+    readonly detail: string;
+}
--- /dev/null
+++ b/src/core/log_level.ts
@@ -0,0 +1,9 @@
+/** Levels of the log. */
+export const LogLevel = {
+    Debug: "debug",
+    Info: "info",
+    Warn: "warn",
+    Error: "error",
+} as const;
+
+export type LogLevel = (typeof LogLevel)[keyof typeof LogLevel];
--- /dev/null
+++ b/src/core/message_header.ts
@@ -0,0 +1,5 @@
+/** One header of an HTTP message; names are in lower case. */
+export interface MessageHeader {
+    readonly name: string;
+    readonly value: string;
+}
--- /dev/null
+++ b/src/core/metrics.ts
@@ -0,0 +1,7 @@
+/** Destination of metrics; docs/metrics.md lists the names. */
+export interface Metrics {
+    addCount(name: string, tags?: Readonly<Record<string, string>>): void;
+    setGauge(name: string, value: number, tags?: Readonly<Record<string, string>>): void;
+    /** Milliseconds. */
+    recordTime(name: string, valueMs: number, tags?: Readonly<Record<string, string>>): void;
+}
--- /dev/null
+++ b/src/core/timer.ts
@@ -0,0 +1,5 @@
+/** A started timer. */
+export interface Timer {
+    /** Cancels the timer; does nothing after it has fired. */
+    close(): void;
+}
--- /dev/null
+++ b/src/dispatch/dispatched_request.ts
@@ -0,0 +1,12 @@
+import type { Failure } from "../core/failure.ts";
+import type { QueuedRequest } from "../queue/queued_request.ts";
+import type { UpstreamResult } from "./upstream_result.ts";
+
+/** An attempt after its exchange with the upstream, or after the last check refused it. */
+export interface DispatchedRequest extends QueuedRequest {
+    /** Undefined when the last check before dispatch refused the attempt. */
+    readonly result: UpstreamResult | undefined;
+    /** Present when `result` is undefined. */
+    readonly refusal: Failure | undefined;
+    readonly serviceMs: number;
+}
--- /dev/null
+++ b/src/dispatch/upstream_result.ts
@@ -0,0 +1,10 @@
+import type { Answer } from "../core/answer.ts";
+import type { UpstreamResultKind } from "./upstream_result_kind.ts";
+
+/** End of one exchange with an upstream. */
+export interface UpstreamResult {
+    readonly kind: UpstreamResultKind;
+    /** Present for `Answered`. */
+    readonly answer: Answer | undefined;
+    readonly detail: string;
+}
--- /dev/null
+++ b/src/forward/owner_reply.ts
@@ -0,0 +1,23 @@
+import type { Answer } from "../core/answer.ts";
+import type { Code } from "../core/code.ts";
+import type { Outcome } from "../core/outcome.ts";
+import type { UpstreamState } from "../core/upstream_state.ts";
+
+/** Result of one attempt as its owner, or the hop to it, reports it. */
+export interface OwnerReply {
+    readonly requestId: string;
+    readonly attempt: number;
+    readonly ownerId: string;
+    readonly incarnation: string;
+    readonly code: Code;
+    readonly outcome: Outcome;
+    readonly detail: string;
+    /** Present when the upstream answered completely. */
+    readonly answer: Answer | undefined;
+    /** Milliseconds from dispatch to the complete answer. */
+    readonly serviceMs: number;
+    /** Milliseconds in the owner's queue. */
+    readonly waitMs: number;
+    /** Undefined when the hop failed. */
+    readonly upstream: UpstreamState | undefined;
+}
--- /dev/null
+++ b/src/forward/revoke_state.ts
@@ -0,0 +1,12 @@
+/** Answer of an owner to a revocation. */
+export const RevokeState = {
+    /** Never dispatched, and a late copy will be refused. */
+    Revoked: "revoked",
+    /** Sent to the upstream; its end is not known. */
+    Dispatched: "dispatched",
+    Finished: "finished",
+    /** No answer of the owner. */
+    NoReply: "no-reply",
+} as const;
+
+export type RevokeState = (typeof RevokeState)[keyof typeof RevokeState];
--- /dev/null
+++ b/src/main.ts
@@ -0,0 +1,2 @@
+/** Entry point of the program. */
+process.stdout.write("zinniaglade\n");
--- /dev/null
+++ b/src/platform/published_value.ts
@@ -0,0 +1,6 @@
+/** A versioned value of the platform's configuration service. */
+export interface PublishedValue {
+    readonly name: string;
+    readonly version: number;
+    readonly content: string;
+}
--- /dev/null
+++ b/src/queue/owner_request.ts
@@ -0,0 +1,25 @@
+import type { RouteConfig } from "../config/route_config.ts";
+import type { ServiceConfig } from "../config/service_config.ts";
+import type { MessageHeader } from "../core/message_header.ts";
+
+/** One attempt as the owner of its upstream received it. */
+export interface OwnerRequest {
+    readonly requestId: string;
+    readonly attempt: number;
+    readonly upstreamId: string;
+    readonly service: ServiceConfig;
+    readonly route: RouteConfig;
+    readonly organisation: string;
+    readonly idempotencyKey: string | undefined;
+    /** Monotonic milliseconds of this process. */
+    readonly receivedAtMs: number;
+    readonly deadlineMs: number;
+    readonly baselineMs: number;
+    readonly trial: boolean;
+    readonly method: string;
+    readonly target: string;
+    readonly headers: readonly MessageHeader[];
+    readonly body: Uint8Array;
+    /** Aborted when the entry daemon closes the hop. */
+    readonly signal: AbortSignal;
+}
--- /dev/null
+++ b/src/receive/caller_request.ts
@@ -0,0 +1,20 @@
+import type { MessageHeader } from "../core/message_header.ts";
+
+/** A caller's request as the entry daemon received it. */
+export interface CallerRequest {
+    readonly requestId: string;
+    readonly method: string;
+    readonly path: string;
+    /** Path and query. */
+    readonly target: string;
+    readonly headers: readonly MessageHeader[];
+    readonly body: Uint8Array;
+    readonly organisation: string;
+    readonly idempotencyKey: string | undefined;
+    /** Time budget in milliseconds that the caller gave. */
+    readonly budgetMs: number | undefined;
+    /** Monotonic milliseconds. */
+    readonly receivedAtMs: number;
+    /** Aborted when the caller closes its connection. */
+    readonly signal: AbortSignal;
+}
--- /dev/null
+++ b/src/select/selected_request.ts
@@ -0,0 +1,13 @@
+import type { Upstream } from "../core/upstream.ts";
+import type { RoutedRequest } from "../route/routed_request.ts";
+
+/** One attempt of a request, bound for one upstream. */
+export interface SelectedRequest extends RoutedRequest {
+    /** Counts from 1. */
+    readonly attempt: number;
+    readonly upstream: Upstream;
+    /** Service time in milliseconds above which the answer counts as slow; 0 when no baseline is known. */
+    readonly baselineMs: number;
+    /** True for a request that tries an ejected upstream. */
+    readonly trial: boolean;
+}
