--- /dev/null
+++ b/proof/check_history.ts
@@ -0,0 +1,22 @@
+/**
+ * Checks a history of a concurrent run.
+ *
+ * @example
+ * ```ts
+ * const violations = checkHistory(recorder.list(), [new AtMostOncePredicate()]);
+ * ```
+ *
+ * @module
+ */
+import type { HistoryEvent } from "./history_event.ts";
+import type { Predicate } from "./predicate.ts";
+import type { Violation } from "./violation.ts";
+
+/** Applies all predicates to the events in order of time and returns what breaks them. */
+export function checkHistory(
+    events: readonly HistoryEvent[],
+    predicates: readonly Predicate[],
+): readonly Violation[] {
+    const history = [...events].sort((left, right) => left.atMs - right.atMs);
+    return predicates.flatMap(predicate => predicate.check(history));
+}
--- /dev/null
+++ b/proof/fakes/virtual_time.test.ts
@@ -0,0 +1,17 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { VirtualTime } from "./virtual_time.ts";
+
+test("virtual timers run in order of time, and closed ones do not run", async () => {
+    const time = new VirtualTime();
+    const ran: string[] = [];
+    time.start(30, () => ran.push("c"));
+    time.start(10, () => ran.push("a"));
+    time.start(20, () => ran.push("b"));
+    time.start(15, () => ran.push("closed")).close();
+    await time.run(25);
+    assert.deepEqual(ran, ["a", "b"]);
+    assert.equal(time.getMonotonicMs(), 25);
+    await time.run(5);
+    assert.deepEqual(ran, ["a", "b", "c"]);
+});
--- a/scripts/install_once.sh
+++ b/scripts/install_once.sh
@@ -1,8 +1,8 @@
 #!/bin/sh
-# Installs the packages of package-lock.json when they are absent or older than the lock file.
+# Installs the packages of package-lock.json unless the installed ones came from the same lock file.
 set -eu
 cd "$(dirname "$0")/.."
-if [ ! -e node_modules/.package-lock.json ] || [ package-lock.json -nt node_modules/.package-lock.json ]; then
+if ! cmp -s package-lock.json node_modules/.installed-lock.json; then
     npm ci --no-audit --no-fund
-    touch node_modules/.package-lock.json
+    cp package-lock.json node_modules/.installed-lock.json
 fi
