--- a/proof/fakes/virtual_time.ts
+++ b/proof/fakes/virtual_time.ts
@@ -46,7 +46,7 @@
     /** Moves time forward by `durationMs`, running due timers and settling promises after each of them. */
     async run(durationMs: number): Promise<void> {
         const endMs = this.nowMs + durationMs;
-        await settlePromises();
+        await waitForPromises();
         for (let entry = this.heap[0]; entry !== undefined && entry.atMs <= endMs; entry = this.heap[0]) {
             this.remove();
             if (this.closed.delete(entry)) {
@@ -54,13 +54,13 @@
             }
             this.nowMs = entry.atMs;
             entry.action();
-            await settlePromises();
+            await waitForPromises();
         }
         this.nowMs = endMs;
     }
 
     /** Moves time forward without running timers, as a paused process experiences it. */
-    skip(durationMs: number): void {
+    addPause(durationMs: number): void {
         this.nowMs += durationMs;
     }
 
@@ -107,6 +107,6 @@
     return left.atMs < right.atMs || (left.atMs === right.atMs && left.order < right.order);
 }
 
-function settlePromises(): Promise<void> {
+function waitForPromises(): Promise<void> {
     return new Promise(resolve => setImmediate(resolve));
 }
