--- /dev/null
+++ b/src/answer/caller_handler.ts
@@ -0,0 +1,58 @@
+/**
+ * Runs the entry pipeline for one request of a caller.
+ *
+ * @example
+ * ```ts
+ * const handler = new CallerHandler({ receive, serve: route.pipe(admit).pipe(attempt).pipe(answer), ... });
+ * const answer = await handler.handle(incoming);
+ * ```
+ *
+ * @module
+ */
+import type { Answer } from "../core/answer.ts";
+import type { Clock } from "../core/clock.ts";
+import type { Filter } from "../core/filter.ts";
+import { LogLevel } from "../core/log_level.ts";
+import type { Logger } from "../core/logger.ts";
+import type { Metrics } from "../core/metrics.ts";
+import type { CallerRequest } from "../receive/caller_request.ts";
+import type { IncomingRequest } from "../receive/incoming_request.ts";
+import { formatProblem } from "./format_problem.ts";
+
+interface CallerHandlerOptions {
+    readonly receive: Filter<IncomingRequest, CallerRequest>;
+    /** The stages after receipt. */
+    readonly serve: Filter<CallerRequest, Answer>;
+    readonly clock: Clock;
+    readonly logger: Logger;
+    readonly metrics: Metrics;
+}
+
+/** Gives every request an answer: the upstream's or a problem document. */
+export class CallerHandler {
+    constructor(private readonly options: CallerHandlerOptions) {}
+
+    async handle(incoming: IncomingRequest): Promise<Answer> {
+        const startMs = this.options.clock.getMonotonicMs();
+        const received = await this.options.receive.apply(incoming);
+        if (received.isErr()) {
+            return formatProblem(received.error, "");
+        }
+        const request = received.value;
+        const result = await this.options.serve.apply(request);
+        this.options.metrics.recordTime("caller.request", this.options.clock.getMonotonicMs() - startMs);
+        if (result.isOk()) {
+            this.options.metrics.addCount("caller.answer", { status: `${result.value.status}` });
+            return result.value;
+        }
+        const { code, outcome, detail } = result.error;
+        this.options.metrics.addCount("caller.problem", { code: `${code}`, outcome });
+        this.options.logger.write(LogLevel.Info, "request_failed", {
+            requestId: request.requestId,
+            code,
+            outcome,
+            detail,
+        });
+        return formatProblem(result.error, request.requestId);
+    }
+}
--- /dev/null
+++ b/src/edge/caller_http/create_caller_app.ts
@@ -0,0 +1,63 @@
+/**
+ * Front end for callers over HTTP/1.1.
+ *
+ * @module
+ */
+import Koa from "koa";
+import { formatProblem } from "../../answer/format_problem.ts";
+import type { Answer } from "../../core/answer.ts";
+import { Code } from "../../core/code.ts";
+import { createFailure } from "../../core/create_failure.ts";
+import type { IncomingRequest } from "../../receive/incoming_request.ts";
+import { createAbortSignal } from "../http/create_abort_signal.ts";
+import { formatEndToEndHeaders } from "../http/format_end_to_end_headers.ts";
+import { readBody } from "../http/read_body.ts";
+
+interface CallerAppOptions {
+    readonly handle: (incoming: IncomingRequest) => Promise<Answer>;
+    /** True while the daemon drains: answers then ask the caller to close its connection. */
+    readonly isDraining: () => boolean;
+    /** Largest request body of any route, in bytes. */
+    readonly maxRequestBytes: number;
+}
+
+/** Builds the koa application that hands each request to the entry pipeline. */
+export function createCallerApp(options: CallerAppOptions): Koa {
+    const app = new Koa();
+    app.use(async context => {
+        const declaredLength = context.get("content-length") || undefined;
+        const body = await readBody(context.req, options.maxRequestBytes, declaredLength);
+        const answer = body.isErr()
+            ? formatProblem(createFailure(Code.RequestTooLarge), "")
+            : await options.handle({
+                method: context.method,
+                target: context.url,
+                headers: formatEndToEndHeaders(context.req.headers),
+                body: body.value,
+                signal: createAbortSignal(context.res),
+            });
+        sendAnswer(context, answer);
+        if (options.isDraining()) {
+            context.set("connection", "close");
+        }
+    });
+    // A caller that breaks its connection is not an error of the daemon; the pipeline has been aborted.
+    app.on("error", () => undefined);
+    return app;
+}
+
+function sendAnswer(context: Koa.Context, answer: Answer): void {
+    context.status = answer.status;
+    for (const header of answer.headers) {
+        context.append(header.name, header.value);
+    }
+    context.body = Buffer.from(answer.body.buffer, answer.body.byteOffset, answer.body.byteLength);
+    const contentType = answer.headers.find(header => header.name === "content-type");
+    // koa adds a content type of its own to a buffer.
+    if (contentType === undefined) {
+        context.remove("content-type");
+    }
+    else {
+        context.set("content-type", contentType.value);
+    }
+}
--- /dev/null
+++ b/src/edge/http/format_end_to_end_headers.ts
@@ -0,0 +1,34 @@
+import type { MessageHeader } from "../../core/message_header.ts";
+
+/** Headers that concern one connection only (RFC 9110, section 7.6.1) or that each hop writes itself. */
+const connectionHeaders: ReadonlySet<string> = new Set([
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+]);
+
+/** Headers of a message that may pass to the next hop. */
+export function formatEndToEndHeaders(
+    headers: Readonly<Record<string, string | readonly string[] | undefined>>,
+): MessageHeader[] {
+    const result: MessageHeader[] = [];
+    for (const [name, value] of Object.entries(headers)) {
+        const lowerName = name.toLowerCase();
+        if (value === undefined || connectionHeaders.has(lowerName)) {
+            continue;
+        }
+        for (const item of typeof value === "string" ? [value] : value) {
+            result.push({ name: lowerName, value: item });
+        }
+    }
+    return result;
+}
--- /dev/null
+++ b/src/edge/peer_http/encode_dispatch.ts
@@ -0,0 +1,24 @@
+import { create, toBinary } from "@bufbuild/protobuf";
+import { DispatchHeadSchema } from "../../gen/zinniaglade/v1/control_pb.ts";
+import type { SelectedRequest } from "../../select/selected_request.ts";
+
+/** Value of the dispatch header: a DispatchHead in base64. */
+export function encodeDispatch(request: SelectedRequest, remainingMs: number): string {
+    const head = create(DispatchHeadSchema, {
+        requestId: request.requestId,
+        attempt: request.attempt,
+        upstreamId: request.upstream.id,
+        service: request.service.name,
+        route: request.route.name,
+        organisation: request.organisation,
+        idempotencyKey: request.idempotencyKey ?? "",
+        remainingMs: Math.max(0, Math.floor(remainingMs)),
+        baselineMs: request.baselineMs,
+        method: request.method,
+        target: request.target,
+        headers: request.headers.map(header => ({ name: header.name, value: header.value })),
+        configVersion: BigInt(request.configVersion),
+        trial: request.trial,
+    });
+    return Buffer.from(toBinary(DispatchHeadSchema, head)).toString("base64");
+}
--- /dev/null
+++ b/src/edge/system/system_random.ts
@@ -0,0 +1,21 @@
+import { randomBytes } from "node:crypto";
+import type { RandomSource } from "../../core/random_source.ts";
+
+const DRAWS_PER_REFILL = 256;
+const BYTES_PER_DRAW = 4;
+
+/** Random numbers of the operating system, drawn in batches because a draw for each request would be slow. */
+export class SystemRandom implements RandomSource {
+    private batch = randomBytes(0);
+    private offset = 0;
+
+    take(): number {
+        if (this.offset >= this.batch.length) {
+            this.batch = randomBytes(DRAWS_PER_REFILL * BYTES_PER_DRAW);
+            this.offset = 0;
+        }
+        const value = this.batch.readUInt32LE(this.offset);
+        this.offset += BYTES_PER_DRAW;
+        return value / 2 ** 32;
+    }
+}
--- /dev/null
+++ b/src/forward/local_forwarder.ts
@@ -0,0 +1,44 @@
+import type { Filter } from "../core/filter.ts";
+import type { OwnerRequest } from "../queue/owner_request.ts";
+import type { SelectedRequest } from "../select/selected_request.ts";
+import { createHopReply } from "./create_hop_reply.ts";
+import type { Forwarder } from "./forwarder.ts";
+import type { OwnerReply } from "./owner_reply.ts";
+import type { RevocationHandler } from "./revocation_handler.ts";
+import type { RevokeState } from "./revoke_state.ts";
+
+interface LocalForwarderOptions {
+    readonly owner: Filter<OwnerRequest, OwnerReply>;
+    readonly revocations: RevocationHandler;
+}
+
+/** Runs the owner pipeline in this process. */
+export class LocalForwarder implements Forwarder {
+    constructor(private readonly options: LocalForwarderOptions) {}
+
+    async forward(request: SelectedRequest, signal: AbortSignal): Promise<OwnerReply> {
+        const result = await this.options.owner.apply({
+            requestId: request.requestId,
+            attempt: request.attempt,
+            upstreamId: request.upstream.id,
+            service: request.service,
+            route: request.route,
+            organisation: request.organisation,
+            idempotencyKey: request.idempotencyKey,
+            receivedAtMs: request.receivedAtMs,
+            deadlineMs: request.deadlineMs,
+            baselineMs: request.baselineMs,
+            trial: request.trial,
+            method: request.method,
+            target: request.target,
+            headers: request.headers,
+            body: request.body,
+            signal,
+        });
+        return result.isOk() ? result.value : createHopReply(request, result.error);
+    }
+
+    async revoke(request: SelectedRequest): Promise<RevokeState> {
+        return this.options.revocations.revoke(request.requestId, request.attempt);
+    }
+}
--- /dev/null
+++ b/src/queue/resolve_filter.ts
@@ -0,0 +1,36 @@
+/**
+ * First filter of the owner's side: looks up service and route in the configuration in force and starts the
+ * deadline on the local clock.
+ *
+ * @module
+ */
+import { err, ok, type Result } from "neverthrow";
+import type { ActiveConfigReader } from "../config/active_config_reader.ts";
+import type { Clock } from "../core/clock.ts";
+import { Code } from "../core/code.ts";
+import { createFailure } from "../core/create_failure.ts";
+import type { Failure } from "../core/failure.ts";
+import type { Filter } from "../core/filter.ts";
+import type { IncomingDispatch } from "./incoming_dispatch.ts";
+import type { OwnerRequest } from "./owner_request.ts";
+
+interface ResolveFilterOptions {
+    readonly clock: Clock;
+    readonly config: ActiveConfigReader;
+}
+
+/** Fails with UnknownRouteAtOwner, which is not executed, so that the entry daemon may try another owner. */
+export class ResolveFilter implements Filter<IncomingDispatch, OwnerRequest> {
+    constructor(private readonly options: ResolveFilterOptions) {}
+
+    apply(incoming: IncomingDispatch): Result<OwnerRequest, Failure> {
+        const service = this.options.config.getActive()?.configuration.services.get(incoming.service);
+        const route = service?.routes.find(candidate => candidate.name === incoming.route);
+        if (service === undefined || route === undefined) {
+            return err(createFailure(Code.UnknownRouteAtOwner));
+        }
+        const { remainingMs, ...rest } = incoming;
+        const receivedAtMs = this.options.clock.getMonotonicMs();
+        return ok({ ...rest, service, route, receivedAtMs, deadlineMs: receivedAtMs + remainingMs });
+    }
+}
--- /dev/null
+++ b/src/receive/receive_filter.test.ts
@@ -0,0 +1,42 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { SeededRandom } from "../../proof/fakes/seeded_random.ts";
+import { VirtualTime } from "../../proof/fakes/virtual_time.ts";
+import { Code } from "../core/code.ts";
+import type { MessageHeader } from "../core/message_header.ts";
+import { ReceiveFilter } from "./receive_filter.ts";
+
+const filter = new ReceiveFilter({ clock: new VirtualTime(), random: new SeededRandom(1) });
+
+function applyHeaders(...headers: MessageHeader[]) {
+    const signal = new AbortController().signal;
+    return filter.apply({ method: "GET", target: "/a/b?c=1", headers, body: new Uint8Array(), signal });
+}
+
+test("budget, organisation and key come from their headers and are not passed on twice", () => {
+    const request = applyHeaders(
+        { name: "connect-timeout-ms", value: "250" },
+        { name: "idempotency-key", value: "k" },
+        { name: "x-organisation-id", value: "o" },
+    )._unsafeUnwrap();
+    assert.equal(request.budgetMs, 250);
+    assert.equal(request.idempotencyKey, "k");
+    assert.equal(request.organisation, "o");
+    assert.equal(request.path, "/a/b");
+    assert.deepEqual(request.headers.map(header => header.name), ["x-organisation-id"]);
+});
+
+test("two requests that carry the same x-request-id get identifiers of their own, so that replies cannot be mixed up", () => {
+    const header = { name: "x-request-id", value: "same" };
+    const first = applyHeaders(header)._unsafeUnwrap();
+    const second = applyHeaders(header)._unsafeUnwrap();
+    assert.notEqual(first.requestId, second.requestId);
+    assert.match(first.requestId, /^[0-9a-f]{32}$/);
+});
+
+test("a malformed time budget is refused instead of being ignored", () => {
+    for (const value of ["0", "-1", "1.5", "soon", "99999999999"]) {
+        const result = applyHeaders({ name: "connect-timeout-ms", value });
+        assert.equal(result._unsafeUnwrapErr().code, Code.BadRequestHeader);
+    }
+});
--- /dev/null
+++ b/src/settings/serve_settings.ts
@@ -0,0 +1,24 @@
+import type { LogLevel } from "../core/log_level.ts";
+import type { OwnedUpstream } from "../queue/owned_upstream.ts";
+
+/** Settings of a daemon, checked. */
+export interface ServeSettings {
+    readonly daemonId: string;
+    readonly failureDomain: string;
+    readonly region: string;
+    readonly callerAddress: string;
+    readonly peerAddress: string;
+    readonly adminAddress: string;
+    readonly platformUrl: string;
+    readonly configName: string;
+    readonly upstreams: readonly OwnedUpstream[];
+    /** Undefined when no metrics are sent. */
+    readonly metricsAddress: string | undefined;
+    readonly logLevel: LogLevel;
+    readonly maxRequestBytes: number;
+    readonly gossipIntervalMs: number;
+    readonly watchMs: number;
+    readonly startWaitMs: number;
+    readonly drainGraceMs: number;
+    readonly drainTimeoutMs: number;
+}
--- /dev/null
+++ b/src/settings/serve_specs.ts
@@ -0,0 +1,81 @@
+import { SettingKind } from "./setting_kind.ts";
+import type { SettingSpec } from "./setting_spec.ts";
+
+const { Address, Integer, LogLevel, Name, Upstreams, Url } = SettingKind;
+
+function buildSpec(
+    name: string,
+    kind: SettingKind,
+    fallback: string | undefined,
+    description: string,
+): SettingSpec {
+    return { name, kind, unit: "", fallback, description };
+}
+
+function buildInteger(
+    name: string,
+    unit: string,
+    fallback: number,
+    limits: readonly [min: number, max: number],
+    description: string,
+): SettingSpec {
+    return {
+        name,
+        kind: Integer,
+        unit,
+        fallback: `${fallback}`,
+        description,
+        min: limits[0],
+        max: limits[1],
+    };
+}
+
+/** Settings of `zinniaglade serve`. */
+export const serveSpecs: readonly SettingSpec[] = [
+    buildSpec("daemon-id", Name, undefined, "identifier of this daemon, unique in the fleet"),
+    buildSpec("failure-domain", Name, undefined, "failure domain of this instance"),
+    buildSpec("region", Name, "local", "region of this instance"),
+    buildSpec("caller-address", Address, undefined, "where callers connect"),
+    buildSpec("peer-address", Address, undefined, "where other daemons connect"),
+    buildSpec("admin-address", Address, undefined, "where show and drain connect"),
+    buildSpec("platform-url", Url, undefined, "base URL of the platform's configuration service"),
+    buildSpec("config-name", Name, "config", "name of the configuration's value on the platform"),
+    buildSpec(
+        "upstreams",
+        Upstreams,
+        "",
+        "upstreams that this daemon owns: ID=SERVICE@ADDRESS/SLOTS, comma-separated",
+    ),
+    buildSpec("metrics-address", Address, "", "StatsD receiver; no metrics are sent without one"),
+    buildSpec("log-level", LogLevel, "info", "debug, info, warn or error"),
+    buildInteger(
+        "max-request-bytes",
+        "bytes",
+        1_048_576,
+        [1, 67_108_864],
+        "largest request body of any route",
+    ),
+    buildInteger(
+        "gossip-interval-ms",
+        "ms",
+        1_000,
+        [50, 60_000],
+        "time between exchanges with other daemons",
+    ),
+    buildInteger(
+        "watch-ms",
+        "ms",
+        20_000,
+        [100, 60_000],
+        "how long one watch of the platform waits for a change",
+    ),
+    buildInteger("start-wait-ms", "ms", 5_000, [0, 600_000], "how long a start waits for a configuration"),
+    buildInteger(
+        "drain-grace-ms",
+        "ms",
+        3_000,
+        [0, 600_000],
+        "how long a draining daemon still accepts callers",
+    ),
+    buildInteger("drain-timeout-ms", "ms", 60_000, [100, 3_600_000], "time limit of a drain, grace included"),
+];
--- /dev/null
+++ b/src/settings/setting_kind.ts
@@ -0,0 +1,15 @@
+/** How the value of a setting is checked. */
+export const SettingKind = {
+    /** 1 to 64 characters: letters, digits, dot, hyphen, underscore. */
+    Name: "name",
+    /** IP number and port. */
+    Address: "address",
+    Url: "url",
+    /** Whole number within the limits of its specification. */
+    Integer: "integer",
+    LogLevel: "log-level",
+    /** Comma-separated `ID=SERVICE@ADDRESS/SLOTS`. */
+    Upstreams: "upstreams",
+} as const;
+
+export type SettingKind = (typeof SettingKind)[keyof typeof SettingKind];
--- /dev/null
+++ b/standin/versioned_value.ts
@@ -0,0 +1,5 @@
+/** A value of the stand-in platform. */
+export interface VersionedValue {
+    readonly version: number;
+    readonly content: string;
+}
