--- /dev/null
+++ b/src/config/fields/map_type.ts
@@ -0,0 +1,68 @@
+import { Code } from "../../core/code.ts";
+import type { ProblemList } from "../problem_list.ts";
+import type { SourceNode } from "../yaml/source_node.ts";
+import type { FieldRow } from "./field_row.ts";
+import type { FieldType } from "./field_type.ts";
+import { formatFound } from "./format_found.ts";
+import type { JsonSchema } from "./json_schema.ts";
+import type { TextType } from "./text_type.ts";
+
+/** A map from names that the operators choose to values of one type. */
+export class MapType<Item> implements FieldType<ReadonlyMap<string, Item>> {
+    constructor(
+        private readonly key: TextType,
+        private readonly item: FieldType<Item>,
+        /** What an entry is called in messages. */
+        private readonly noun: string,
+    ) {}
+
+    parse(node: SourceNode, field: string, problems: ProblemList): ReadonlyMap<string, Item> | undefined {
+        const { value } = node;
+        if (!(value instanceof Map)) {
+            problems.add(
+                Code.ConfigBadValue,
+                node.offset,
+                field,
+                `must be ${this.format()}, found ${formatFound(node)}`,
+            );
+            return undefined;
+        }
+        const entries = new Map<string, Item>();
+        for (const [name, itemNode] of value as ReadonlyMap<string, SourceNode>) {
+            const path = `${field}.${name}`;
+            if (!this.key.has(name)) {
+                problems.add(
+                    Code.ConfigBadValue,
+                    itemNode.keyOffset,
+                    path,
+                    `the name of a ${this.noun} must be ${this.key.format()}`,
+                );
+            }
+            const item = this.item.parse(itemNode, path, problems);
+            if (item !== undefined) {
+                entries.set(name, item);
+            }
+        }
+        return entries;
+    }
+
+    encode(value: ReadonlyMap<string, Item>): unknown {
+        return Object.fromEntries([...value].map(([name, item]) => [name, this.item.encode(item)]));
+    }
+
+    format(): string {
+        return `a map from the name of each ${this.noun} to its fields`;
+    }
+
+    buildSchema(): JsonSchema {
+        return {
+            type: "object",
+            propertyNames: this.key.buildSchema(),
+            additionalProperties: this.item.buildSchema(),
+        };
+    }
+
+    list(field: string): readonly FieldRow[] {
+        return this.item.list(`${field}.NAME`);
+    }
+}
--- a/src/core/code.ts
+++ b/src/core/code.ts
@@ -51,6 +51,7 @@
     ConfigVersionConflict: 4010,
     PlatformUnreachable: 4011,
     PlatformBadValue: 4012,
+    ConfigDuplicateName: 4013,
     BadSetting: 5001,
     AdminUnreachable: 5002,
     FileUnreadable: 5003,
--- a/src/core/code_table.ts
+++ b/src/core/code_table.ts
@@ -62,6 +62,7 @@
     ),
     4011: buildEntry(503, NotExecuted, "the platform cannot be reached"),
     4012: buildEntry(502, NotExecuted, "the platform sent a value that cannot be read"),
+    4013: buildEntry(500, NotExecuted, "the configuration uses a key or a name twice"),
     5001: buildEntry(500, NotExecuted, "a flag or environment variable is invalid"),
     5002: buildEntry(502, NotExecuted, "the administration interface of the daemon cannot be reached"),
     5003: buildEntry(500, NotExecuted, "a file cannot be read"),
--- /dev/null
+++ b/src/route/route_table.ts
@@ -0,0 +1,110 @@
+/**
+ * Finds the route of a request in a tree of path segments.
+ *
+ * @example
+ * ```ts
+ * const table = new RouteTable(configuration);
+ * const match = table.find("GET", "/bills/42");
+ * ```
+ *
+ * @module
+ */
+import { err, ok, type Result } from "neverthrow";
+import type { Configuration } from "../config/configuration.ts";
+import { Code } from "../core/code.ts";
+import type { RouteMatch } from "./route_match.ts";
+
+interface SegmentNode {
+    readonly literals: Map<string, SegmentNode>;
+    parameter: SegmentNode | undefined;
+    /** Routes that end at this segment, by method. */
+    readonly routes: Map<string, RouteMatch>;
+    /** Routes whose trailing `*` follows this segment, by method. */
+    readonly restRoutes: Map<string, RouteMatch>;
+}
+
+/**
+ * The routes of one configuration. A literal segment takes precedence over `{name}`, which takes precedence
+ * over `*`, from the first segment to the last.
+ */
+export class RouteTable {
+    private readonly root = createNode();
+
+    constructor(configuration: Configuration) {
+        for (const service of configuration.services.values()) {
+            for (const route of service.routes) {
+                this.add({ service, route });
+            }
+        }
+    }
+
+    /** The error is `NoRoute`, or `MethodNotAllowed` when only the method differs. */
+    find(method: string, path: string): Result<RouteMatch, Code> {
+        const segments = path.split("/");
+        // Upstreams may resolve dot segments, so that another path than the matched one would be executed.
+        if (segments[0] !== "" || segments.some(isDotSegment)) {
+            return err(Code.NoRoute);
+        }
+        const found = new RouteSearch(method, segments);
+        const match = found.find(this.root, 1);
+        if (match !== undefined) {
+            return ok(match);
+        }
+        return err(found.otherMethod ? Code.MethodNotAllowed : Code.NoRoute);
+    }
+
+    private add(match: RouteMatch): void {
+        const segments = match.route.path.split("/").slice(1);
+        const hasRest = segments.at(-1) === "*";
+        let node = this.root;
+        for (const segment of hasRest ? segments.slice(0, -1) : segments) {
+            node = addChild(node, segment);
+        }
+        (hasRest ? node.restRoutes : node.routes).set(match.route.method, match);
+    }
+}
+
+class RouteSearch {
+    otherMethod = false;
+
+    constructor(private readonly method: string, private readonly segments: readonly string[]) {}
+
+    /** Visits each node of the tree at most once, because each node has one parent. */
+    find(node: SegmentNode, index: number): RouteMatch | undefined {
+        const segment = this.segments[index];
+        if (segment === undefined) {
+            return this.take(node.routes);
+        }
+        const literal = node.literals.get(segment);
+        const match = literal && this.find(literal, index + 1);
+        if (match !== undefined) {
+            return match;
+        }
+        const parameter = segment === "" ? undefined : node.parameter;
+        return (parameter && this.find(parameter, index + 1)) ?? this.take(node.restRoutes);
+    }
+
+    private take(routes: ReadonlyMap<string, RouteMatch>): RouteMatch | undefined {
+        const match = routes.get(this.method);
+        this.otherMethod ||= match === undefined && routes.size > 0;
+        return match;
+    }
+}
+
+function createNode(): SegmentNode {
+    return { literals: new Map(), parameter: undefined, routes: new Map(), restRoutes: new Map() };
+}
+
+function addChild(node: SegmentNode, segment: string): SegmentNode {
+    if (segment.startsWith("{")) {
+        node.parameter ??= createNode();
+        return node.parameter;
+    }
+    const child = node.literals.get(segment) ?? createNode();
+    node.literals.set(segment, child);
+    return child;
+}
+
+function isDotSegment(segment: string): boolean {
+    return /^(?:\.|%2e){1,2}$/i.test(segment);
+}
