--- /dev/null
+++ b/src/forward/token_retry_budget.ts
@@ -0,0 +1,56 @@
+/**
+ * Retry budget of each service.
+ *
+ * @example
+ * ```ts
+ * const budget = new TokenRetryBudget(clock);
+ * budget.add("payments", 10);
+ * const allowed = budget.take("payments");
+ * ```
+ *
+ * @module
+ */
+import type { Clock } from "../core/clock.ts";
+import type { RetryBudget } from "./retry_budget.ts";
+
+interface Bucket {
+    tokens: number;
+    /** Monotonic milliseconds of the last decay. */
+    updatedAtMs: number;
+}
+
+/** Time in milliseconds in which unused tokens decay to 1/e, so that only recent first attempts count. */
+const decayMs = 10_000;
+/** Tokens that a service can collect; bounds the burst of retries that follows a quiet period. */
+const maxTokens = 100;
+
+/** Each first attempt adds a share of a token, each further attempt takes a whole one. Starts empty. */
+export class TokenRetryBudget implements RetryBudget {
+    private readonly buckets = new Map<string, Bucket>();
+
+    constructor(private readonly clock: Clock) {}
+
+    add(service: string, percent: number): void {
+        const bucket = this.update(service);
+        bucket.tokens = Math.min(maxTokens, bucket.tokens + percent / 100);
+    }
+
+    take(service: string): boolean {
+        const bucket = this.update(service);
+        // The margin keeps ten additions of 0.1, whose sum is slightly below 1, worth one token.
+        if (bucket.tokens < 1 - 1e-9) {
+            return false;
+        }
+        bucket.tokens -= 1;
+        return true;
+    }
+
+    private update(service: string): Bucket {
+        const nowMs = this.clock.getMonotonicMs();
+        const bucket = this.buckets.get(service) ?? { tokens: 0, updatedAtMs: nowMs };
+        bucket.tokens *= Math.exp((bucket.updatedAtMs - nowMs) / decayMs);
+        bucket.updatedAtMs = nowMs;
+        this.buckets.set(service, bucket);
+        return bucket;
+    }
+}
--- /dev/null
+++ b/src/queue/fair_queue.ts
@@ -0,0 +1,120 @@
+/**
+ * Queue of one work class that is fair between organisations.
+ *
+ * @example
+ * ```ts
+ * const queue = new FairQueue();
+ * queue.add(entry);
+ * const next = queue.take();
+ * ```
+ *
+ * @module
+ */
+import type { QueueEntry } from "./queue_entry.ts";
+
+interface OrganisationQueue {
+    readonly entries: QueueEntry[];
+    queuedMs: number;
+    deficitMs: number;
+    /** False until the organisation has received its quantum of the current round. */
+    inTurn: boolean;
+}
+
+/**
+ * Deficit round robin (Shreedhar and Varghese, "Efficient Fair Queuing Using Deficit Round Robin", 1995) with the
+ * expected service time as cost. Keeps state only for organisations with queued work.
+ */
+export class FairQueue {
+    /** In order of service: the first organisation has the turn. */
+    private readonly active = new Map<string, OrganisationQueue>();
+    private quantumMs = 0;
+    private queued = 0;
+    private workMs = 0;
+
+    add(entry: QueueEntry): void {
+        const organisation = entry.request.organisation;
+        const queue = this.active.get(organisation)
+            ?? { entries: [], queuedMs: 0, deficitMs: 0, inTurn: false };
+        queue.entries.push(entry);
+        queue.queuedMs += entry.costMs;
+        this.active.set(organisation, queue);
+        this.queued += 1;
+        this.workMs += entry.costMs;
+        // A quantum of at least the largest cost lets each turn start one request (section 3 of the paper).
+        this.quantumMs = Math.max(this.quantumMs, entry.costMs);
+    }
+
+    /** Removes the next entry in order of service. */
+    take(): QueueEntry | undefined {
+        for (const [organisation, queue] of this.active) {
+            if (!queue.inTurn) {
+                queue.inTurn = true;
+                queue.deficitMs += this.quantumMs;
+            }
+            const entry = queue.entries[0]!;
+            if (entry.costMs <= queue.deficitMs) {
+                queue.deficitMs -= entry.costMs;
+                this.remove(entry);
+                return entry;
+            }
+            queue.inTurn = false;
+            this.active.delete(organisation);
+            this.active.set(organisation, queue);
+        }
+        return undefined;
+    }
+
+    /** False when the entry is not in the queue. */
+    remove(entry: QueueEntry): boolean {
+        const organisation = entry.request.organisation;
+        const queue = this.active.get(organisation);
+        const index = queue?.entries.indexOf(entry) ?? -1;
+        if (queue === undefined || index < 0) {
+            return false;
+        }
+        queue.entries.splice(index, 1);
+        queue.queuedMs -= entry.costMs;
+        this.queued -= 1;
+        this.workMs -= entry.costMs;
+        if (queue.entries.length === 0) {
+            this.active.delete(organisation);
+        }
+        if (this.queued === 0) {
+            this.quantumMs = 0;
+            this.workMs = 0;
+        }
+        return true;
+    }
+
+    list(): readonly QueueEntry[] {
+        return [...this.active.values()].flatMap(queue => queue.entries);
+    }
+
+    count(): number {
+        return this.queued;
+    }
+
+    countOrganisation(organisation: string): number {
+        return this.active.get(organisation)?.entries.length ?? 0;
+    }
+
+    /** Number of organisations for which state is kept. */
+    countOrganisations(): number {
+        return this.active.size;
+    }
+
+    /** Expected service time in milliseconds of all queued work. */
+    getWorkMs(): number {
+        return this.workMs;
+    }
+
+    /** Expected service time in milliseconds of the work that is served before a new request of the organisation. */
+    computeWorkAheadMs(organisation: string, costMs: number): number {
+        const ownMs = this.active.get(organisation)?.queuedMs ?? 0;
+        let aheadMs = 0;
+        for (const [other, queue] of this.active) {
+            aheadMs += other === organisation ? ownMs : Math.min(queue.queuedMs, ownMs + costMs);
+        }
+        return aheadMs;
+    }
+}
--- /dev/null
+++ b/src/queue/queue_entry.ts
@@ -0,0 +1,17 @@
+import type { Result } from "neverthrow";
+import type { Failure } from "../core/failure.ts";
+import type { OwnerRequest } from "./owner_request.ts";
+import type { QueuedRequest } from "./queued_request.ts";
+
+/** A request that waits for a slot. */
+export interface QueueEntry {
+    readonly request: OwnerRequest;
+    /** Monotonic milliseconds. */
+    readonly queuedAtMs: number;
+    /** Expected service time in milliseconds; the cost of the request in the fair queue. */
+    readonly costMs: number;
+    /** Wait in milliseconds as estimated on arrival, before the correction by measured waits. */
+    readonly estimatedWaitMs: number;
+    /** Ends the wait. */
+    readonly resolve: (result: Result<QueuedRequest, Failure>) => void;
+}
--- /dev/null
+++ b/src/queue/queue_filter.test.ts
@@ -0,0 +1,100 @@
+import type { Result } from "neverthrow";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { buildOwnerRequest } from "../../proof/fakes/build_owner_request.ts";
+import { buildService } from "../../proof/fakes/build_service.ts";
+import { VirtualTime } from "../../proof/fakes/virtual_time.ts";
+import { Code } from "../core/code.ts";
+import type { Failure } from "../core/failure.ts";
+import { Outcome } from "../core/outcome.ts";
+import { WorkClass } from "../core/work_class.ts";
+import { DaemonState } from "../lifecycle/daemon_state.ts";
+import { QueueFilter } from "./queue_filter.ts";
+import type { QueuedRequest } from "./queued_request.ts";
+
+function openQueue(slots: number) {
+    const time = new VirtualTime();
+    const daemon: { state: DaemonState; } = { state: DaemonState.Serving };
+    const queue = new QueueFilter({
+        clock: time,
+        timers: time,
+        upstreams: [{ id: "u1", service: "payments", address: "", slots }],
+        daemonState: { getState: () => daemon.state },
+    });
+    return { time, daemon, queue };
+}
+
+function checkRefusal(result: Result<QueuedRequest, Failure>, code: Code): void {
+    const failure = result._unsafeUnwrapErr();
+    assert.deepEqual([failure.code, failure.outcome], [code, Outcome.NotExecuted]);
+}
+
+test("a request for an upstream of another owner is refused, so that no second queue of it exists", async () => {
+    const { queue } = openQueue(1);
+    checkRefusal(await queue.apply(buildOwnerRequest({ upstreamId: "u2" })), Code.NotOwner);
+    assert.equal(queue.getState("u2"), undefined);
+});
+
+test("queued work starts when a slot is given back, and a second close of a lease frees no other slot", async () => {
+    const { queue } = openQueue(1);
+    const first = (await queue.apply(buildOwnerRequest()))._unsafeUnwrap();
+    const second = queue.apply(buildOwnerRequest());
+    const third = queue.apply(buildOwnerRequest());
+    first.lease.close(50);
+    first.lease.close(50);
+    (await second)._unsafeUnwrap();
+    assert.equal(queue.getState("u1")?.running, 1);
+    assert.equal(queue.getState("u1")?.queuedShort, 1);
+    queue.drain();
+    checkRefusal(await third, Code.OwnerLeaving);
+});
+
+test("a draining owner hands back what has not started and keeps what has, so that no work is cut", async () => {
+    const { queue, daemon } = openQueue(1);
+    const first = (await queue.apply(buildOwnerRequest()))._unsafeUnwrap();
+    const second = queue.apply(buildOwnerRequest());
+    queue.drainUpstream("u1");
+    checkRefusal(await second, Code.OwnerLeaving);
+    checkRefusal(await queue.apply(buildOwnerRequest()), Code.OwnerLeaving);
+    assert.equal(queue.getState("u1")?.running, 1);
+    first.lease.close(50);
+    daemon.state = DaemonState.Draining;
+    checkRefusal(await queue.apply(buildOwnerRequest()), Code.OwnerLeaving);
+});
+
+test("queued work leaves at its deadline or when its caller has gone, and never starts later", async () => {
+    const { queue, time } = openQueue(1);
+    const first = (await queue.apply(buildOwnerRequest()))._unsafeUnwrap();
+    const caller = new AbortController();
+    const aborted = queue.apply(buildOwnerRequest({ signal: caller.signal }));
+    const expired = queue.apply(buildOwnerRequest());
+    caller.abort();
+    checkRefusal(await aborted, Code.CallerCancelled);
+    await time.run(1_000);
+    checkRefusal(await expired, Code.DeadlineExceeded);
+    first.lease.close(undefined);
+    assert.equal(queue.getState("u1")?.running, 0);
+    checkRefusal(await queue.apply(buildOwnerRequest({ signal: caller.signal })), Code.CallerCancelled);
+});
+
+test("a full queue and a wait beyond the deadline are refused on arrival, before any dispatch", async () => {
+    const { queue } = openQueue(1);
+    const service = buildService({ limits: { queueLength: 1 } });
+    await queue.apply(buildOwnerRequest({ service }));
+    checkRefusal(await queue.apply(buildOwnerRequest({ service, deadlineMs: 99 })), Code.WaitTooLong);
+    void queue.apply(buildOwnerRequest({ service }));
+    checkRefusal(await queue.apply(buildOwnerRequest({ service, organisation: "o2" })), Code.QueueFull);
+    queue.drain();
+});
+
+test("long work leaves the reserved slots to short work", async () => {
+    const { queue } = openQueue(2);
+    const service = buildService({ routes: [{}, { workClass: WorkClass.Long }] });
+    const addLong = () => queue.apply(buildOwnerRequest({ service, route: service.routes[1]! }));
+    await addLong();
+    const waiting = addLong();
+    (await queue.apply(buildOwnerRequest({ service })))._unsafeUnwrap();
+    assert.equal(queue.getState("u1")?.queuedLong, 1);
+    queue.drain();
+    checkRefusal(await waiting, Code.OwnerLeaving);
+});
--- /dev/null
+++ b/src/queue/queue_filter_options.ts
@@ -0,0 +1,12 @@
+import type { Clock } from "../core/clock.ts";
+import type { Timers } from "../core/timers.ts";
+import type { DaemonStateReader } from "../lifecycle/daemon_state_reader.ts";
+import type { OwnedUpstream } from "./owned_upstream.ts";
+
+/** What a `QueueFilter` needs. */
+export interface QueueFilterOptions {
+    readonly clock: Clock;
+    readonly timers: Timers;
+    readonly upstreams: readonly OwnedUpstream[];
+    readonly daemonState: DaemonStateReader;
+}
--- /dev/null
+++ b/src/queue/service_times.ts
@@ -0,0 +1,46 @@
+import type { RouteConfig } from "../config/route_config.ts";
+
+interface Measured {
+    meanMs: number;
+    deviationMs: number;
+    /** Monotonic milliseconds. */
+    measuredAtMs: number;
+}
+
+/** Weights of RFC 6298 for the mean and the mean deviation of a measured time. */
+const meanWeight = 1 / 8;
+const deviationWeight = 1 / 4;
+/**
+ * Age at which a measurement no longer counts. Without this limit an estimate above all deadlines would refuse all
+ * work, so that no new measurement could correct it.
+ */
+const staleMs = 2_000;
+
+/** Measured service time of each route. */
+export class ServiceTimes {
+    private readonly routes = new Map<string, Measured>();
+
+    record(route: RouteConfig, serviceMs: number, nowMs: number): void {
+        const measured = this.routes.get(route.name);
+        if (measured === undefined || nowMs - measured.measuredAtMs > staleMs) {
+            this.routes.set(route.name, {
+                meanMs: serviceMs,
+                deviationMs: serviceMs / 2,
+                measuredAtMs: nowMs,
+            });
+            return;
+        }
+        const error = serviceMs - measured.meanMs;
+        measured.deviationMs += deviationWeight * (Math.abs(error) - measured.deviationMs);
+        measured.meanMs += meanWeight * error;
+        measured.measuredAtMs = nowMs;
+    }
+
+    /** Mean in milliseconds; the configured time when there is no recent measurement. */
+    getMeanMs(route: RouteConfig, nowMs: number): number {
+        const measured = this.routes.get(route.name);
+        return measured === undefined || nowMs - measured.measuredAtMs > staleMs
+            ? route.serviceMs
+            : measured.meanMs;
+    }
+}
