--- /dev/null
+++ b/src/admit/saturation_table.ts
@@ -0,0 +1,60 @@
+/**
+ * Saturation of services as seen in replies.
+ *
+ * @example
+ * ```ts
+ * const saturation = new SaturationTable(clock, membership);
+ * saturation.record(request.service, reply);
+ * const saturated = saturation.isSaturated("accounts");
+ * ```
+ *
+ * @module
+ */
+import type { ServiceConfig } from "../config/service_config.ts";
+import type { Clock } from "../core/clock.ts";
+import { Code } from "../core/code.ts";
+import type { OwnerReply } from "../forward/owner_reply.ts";
+import type { MembershipReader } from "../membership/membership_reader.ts";
+import type { SaturationReader } from "./saturation_reader.ts";
+
+/** Codes by which an owner says that it cannot take more work now. */
+const saturationCodes: readonly Code[] = [Code.QueueFull, Code.WaitTooLong, Code.OwnerOverloaded];
+/** Age at which a reply no longer counts: an unknown upstream may have recovered, so work may try it again. */
+const staleMs = 1_000;
+
+/**
+ * A service is saturated when each of its live upstreams reported so in its last reply, and no reply is older than
+ * one second. A service of which this daemon has seen only a part never counts as saturated.
+ */
+export class SaturationTable implements SaturationReader {
+    /** Monotonic milliseconds of the last reply that reported saturation, for each upstream. */
+    private readonly saturatedAtMs = new Map<string, number>();
+
+    constructor(private readonly clock: Clock, private readonly membership: MembershipReader) {}
+
+    record(service: ServiceConfig, reply: OwnerReply): void {
+        const state = reply.upstream;
+        if (state === undefined) {
+            return;
+        }
+        const waitMs = Math.min(state.waitShortMs, state.waitLongMs);
+        if (saturationCodes.includes(reply.code) || waitMs > service.limits.targetWaitMs) {
+            this.saturatedAtMs.set(state.upstreamId, this.clock.getMonotonicMs());
+        }
+        else {
+            this.saturatedAtMs.delete(state.upstreamId);
+        }
+    }
+
+    isSaturated(service: string): boolean {
+        const upstreams = this.membership.list(service);
+        const oldestMs = this.clock.getMonotonicMs() - staleMs;
+        return upstreams.length > 0
+            && upstreams.every(({ id }) => (this.saturatedAtMs.get(id) ?? -Infinity) >= oldestMs);
+    }
+
+    /** Forgets an upstream that has left the instance list. */
+    remove(upstreamId: string): void {
+        this.saturatedAtMs.delete(upstreamId);
+    }
+}
--- a/src/queue/service_times.ts
+++ b/src/queue/service_times.ts
@@ -1,3 +1,4 @@
+import type { ServiceTimeReader } from "../admit/service_time_reader.ts";
 import type { RouteConfig } from "../config/route_config.ts";
 
 interface Measured {
@@ -17,7 +18,7 @@
 const staleMs = 2_000;
 
 /** Measured service time of each route. */
-export class ServiceTimes {
+export class ServiceTimes implements ServiceTimeReader {
     private readonly routes = new Map<string, Measured>();
 
     record(route: RouteConfig, serviceMs: number, nowMs: number): void {
