--- a/src/forward/owner_reply.ts
+++ b/src/forward/owner_reply.ts
@@ -20,4 +20,9 @@
     readonly waitMs: number;
     /** Undefined when the hop failed. */
     readonly upstream: UpstreamState | undefined;
+    /**
+     * True when the owner's operation table holds the outcome under the idempotency key, so that no other copy
+     * of the request can change it. Without it, `not-executed` says nothing about other copies.
+     */
+    readonly keyRecorded?: boolean;
 }
--- a/src/forward/revoke_state.ts
+++ b/src/forward/revoke_state.ts
@@ -5,6 +5,8 @@
     /** Sent to the upstream; its end is not known. */
     Dispatched: "dispatched",
     Finished: "finished",
+    /** The owner cannot tell: other incarnation, or another copy with the same key may still run. */
+    Unknown: "unknown",
     /** No answer of the owner. */
     NoReply: "no-reply",
 } as const;
--- a/src/select/selected_request.ts
+++ b/src/select/selected_request.ts
@@ -10,4 +10,6 @@
     readonly baselineMs: number;
     /** True for a request that tries an ejected upstream. */
     readonly trial: boolean;
+    /** Incarnation of the owner that this daemon knew when it sent the attempt; a revocation names it. */
+    readonly ownerIncarnation?: string | undefined;
 }
--- /dev/null
+++ b/src/settle/decide_verdict.ts
@@ -0,0 +1,48 @@
+import type { RouteConfig } from "../config/route_config.ts";
+import type { Answer } from "../core/answer.ts";
+import { Code } from "../core/code.ts";
+import { codeTable } from "../core/code_table.ts";
+import { Outcome } from "../core/outcome.ts";
+import type { UpstreamResult } from "../dispatch/upstream_result.ts";
+import { UpstreamResultKind } from "../dispatch/upstream_result_kind.ts";
+import type { Verdict } from "./verdict.ts";
+
+const codeOfKind = {
+    [UpstreamResultKind.NotSent]: Code.UpstreamRefused,
+    [UpstreamResultKind.Cut]: Code.UpstreamCut,
+    [UpstreamResultKind.TimedOut]: Code.UpstreamTimeout,
+    [UpstreamResultKind.Cancelled]: Code.CallerCancelled,
+    [UpstreamResultKind.AnswerTooLarge]: Code.AnswerTooLarge,
+} as const;
+
+/** Judges the result of an exchange; `not-executed` only when no byte was sent or the upstream declared it. */
+export function decideVerdict(route: RouteConfig, result: UpstreamResult): Verdict {
+    if (result.kind === UpstreamResultKind.Answered) {
+        return result.answer === undefined
+            ? buildVerdict(Code.UpstreamCut, { detail: "the upstream result has no answer" })
+            : decideAnswer(route, result.answer);
+    }
+    const code = codeOfKind[result.kind];
+    // The status of an answer that was too large is not known to be one that the route expects.
+    const outcome = code === Code.AnswerTooLarge ? Outcome.Unknown : codeTable[code].outcome;
+    return buildVerdict(code, { outcome, detail: result.detail });
+}
+
+function decideAnswer(route: RouteConfig, answer: Answer): Verdict {
+    if (route.shedStatuses.includes(answer.status)) {
+        return buildVerdict(Code.UpstreamShed, { shed: true });
+    }
+    const type = answer.headers.find(header => header.name === "content-type")?.value ?? "";
+    const mediaType = type.split(";", 1)[0]!.trim().toLowerCase();
+    const { statuses, contentType } = route.expect;
+    const expected = statuses.includes(answer.status)
+        && (contentType === "" || contentType.toLowerCase() === mediaType);
+    return expected ? buildVerdict(Code.Ok, { expected }) : buildVerdict(Code.UpstreamUnexpected, {
+        detail: `the upstream answered with status ${answer.status} and type "${mediaType}"`,
+    });
+}
+
+function buildVerdict(code: Code, fields: Partial<Verdict>): Verdict {
+    const { outcome, summary } = codeTable[code];
+    return { code, outcome, detail: summary, expected: false, shed: false, ...fields };
+}
--- /dev/null
+++ b/src/settle/verdict.ts
@@ -0,0 +1,13 @@
+import type { Code } from "../core/code.ts";
+import type { Outcome } from "../core/outcome.ts";
+
+/** Judgement on one exchange with an upstream. */
+export interface Verdict {
+    readonly code: Code;
+    readonly outcome: Outcome;
+    readonly detail: string;
+    /** True when a complete answer is what the route expects. */
+    readonly expected: boolean;
+    /** True when the upstream declared by its status that it did not run the request. */
+    readonly shed: boolean;
+}
