--- /dev/null
+++ b/src/operations/running_attempt.ts
@@ -0,0 +1,27 @@
+/** An attempt between its arrival at the owner and its end. */
+export class RunningAttempt {
+    private dispatched = false;
+    private readonly controller = new AbortController();
+
+    /** Aborted when the attempt is revoked before dispatch. */
+    get signal(): AbortSignal {
+        return this.controller.signal;
+    }
+
+    /** False when the attempt was revoked or dispatched before. */
+    recordDispatch(): boolean {
+        if (this.dispatched || this.controller.signal.aborted) {
+            return false;
+        }
+        this.dispatched = true;
+        return true;
+    }
+
+    /** False when the attempt was dispatched, which a revocation does not undo. */
+    revoke(): boolean {
+        if (!this.dispatched) {
+            this.controller.abort();
+        }
+        return !this.dispatched;
+    }
+}
