--- /dev/null
+++ b/src/platform/order_filter.ts
@@ -0,0 +1,19 @@
+import type { Result } from "neverthrow";
+import type { Failure } from "../core/failure.ts";
+import type { Filter } from "../core/filter.ts";
+import type { ConfigSource } from "./config_source.ts";
+import type { ConfigStore } from "./config_store.ts";
+
+/** Stops configurations that are older than the one in force or conflict with it, before they are parsed. */
+export class OrderFilter implements Filter<ConfigSource, ConfigSource> {
+    constructor(private readonly store: ConfigStore) {}
+
+    apply(input: ConfigSource): Result<ConfigSource, Failure> {
+        return this.store.checkOrder(input.version, input.digest)
+            .map(() => input)
+            .mapErr(failure => {
+                this.store.reportRejected(input.version, input.digest, failure, input.cause);
+                return failure;
+            });
+    }
+}
