Add the membership table

Cause: selection needs the upstreams that are not leaving, from a list that lags and from reports of peers and owners. Conclusion: the list decides who exists; a leaving report holds against newer lists and ends with a new incarnation, with removal or after two minutes.

--- /dev/null
+++ b/src/membership/membership_table.test.ts
@@ -0,0 +1,71 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { buildUpstream } from "../../proof/control/fakes/build_upstream.ts";
+import { RecordingSinks } from "../../proof/control/fakes/recording_sinks.ts";
+import { VirtualTime } from "../../proof/fakes/virtual_time.ts";
+import { Code } from "../core/code.ts";
+import { MembershipTable } from "./membership_table.ts";
+
+function createFixture() {
+    const sinks = new RecordingSinks();
+    const time = new VirtualTime();
+    const table = new MembershipTable({ clock: time, audit: sinks, logger: sinks, metrics: sinks });
+    const listIds = () => table.list("payments").map(upstream => upstream.id);
+    return { sinks, time, table, listIds };
+}
+
+test("an older list changes nothing, and the same version with another digest is a conflict", () => {
+    const { table, listIds } = createFixture();
+    table.merge({ version: 5, upstreams: [buildUpstream(1)] }, "a", "platform");
+    const older = table.merge({ version: 4, upstreams: [] }, "b", "platform");
+    assert.equal(older._unsafeUnwrapErr().code, Code.InstanceListStale);
+    const conflict = table.merge({ version: 5, upstreams: [] }, "b", "platform");
+    assert.equal(conflict._unsafeUnwrapErr().code, Code.InstanceListConflict);
+    assert.deepEqual(listIds(), ["upstream-1"]);
+});
+
+test("each change of the list is in the audit trail with its cause", () => {
+    const { sinks, table } = createFixture();
+    table.merge({ version: 1, upstreams: [buildUpstream(1), buildUpstream(2)] }, "a", "platform");
+    table.merge({ version: 2, upstreams: [buildUpstream(1, { leaving: true })] }, "b", "peer");
+    const changes = sinks.entries.map(({ subject, before, after }) => `${subject} ${before} ${after}`);
+    assert.deepEqual(changes, [
+        "upstream-1 absent live",
+        "upstream-2 absent live",
+        "upstream-2 known absent",
+        "upstream-1 live leaving",
+    ]);
+    assert.equal(sinks.entries[3]?.cause, "peer");
+});
+
+test("a leaving report holds against a newer list that lags behind it", () => {
+    const { table, listIds } = createFixture();
+    table.merge({ version: 1, upstreams: [buildUpstream(1), buildUpstream(2)] }, "a", "platform");
+    table.setLeaving("upstream-1", "reply");
+    table.merge({ version: 2, upstreams: [buildUpstream(1), buildUpstream(2)] }, "b", "platform");
+    assert.deepEqual(listIds(), ["upstream-2"]);
+});
+
+test("a restarted daemon is used again, and a late report about its earlier process changes nothing", () => {
+    const { table, listIds } = createFixture();
+    table.merge({ version: 1, upstreams: [buildUpstream(1)] }, "a", "platform");
+    table.recordIncarnation("daemon-1", "first", true);
+    table.setDaemonLeaving("daemon-1", "first", "peer");
+    assert.deepEqual(listIds(), []);
+    table.recordIncarnation("daemon-1", "second", true);
+    assert.deepEqual(listIds(), ["upstream-1"]);
+    assert.equal(table.setDaemonLeaving("daemon-1", "first", "peer"), false);
+    table.recordIncarnation("daemon-1", "first", false);
+    assert.equal(table.getIncarnation("daemon-1"), "second");
+    assert.deepEqual(listIds(), ["upstream-1"]);
+});
+
+test("a leaving report that nothing repeats ends, so that a lost restart does not cost capacity forever", async () => {
+    const { time, table, listIds } = createFixture();
+    table.merge({ version: 1, upstreams: [buildUpstream(1)] }, "a", "platform");
+    table.setDaemonLeaving("daemon-1", "first", "peer");
+    await time.run(119_000);
+    assert.deepEqual(listIds(), []);
+    await time.run(2_000);
+    assert.deepEqual(listIds(), ["upstream-1"]);
+});
--- /dev/null
+++ b/src/membership/membership_table.ts
@@ -0,0 +1,236 @@
+/**
+ * The known upstreams and their daemons. The instance list decides who exists; a report from any source
+ * can add that an upstream is leaving.
+ *
+ * @example
+ * ```ts
+ * const table = new MembershipTable({ clock, audit, logger, metrics });
+ * table.merge(list, digest, "platform");
+ * table.setLeaving("payments-3", "reply");
+ * table.list("payments");
+ * ```
+ *
+ * @module
+ */
+import { err, ok, type Result } from "neverthrow";
+import type { AuditSink } from "../audit/audit_sink.ts";
+import type { Clock } from "../core/clock.ts";
+import { Code } from "../core/code.ts";
+import { createFailure } from "../core/create_failure.ts";
+import type { Failure } from "../core/failure.ts";
+import { LogLevel } from "../core/log_level.ts";
+import type { Logger } from "../core/logger.ts";
+import type { Metrics } from "../core/metrics.ts";
+import type { Upstream } from "../core/upstream.ts";
+import type { InstanceList } from "../platform/instance_list.ts";
+import type { Daemon } from "./daemon.ts";
+import { IncarnationTable } from "./incarnation_table.ts";
+import type { LeavingMark } from "./leaving_mark.ts";
+import type { LeavingRecorder } from "./leaving_recorder.ts";
+import type { MembershipReader } from "./membership_reader.ts";
+
+interface Options {
+    readonly clock: Clock;
+    readonly audit: AuditSink;
+    readonly logger: Logger;
+    readonly metrics: Metrics;
+    /**
+     * Milliseconds after which a leaving mark that nothing repeats ends; the default is two minutes. A drain is
+     * shorter, and an owner that still drains refuses the work, which sets the mark again.
+     */
+    readonly markMs?: number;
+}
+
+const emptyList: InstanceList = { version: 0, upstreams: [] };
+
+/** Table of upstreams, kept in the memory of one daemon. */
+export class MembershipTable implements MembershipReader, LeavingRecorder {
+    private current: InstanceList = emptyList;
+    private digest = "";
+    private readonly upstreams = new Map<string, Upstream>();
+    private readonly firstSeenMs = new Map<string, number>();
+    private readonly upstreamMarks = new Map<string, LeavingMark>();
+    private readonly daemonMarks = new Map<string, LeavingMark>();
+    private readonly incarnations = new IncarnationTable();
+    private readonly byService = new Map<string, Upstream[]>();
+    private daemons: ReadonlyMap<string, Daemon> = new Map();
+
+    constructor(private readonly options: Options) {}
+
+    list(service: string): readonly Upstream[] {
+        return (this.byService.get(service) ?? []).filter(upstream => !this.isLeaving(upstream.id));
+    }
+
+    getFirstSeenMs(upstreamId: string): number | undefined {
+        return this.firstSeenMs.get(upstreamId);
+    }
+
+    getVersion(): number {
+        return this.current.version;
+    }
+
+    /** The list in force and its digest; version 0 and an empty digest until there is one. */
+    getList(): { readonly list: InstanceList; readonly digest: string; } {
+        return { list: this.current, digest: this.digest };
+    }
+
+    /** All daemons of the list by identifier. */
+    getDaemons(): ReadonlyMap<string, Daemon> {
+        return this.daemons;
+    }
+
+    getIncarnation(daemonId: string): string | undefined {
+        return this.incarnations.getIncarnation(daemonId);
+    }
+
+    /** True when the list or an unexpired report about the upstream or its owner says that it is leaving. */
+    isLeaving(upstreamId: string): boolean {
+        const upstream = this.upstreams.get(upstreamId);
+        return upstream?.leaving === true || this.isMarked(this.upstreamMarks.get(upstreamId))
+            || (upstream !== undefined && this.isMarked(this.daemonMarks.get(upstream.ownerId)));
+    }
+
+    setLeaving(upstreamId: string, cause: string): void {
+        const wasLeaving = this.isLeaving(upstreamId);
+        const ownerId = this.upstreams.get(upstreamId)?.ownerId;
+        const incarnation = ownerId === undefined ? undefined : this.getIncarnation(ownerId);
+        this.upstreamMarks.set(upstreamId, { cause, incarnation, untilMs: this.computeMarkEnd() });
+        if (!wasLeaving) {
+            this.recordChange(upstreamId, "live", "leaving", cause);
+        }
+    }
+
+    /**
+     * Takes note that a daemon and so all its upstreams are leaving. Returns false when this changes nothing,
+     * also when the daemon has restarted since it had the incarnation.
+     */
+    setDaemonLeaving(daemonId: string, incarnation: string, cause: string): boolean {
+        const mark = this.daemonMarks.get(daemonId);
+        const isKnown = this.isMarked(mark) && mark?.incarnation === incarnation;
+        if (isKnown || this.incarnations.isPast(daemonId, incarnation)) {
+            return false;
+        }
+        this.daemonMarks.set(daemonId, { cause, incarnation, untilMs: this.computeMarkEnd() });
+        this.recordChange(daemonId, "live", "leaving", cause);
+        return true;
+    }
+
+    /**
+     * Takes note of the incarnation of a daemon that a message came from. A new one ends the leaving marks of
+     * the process before it. A reply always comes from the process that now runs; a request may be late, so it
+     * does not bring back an incarnation that was replaced.
+     */
+    recordIncarnation(daemonId: string, incarnation: string, isReply: boolean): void {
+        if (!this.incarnations.record(daemonId, incarnation, isReply)) {
+            return;
+        }
+        if (this.isOfOtherProcess(this.daemonMarks.get(daemonId), incarnation)) {
+            this.daemonMarks.delete(daemonId);
+            this.recordChange(daemonId, "leaving", "live", `incarnation ${incarnation}`);
+        }
+        for (const [upstreamId, mark] of this.upstreamMarks) {
+            const isOwner = this.upstreams.get(upstreamId)?.ownerId === daemonId;
+            if (isOwner && this.isOfOtherProcess(mark, incarnation)) {
+                this.upstreamMarks.delete(upstreamId);
+                this.recordChange(upstreamId, "leaving", "live", `incarnation ${incarnation}`);
+            }
+        }
+    }
+
+    /** Takes a newer list; returns false when it is the one in force. */
+    merge(list: InstanceList, digest: string, cause: string): Result<boolean, Failure> {
+        const { version } = this.current;
+        if (list.version < version) {
+            const detail = `version ${list.version} is older than version ${version} in force`;
+            return err(createFailure(Code.InstanceListStale, { detail }));
+        }
+        if (list.version === version) {
+            return digest === this.digest ? ok(false) : err(createFailure(Code.InstanceListConflict));
+        }
+        this.current = list;
+        this.digest = digest;
+        this.updateUpstreams(list, cause);
+        this.options.logger.write(LogLevel.Info, "instance_list_accepted", { version: list.version, cause });
+        this.options.metrics.setGauge("membership.version", list.version);
+        this.options.metrics.setGauge("membership.upstreams", this.upstreams.size);
+        return ok(true);
+    }
+
+    private updateUpstreams(list: InstanceList, cause: string): void {
+        const nowMs = this.options.clock.getMonotonicMs();
+        const listed = new Set(list.upstreams.map(upstream => upstream.id));
+        for (const id of [...this.upstreams.keys()].filter(known => !listed.has(known))) {
+            this.upstreams.delete(id);
+            this.firstSeenMs.delete(id);
+            this.upstreamMarks.delete(id);
+            this.recordChange(id, "known", "absent", cause);
+        }
+        for (const upstream of list.upstreams) {
+            const before = this.upstreams.get(upstream.id);
+            this.upstreams.set(upstream.id, upstream);
+            if (before === undefined) {
+                this.firstSeenMs.set(upstream.id, nowMs);
+                this.recordChange(upstream.id, "absent", upstream.leaving ? "leaving" : "live", cause);
+            }
+            else if (before.leaving !== upstream.leaving) {
+                this.recordChange(
+                    upstream.id,
+                    before.leaving ? "leaving" : "live",
+                    upstream.leaving ? "leaving" : "live",
+                    cause,
+                );
+            }
+            else if (before.ownerId !== upstream.ownerId || before.ownerAddress !== upstream.ownerAddress) {
+                this.recordChange(
+                    upstream.id,
+                    `${before.ownerId} ${before.ownerAddress}`,
+                    `${upstream.ownerId} ${upstream.ownerAddress}`,
+                    cause,
+                );
+            }
+        }
+        this.buildIndexes();
+    }
+
+    private buildIndexes(): void {
+        this.byService.clear();
+        const daemons = new Map<string, Daemon>();
+        const sorted = [...this.upstreams.values()].sort((left, right) => left.id < right.id ? -1 : 1);
+        for (const upstream of sorted) {
+            const members = this.byService.get(upstream.service) ?? [];
+            members.push(upstream);
+            this.byService.set(upstream.service, members);
+            const { ownerId, ownerAddress, failureDomain, region } = upstream;
+            const leaving = upstream.leaving && (daemons.get(ownerId)?.leaving ?? true);
+            daemons.set(ownerId, { id: ownerId, address: ownerAddress, failureDomain, region, leaving });
+        }
+        this.daemons = daemons;
+        this.incarnations.removeExcept(daemons);
+        for (const daemonId of [...this.daemonMarks.keys()].filter(known => !daemons.has(known))) {
+            this.daemonMarks.delete(daemonId);
+        }
+    }
+
+    private computeMarkEnd(): number {
+        return this.options.clock.getMonotonicMs() + (this.options.markMs ?? 120_000);
+    }
+
+    private isMarked(mark: LeavingMark | undefined): boolean {
+        return mark !== undefined && this.options.clock.getMonotonicMs() < mark.untilMs;
+    }
+
+    private isOfOtherProcess(mark: LeavingMark | undefined, incarnation: string): boolean {
+        return mark?.incarnation !== undefined && mark.incarnation !== incarnation;
+    }
+
+    private recordChange(subject: string, before: string, after: string, cause: string): void {
+        this.options.audit.record({
+            change: "membership",
+            subject,
+            before,
+            after,
+            cause,
+            version: this.current.version,
+        });
+    }
+}
--- /dev/null
+++ b/src/platform/validate_instances_filter.ts
@@ -0,0 +1,28 @@
+import { err, ok, type Result } from "neverthrow";
+import { Code } from "../core/code.ts";
+import { createFailure } from "../core/create_failure.ts";
+import type { Failure } from "../core/failure.ts";
+import type { Filter } from "../core/filter.ts";
+import type { InstanceCandidate } from "./instance_candidate.ts";
+
+/** Stops a list that names an upstream twice or leaves a field empty. */
+export class ValidateInstancesFilter implements Filter<InstanceCandidate, InstanceCandidate> {
+    apply(input: InstanceCandidate): Result<InstanceCandidate, Failure> {
+        const seen = new Set<string>();
+        for (const upstream of input.list.upstreams) {
+            const { id, service, failureDomain, region, ownerId, ownerAddress } = upstream;
+            if ([id, service, failureDomain, region, ownerId, ownerAddress].includes("")) {
+                return createError(`upstream "${id}" has an empty field`);
+            }
+            if (seen.has(id)) {
+                return createError(`upstream "${id}" is named twice`);
+            }
+            seen.add(id);
+        }
+        return ok(input);
+    }
+}
+
+function createError(detail: string): Result<never, Failure> {
+    return err(createFailure(Code.InstanceListBadValue, { detail }));
+}
