Add the lifecycle and its drain sequence

Cause: a stop must cut no request in flight. Conclusion: the drain hands back queued work, accepts callers for a grace period, and closes when the count of requests in flight is zero. The time limit is reported as DrainTimeout and does not cut requests.

--- /dev/null
+++ b/src/lifecycle/leaving_announcer.ts
@@ -0,0 +1,4 @@
+/** Tells the other daemons that this daemon's upstreams are leaving. */
+export interface LeavingAnnouncer {
+    sendLeaving(): void;
+}
--- /dev/null
+++ b/src/lifecycle/lifecycle.ts
@@ -0,0 +1,176 @@
+/**
+ * State of the daemon and the drain sequence.
+ *
+ * @example
+ * ```ts
+ * const lifecycle = new Lifecycle({ clock, timers, audit, logger, metrics, graceMs: 5_000, limitMs: 60_000,
+ *     getListeners: () => [callers, peers], queue, announcer });
+ * lifecycle.setServing();
+ * const lease = lifecycle.registerRequest();
+ * const result = await lifecycle.drain("operator");
+ * ```
+ *
+ * @module
+ */
+import { err, ok, type Result } from "neverthrow";
+import type { AuditSink } from "../audit/audit_sink.ts";
+import type { Clock } from "../core/clock.ts";
+import { Code } from "../core/code.ts";
+import { createFailure } from "../core/create_failure.ts";
+import type { Failure } from "../core/failure.ts";
+import { LogLevel } from "../core/log_level.ts";
+import type { Logger } from "../core/logger.ts";
+import type { Metrics } from "../core/metrics.ts";
+import type { Timers } from "../core/timers.ts";
+import { DaemonState } from "./daemon_state.ts";
+import type { DaemonStateReader } from "./daemon_state_reader.ts";
+import type { DrainReport } from "./drain_report.ts";
+import type { DrainableListener } from "./drainable_listener.ts";
+import type { LeavingAnnouncer } from "./leaving_announcer.ts";
+import type { QueuedWorkReleaser } from "./queued_work_releaser.ts";
+import type { RequestLease } from "./request_lease.ts";
+
+interface Options {
+    readonly clock: Clock;
+    readonly timers: Timers;
+    readonly audit: AuditSink;
+    readonly logger: Logger;
+    readonly metrics: Metrics;
+    readonly queue: QueuedWorkReleaser;
+    readonly announcer: LeavingAnnouncer;
+    /** Read when the drain starts; the listeners are stopped and closed in this order. */
+    readonly getListeners: () => readonly DrainableListener[];
+    /** Milliseconds in which callers are still accepted while other daemons learn of the drain. */
+    readonly graceMs: number;
+    /**
+     * Milliseconds after which the drain is reported as late. Requests that are still in flight are not cut;
+     * each has a deadline, so the limit should be above `graceMs` plus the longest deadline of a route.
+     */
+    readonly limitMs: number;
+}
+
+/** Counts the requests in flight and runs the drain. */
+export class Lifecycle implements DaemonStateReader {
+    private state: DaemonState = DaemonState.Starting;
+    private inFlight = 0;
+    private draining: Promise<DrainReport> | undefined;
+    private onIdle: (() => void) | undefined;
+
+    constructor(private readonly options: Options) {}
+
+    getState(): DaemonState {
+        return this.state;
+    }
+
+    /** Requests from callers and other daemons that have not been answered completely. */
+    countInFlight(): number {
+        return this.inFlight;
+    }
+
+    /** Has an effect only on a daemon that is starting. */
+    setServing(): void {
+        if (this.state === DaemonState.Starting) {
+            this.setState(DaemonState.Serving, "started");
+        }
+    }
+
+    /**
+     * Marks one request as in flight; undefined when the daemon has closed. Close the lease when the last byte
+     * of the answer has been handed to the connection.
+     */
+    registerRequest(): RequestLease | undefined {
+        if (this.state === DaemonState.Closed) {
+            return undefined;
+        }
+        this.inFlight += 1;
+        this.options.metrics.setGauge("lifecycle.in_flight", this.inFlight);
+        let open = true;
+        return {
+            close: () => {
+                if (open) {
+                    open = false;
+                    this.removeRequest();
+                }
+            },
+        };
+    }
+
+    /** Closed when the last request has ended. Further calls join the first. */
+    waitForClose(cause: string): Promise<DrainReport> {
+        this.draining ??= this.runDrain(cause);
+        return this.draining;
+    }
+
+    /** Starts the drain; fails with `DrainTimeout` at the time limit, while the drain itself goes on. */
+    drain(cause: string): Promise<Result<DrainReport, Failure>> {
+        const report = this.waitForClose(cause);
+        return new Promise(resolve => {
+            const timer = this.options.timers.start(this.options.limitMs, () => {
+                const detail =
+                    `${this.inFlight} requests are still in flight after ${this.options.limitMs} ms`;
+                this.options.logger.write(LogLevel.Error, "drain_late", { code: Code.DrainTimeout, detail });
+                this.options.metrics.addCount("lifecycle.drain_late");
+                resolve(err(createFailure(Code.DrainTimeout, { detail })));
+            });
+            void report.then(done => {
+                timer.close();
+                resolve(ok(done));
+            });
+        });
+    }
+
+    private async runDrain(cause: string): Promise<DrainReport> {
+        const startMs = this.options.clock.getMonotonicMs();
+        const inFlight = this.inFlight;
+        this.setState(DaemonState.Draining, cause);
+        this.options.announcer.sendLeaving();
+        const released = this.options.queue.releaseQueued();
+        await this.waitMs(this.options.graceMs);
+        const listeners = this.options.getListeners();
+        for (const listener of listeners) {
+            listener.stop();
+        }
+        await this.waitForIdle();
+        this.setState(DaemonState.Closed, cause);
+        for (const listener of listeners) {
+            await listener.close();
+        }
+        const durationMs = this.options.clock.getMonotonicMs() - startMs;
+        this.options.logger.write(LogLevel.Info, "drain_finished", { released, inFlight, durationMs });
+        return { released, inFlight, durationMs };
+    }
+
+    private waitMs(durationMs: number): Promise<void> {
+        return new Promise(resolve => void this.options.timers.start(durationMs, resolve));
+    }
+
+    private async waitForIdle(): Promise<void> {
+        while (this.inFlight > 0) {
+            await new Promise<void>(resolve => {
+                this.onIdle = resolve;
+            });
+        }
+    }
+
+    private removeRequest(): void {
+        this.inFlight -= 1;
+        this.options.metrics.setGauge("lifecycle.in_flight", this.inFlight);
+        if (this.inFlight === 0) {
+            this.onIdle?.();
+        }
+    }
+
+    private setState(state: DaemonState, cause: string): void {
+        const before = this.state;
+        this.state = state;
+        this.options.logger.write(LogLevel.Info, "state_changed", { before, after: state, cause });
+        this.options.audit.record({
+            change: state === DaemonState.Draining ? "drain" : "state",
+            subject: "daemon",
+            before,
+            after: state,
+            cause,
+            version: 0,
+        });
+    }
+}
