--- /dev/null
+++ b/src/platform/platform_watcher.ts
@@ -0,0 +1,73 @@
+/**
+ * Control pipelines from the platform: watches configuration and instance list and passes each new version
+ * through its pipeline.
+ *
+ * @example
+ * ```ts
+ * const watcher = new PlatformWatcher({ platform, configuration: Pipeline.start(joinParts).pipe(order)..., ... });
+ * watcher.start();
+ * watcher.close();
+ * ```
+ *
+ * @module
+ */
+import type { Clock } from "../core/clock.ts";
+import type { Filter } from "../core/filter.ts";
+import type { Logger } from "../core/logger.ts";
+import type { Metrics } from "../core/metrics.ts";
+import type { RandomSource } from "../core/random_source.ts";
+import type { Timers } from "../core/timers.ts";
+import { DocumentWatch } from "./document_watch.ts";
+import type { InstanceList } from "./instance_list.ts";
+import type { PlatformReader } from "./platform_reader.ts";
+import type { PublishedValue } from "./published_value.ts";
+import type { ReaderRole } from "./reader_role.ts";
+
+interface Options {
+    readonly platform: PlatformReader;
+    /** Joins, orders, parses and accepts the value `head`. */
+    readonly configuration: Filter<PublishedValue, unknown>;
+    /** Validates and merges the instance list. */
+    readonly instances: Filter<InstanceList, unknown>;
+    readonly role: ReaderRole;
+    readonly clock: Clock;
+    readonly timers: Timers;
+    readonly random: RandomSource;
+    readonly logger: Logger;
+    readonly metrics: Metrics;
+    readonly watchMs?: number;
+    readonly checkMs?: number;
+    readonly backoffMinMs?: number;
+    readonly backoffMaxMs?: number;
+    readonly callMs?: number;
+}
+
+/** The two watches of one daemon. */
+export class PlatformWatcher {
+    private readonly configuration: DocumentWatch<PublishedValue>;
+    private readonly instances: DocumentWatch<InstanceList>;
+
+    constructor(options: Options) {
+        const { platform } = options;
+        this.configuration = new DocumentWatch<PublishedValue>({
+            name: "configuration",
+            fetch: (afterVersion, waitMs) => platform.fetchValue("head", afterVersion, waitMs),
+            apply: async document => options.configuration.apply(document),
+        }, options);
+        this.instances = new DocumentWatch<InstanceList>({
+            name: "instances",
+            fetch: (afterVersion, waitMs) => platform.fetchInstances(afterVersion, waitMs),
+            apply: async document => options.instances.apply(document),
+        }, options);
+    }
+
+    start(): void {
+        this.configuration.start();
+        this.instances.start();
+    }
+
+    close(): void {
+        this.configuration.close();
+        this.instances.close();
+    }
+}
--- /dev/null
+++ b/src/platform/reader_role.ts
@@ -0,0 +1,4 @@
+/** Says whether this daemon reads the platform itself. */
+export interface ReaderRole {
+    isReader(): boolean;
+}
