Add the attempt filter, key routing and the pause detector

A request with a key is sent only to the owner that the key names, at any of its upstreams. When none of them is preferred, the entry daemon first asks the owner to close the key: the operation of an unseen key then ends as not-executed, and a new key names a healthy owner. Sending it to another owner was ruled out: a second entry daemon may reach the first owner at the same time, and both owners would run it.

not-executed for a request with a key counts only when the owner has recorded it (keyRecorded); a refused connection or an early refusal says nothing about an earlier copy.

--- /dev/null
+++ b/src/dispatch/immediate_loop_turns.ts
@@ -0,0 +1,12 @@
+import type { LoopTurns } from "./loop_turns.ts";
+
+/** Iterations of the Node.js event loop: the callback of `setImmediate` runs after sockets were polled. */
+export class ImmediateLoopTurns implements LoopTurns {
+    async wait(count: number): Promise<void> {
+        for (let turn = 0; turn < count; turn += 1) {
+            await new Promise<void>(resolve => {
+                setImmediate(resolve);
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/dispatch/pause_detector.ts
@@ -0,0 +1,81 @@
+/**
+ * Detects pauses of this process by a periodic timer that fires late.
+ *
+ * @example
+ * ```ts
+ * const pauses = new PauseDetector({ clock, timers, turns: new ImmediateLoopTurns() });
+ * pauses.start();
+ * ```
+ *
+ * @module
+ */
+import type { Clock } from "../core/clock.ts";
+import type { Timer } from "../core/timer.ts";
+import type { Timers } from "../core/timers.ts";
+import type { LoopTurns } from "./loop_turns.ts";
+import type { PauseGuard } from "./pause_guard.ts";
+
+interface Options {
+    readonly clock: Clock;
+    readonly timers: Timers;
+    readonly turns: LoopTurns;
+}
+
+const periodMs = 100;
+/** A timer that is late by more is taken as a pause, from the design page. */
+const lateMs = 250;
+
+/** Measures pauses and tells until when sockets that filled during a pause may be unread. */
+export class PauseDetector implements PauseGuard {
+    private timer: Timer | undefined;
+    private expectedMs = Infinity;
+    private pausedMs = 0;
+    private resuming: Promise<void> | undefined;
+
+    constructor(private readonly options: Options) {}
+
+    start(): void {
+        this.expectedMs = this.options.clock.getMonotonicMs() + periodMs;
+        this.timer = this.options.timers.start(periodMs, () => {
+            this.check();
+            this.start();
+        });
+    }
+
+    close(): void {
+        this.timer?.close();
+        this.expectedMs = Infinity;
+    }
+
+    isResuming(): boolean {
+        this.check();
+        return this.resuming !== undefined;
+    }
+
+    async wait(): Promise<void> {
+        this.check();
+        await this.resuming;
+    }
+
+    getPausedMs(): number {
+        this.check();
+        return this.pausedMs;
+    }
+
+    /** Looks at the clock too, because other timers may run before the late one of this class. */
+    private check(): void {
+        const nowMs = this.options.clock.getMonotonicMs();
+        const overdueMs = nowMs - this.expectedMs;
+        if (overdueMs <= lateMs) {
+            return;
+        }
+        this.pausedMs += overdueMs;
+        this.expectedMs = nowMs + periodMs;
+        const resuming = this.options.turns.wait(2).then(() => {
+            if (this.resuming === resuming) {
+                this.resuming = undefined;
+            }
+        });
+        this.resuming = resuming;
+    }
+}
--- /dev/null
+++ b/src/forward/attempt_exchanger.ts
@@ -0,0 +1,98 @@
+import type { Clock } from "../core/clock.ts";
+import { Code } from "../core/code.ts";
+import { codeTable } from "../core/code_table.ts";
+import type { Metrics } from "../core/metrics.ts";
+import { Outcome } from "../core/outcome.ts";
+import type { Timers } from "../core/timers.ts";
+import type { SelectedRequest } from "../select/selected_request.ts";
+import { buildOwnerReply } from "./build_owner_reply.ts";
+import type { Forwarder } from "./forwarder.ts";
+import type { OwnerReply } from "./owner_reply.ts";
+import { RevokeState } from "./revoke_state.ts";
+import { waitForAbort } from "./wait_for_abort.ts";
+import { waitForTimer } from "./wait_for_timer.ts";
+
+interface Options {
+    readonly forwarder: Forwarder;
+    readonly clock: Clock;
+    readonly timers: Timers;
+    readonly metrics: Metrics;
+    /** Milliseconds kept for a revocation before the deadline; a few round trips between failure domains. */
+    readonly revokeMs?: number;
+}
+
+/** Exchanges one attempt with the owner and finds out as much as possible when it is abandoned. */
+export class AttemptExchanger {
+    private readonly revokeMs: number;
+
+    constructor(private readonly options: Options) {
+        this.revokeMs = options.revokeMs ?? 50;
+    }
+
+    /** Always returns a reply to this attempt, at the deadline at the latest. */
+    async forward(selected: SelectedRequest): Promise<OwnerReply> {
+        const { clock, timers, forwarder } = this.options;
+        const hop = new AbortController();
+        const replied = forwarder.forward(selected, hop.signal).then(reply => this.check(selected, reply));
+        const cancelled = waitForAbort(selected.signal);
+        const remainingMs = selected.deadlineMs - clock.getMonotonicMs();
+        const reserveMs = selected.route.idempotent ? 0 : Math.min(this.revokeMs, remainingMs / 4);
+        const expiring = waitForTimer(timers, remainingMs - reserveMs);
+        const reply = await Promise.race([replied, cancelled.done, expiring.done]);
+        const result = reply ?? await this.stopWaiting(selected, replied);
+        cancelled.close();
+        expiring.close();
+        hop.abort();
+        return result;
+    }
+
+    /**
+     * Asks the owner to revoke an attempt whose hop failed. `not-executed` follows only from the owner's word
+     * that the attempt was not and will not be dispatched.
+     */
+    async revoke(selected: SelectedRequest): Promise<RevokeState> {
+        const { clock, timers, forwarder } = this.options;
+        const remainingMs = selected.deadlineMs - clock.getMonotonicMs();
+        const timeout = waitForTimer(timers, Math.min(this.revokeMs, remainingMs));
+        const state = await Promise.race([forwarder.revoke(selected), timeout.done]);
+        timeout.close();
+        return state ?? RevokeState.NoReply;
+    }
+
+    private async stopWaiting(selected: SelectedRequest, replied: Promise<OwnerReply>): Promise<OwnerReply> {
+        const { clock, timers } = this.options;
+        const code = selected.signal.aborted ? Code.CallerCancelled : Code.DeadlineExceeded;
+        if (selected.route.idempotent) {
+            return this.buildReply(selected, code, Outcome.Unknown);
+        }
+        const ended = await Promise.race([this.revoke(selected), replied]);
+        if (typeof ended === "object") {
+            return ended;
+        }
+        if (ended === RevokeState.Revoked) {
+            return this.buildReply(selected, code, Outcome.NotExecuted);
+        }
+        // The reply may still arrive in what is left of the budget.
+        const timeout = waitForTimer(timers, selected.deadlineMs - clock.getMonotonicMs());
+        const late = await Promise.race([replied, timeout.done]);
+        timeout.close();
+        return late ?? this.buildReply(selected, code, Outcome.Unknown);
+    }
+
+    /** A reply to another request or attempt is dropped; it says nothing about this one. */
+    private check(selected: SelectedRequest, reply: OwnerReply): OwnerReply {
+        if (reply.requestId === selected.requestId && reply.attempt === selected.attempt) {
+            return reply;
+        }
+        this.options.metrics.addCount("reply_mismatch");
+        return this.buildReply(selected, Code.ReplyMismatch, Outcome.Unknown);
+    }
+
+    private buildReply(selected: SelectedRequest, code: Code, outcome: Outcome): OwnerReply {
+        const identity = { ownerId: selected.upstream.ownerId, incarnation: "" };
+        const detail = codeTable[code].summary;
+        // Only a revocation yields `not-executed` here; with a key, it has closed the key.
+        const keyRecorded = outcome === Outcome.NotExecuted && selected.idempotencyKey !== undefined;
+        return buildOwnerReply(identity, selected, { code, outcome, detail, keyRecorded });
+    }
+}
--- /dev/null
+++ b/src/forward/attempt_filter.ts
@@ -0,0 +1,141 @@
+/**
+ * Sends a request to owners of upstreams until one reply stands: selects, forwards, and repeats while that is
+ * safe, the retry budget allows it and time is left.
+ *
+ * @example
+ * ```ts
+ * const entry = Pipeline.start(routeFilter).pipe(admitFilter).pipe(new AttemptFilter(options));
+ * ```
+ *
+ * @module
+ */
+import { err, ok, type Result } from "neverthrow";
+import type { Clock } from "../core/clock.ts";
+import { Code } from "../core/code.ts";
+import type { Failure } from "../core/failure.ts";
+import type { Filter } from "../core/filter.ts";
+import { Outcome } from "../core/outcome.ts";
+import type { LeavingRecorder } from "../membership/leaving_recorder.ts";
+import type { IdempotencyKey } from "../operations/idempotency_key.ts";
+import type { KeyOwnerReader } from "../operations/key_owner_reader.ts";
+import type { KeyOwnerRecorder } from "../operations/key_owner_recorder.ts";
+import type { KeyedSelector } from "../operations/keyed_selector.ts";
+import { parseKey } from "../operations/parse_key.ts";
+import type { RoutedRequest } from "../route/routed_request.ts";
+import type { SelectedRequest } from "../select/selected_request.ts";
+import type { UpstreamSelector } from "../select/upstream_selector.ts";
+import type { AttemptExchanger } from "./attempt_exchanger.ts";
+import { buildOwnerReply } from "./build_owner_reply.ts";
+import { hopCodes } from "./hop_codes.ts";
+import { IdempotentRetryPolicy } from "./idempotent_retry_policy.ts";
+import { KeyedRetryPolicy } from "./keyed_retry_policy.ts";
+import type { OwnerReply } from "./owner_reply.ts";
+import type { RetryBudget } from "./retry_budget.ts";
+import type { RetryPolicy } from "./retry_policy.ts";
+import { RevokeState } from "./revoke_state.ts";
+import { SingleRunRetryPolicy } from "./single_run_retry_policy.ts";
+
+interface Options {
+    readonly selector: UpstreamSelector;
+    readonly keyedSelector: KeyedSelector;
+    readonly owners: KeyOwnerReader & KeyOwnerRecorder;
+    readonly exchanger: AttemptExchanger;
+    readonly budget: RetryBudget;
+    readonly leaving: LeavingRecorder;
+    readonly clock: Clock;
+    /** Attempts for one request, the first included. */
+    readonly maxAttempts?: number;
+}
+
+/** Repeats the attempts of a request while that is safe. */
+export class AttemptFilter implements Filter<RoutedRequest, OwnerReply> {
+    constructor(private readonly options: Options) {}
+
+    async apply(request: RoutedRequest): Promise<Result<OwnerReply, Failure>> {
+        this.options.budget.add(request.service.name, request.service.limits.retryPercent);
+        const { idempotencyKey, route } = request;
+        if (route.idempotent || idempotencyKey === undefined) {
+            return this.runUnkeyed({ ...request, idempotencyKey: undefined });
+        }
+        const key = parseKey(idempotencyKey);
+        return key.isErr() ? err(key.error) : this.runKeyed(request, key.value);
+    }
+
+    private async runUnkeyed(request: RoutedRequest): Promise<Result<OwnerReply, Failure>> {
+        const { selector, owners } = this.options;
+        const idempotent = request.route.idempotent;
+        const policy = idempotent ? new IdempotentRetryPolicy() : new SingleRunRetryPolicy();
+        const excluded = new Set<string>();
+        let last: OwnerReply | undefined;
+        for (let attempt = 1;; attempt += 1) {
+            const result = selector.select(request, attempt, excluded);
+            if (result.isErr()) {
+                return last === undefined ? err(result.error) : ok(last);
+            }
+            const ownerIncarnation = owners.getIncarnation(result.value.upstream.ownerId);
+            const selected = { ...result.value, ownerIncarnation };
+            excluded.add(selected.upstream.id);
+            last = await this.forward(selected);
+            if (!idempotent && last.outcome === Outcome.Unknown && hopCodes.has(last.code)) {
+                last = await this.revokeLost(selected, last);
+            }
+            if (!this.isRepeatable(selected, last, policy)) {
+                return ok(last);
+            }
+        }
+    }
+
+    private async runKeyed(
+        request: RoutedRequest,
+        key: IdempotencyKey,
+    ): Promise<Result<OwnerReply, Failure>> {
+        const { keyedSelector, exchanger } = this.options;
+        const policy = new KeyedRetryPolicy();
+        for (let attempt = 1;; attempt += 1) {
+            const selection = keyedSelector.select(request, key, attempt);
+            if (selection.isErr()) {
+                return err(selection.error);
+            }
+            const { selected, preferred } = selection.value;
+            // The owner closes a key that it has not seen, and the caller can use a key of a healthy owner.
+            if (!preferred && await exchanger.revoke(selected) === RevokeState.Revoked) {
+                const identity = { ownerId: key.ownerId, incarnation: key.incarnation };
+                return ok(buildOwnerReply(identity, selected, { code: Code.KeyClosed, keyRecorded: true }));
+            }
+            const reply = await this.forward(selected);
+            if (!this.isRepeatable(selected, reply, policy)) {
+                return ok(reply);
+            }
+        }
+    }
+
+    private async forward(selected: SelectedRequest): Promise<OwnerReply> {
+        const { selector, exchanger, leaving, clock, owners } = this.options;
+        const startMs = clock.getMonotonicMs();
+        selector.recordStart(selected);
+        const reply = await exchanger.forward(selected);
+        selector.recordReply(selected, reply, clock.getMonotonicMs() - startMs);
+        if (reply.incarnation !== "" && !hopCodes.has(reply.code)) {
+            owners.setIncarnation({ ownerId: reply.ownerId, incarnation: reply.incarnation });
+        }
+        if (reply.code === Code.OwnerLeaving || reply.upstream?.leaving === true) {
+            leaving.setLeaving(selected.upstream.id, "reply");
+        }
+        // Another copy of the request may have run under the same key.
+        const uncertain = selected.idempotencyKey !== undefined && reply.keyRecorded !== true
+            && reply.outcome === Outcome.NotExecuted;
+        return uncertain ? { ...reply, outcome: Outcome.Unknown } : reply;
+    }
+
+    /** After a failed hop the attempt may wait in the owner's queue, where it can still be revoked. */
+    private async revokeLost(selected: SelectedRequest, reply: OwnerReply): Promise<OwnerReply> {
+        const state = await this.options.exchanger.revoke(selected);
+        return state === RevokeState.Revoked ? { ...reply, outcome: Outcome.NotExecuted } : reply;
+    }
+
+    private isRepeatable(selected: SelectedRequest, reply: OwnerReply, policy: RetryPolicy): boolean {
+        const { clock, budget, maxAttempts = 3 } = this.options;
+        return policy.isRetryable(reply) && selected.attempt < maxAttempts && !selected.signal.aborted
+            && clock.getMonotonicMs() < selected.deadlineMs && budget.take(selected.service.name);
+    }
+}
--- /dev/null
+++ b/src/forward/transient_codes.ts
@@ -0,0 +1,21 @@
+import { Code } from "../core/code.ts";
+
+/** Results of one upstream or one hop that another attempt may avoid. */
+export const transientCodes: ReadonlySet<Code> = new Set<Code>([
+    Code.QueueFull,
+    Code.WaitTooLong,
+    Code.OwnerLeaving,
+    Code.NotOwner,
+    Code.UnknownRouteAtOwner,
+    Code.OwnerOverloaded,
+    Code.UpstreamRefused,
+    Code.UpstreamShed,
+    Code.UpstreamCut,
+    Code.UpstreamTimeout,
+    Code.UpstreamUnexpected,
+    Code.PeerUnreachable,
+    Code.PeerCut,
+    Code.PeerTimeout,
+    Code.PeerProtocol,
+    Code.ReplyMismatch,
+]);
--- a/src/operations/known_owner_table.ts
+++ b/src/operations/known_owner_table.ts
@@ -1,5 +1,6 @@
 import type { MembershipReader } from "../membership/membership_reader.ts";
 import type { KeyOwnerReader } from "./key_owner_reader.ts";
+import type { KeyOwnerRecorder } from "./key_owner_recorder.ts";
 import type { OwnerIdentity } from "./owner_identity.ts";
 import type { UpstreamPreference } from "./upstream_preference.ts";
 
@@ -9,7 +10,7 @@
 }
 
 /** Incarnations learnt from head exchanges and replies. */
-export class KnownOwnerTable implements KeyOwnerReader {
+export class KnownOwnerTable implements KeyOwnerReader, KeyOwnerRecorder {
     private readonly incarnations = new Map<string, string>();
 
     constructor(private readonly options: Options) {}
