--- /dev/null
+++ b/src/admit/in_flight_filter.ts
@@ -0,0 +1,29 @@
+import type { Result } from "neverthrow";
+import type { Failure } from "../core/failure.ts";
+import type { Filter } from "../core/filter.ts";
+import type { OwnerReply } from "../forward/owner_reply.ts";
+import type { RoutedRequest } from "../route/routed_request.ts";
+import type { InFlightTable } from "./in_flight_table.ts";
+import type { SaturationTable } from "./saturation_table.ts";
+
+interface Options {
+    readonly inFlight: InFlightTable;
+    readonly saturation: SaturationTable;
+    readonly inner: Filter<RoutedRequest, OwnerReply>;
+}
+
+/** Counts each request as in flight while the inner filter runs, and records the saturation that its reply reports. */
+export class InFlightFilter implements Filter<RoutedRequest, OwnerReply> {
+    constructor(private readonly options: Options) {}
+
+    async apply(request: RoutedRequest): Promise<Result<OwnerReply, Failure>> {
+        const { inFlight, inner, saturation } = this.options;
+        inFlight.add(request.service.name);
+        const result = await inner.apply(request);
+        inFlight.remove(request.service.name);
+        if (result.isOk()) {
+            saturation.record(request.service, result.value);
+        }
+        return result;
+    }
+}
--- a/src/core/code.ts
+++ b/src/core/code.ts
@@ -56,7 +56,7 @@
     PlatformUnreachable: 4011,
     PlatformBadValue: 4012,
     ConfigDuplicateName: 4013,
-    InstanceListStale: 4013,
+    InstanceListStale: 4017,
     InstanceListConflict: 4014,
     DocumentDigestMismatch: 4015,
     InstanceListBadValue: 4016,
--- a/src/core/code_table.ts
+++ b/src/core/code_table.ts
@@ -67,7 +67,7 @@
     4011: buildEntry(503, NotExecuted, "the platform cannot be reached"),
     4012: buildEntry(502, NotExecuted, "the platform sent a value that cannot be read"),
     4013: buildEntry(500, NotExecuted, "the configuration uses a key or a name twice"),
-    4013: buildEntry(500, NotExecuted, "the instance list is older than the one in force"),
+    4017: buildEntry(500, NotExecuted, "the instance list is older than the one in force"),
     4014: buildEntry(
         500,
         NotExecuted,
--- a/src/edge/http/http_listener.ts
+++ b/src/edge/http/http_listener.ts
@@ -4,6 +4,7 @@
 import { Code } from "../../core/code.ts";
 import { createFailure } from "../../core/create_failure.ts";
 import type { Failure } from "../../core/failure.ts";
+import type { DrainableListener } from "../../lifecycle/drainable_listener.ts";
 import { splitAddress } from "./split_address.ts";
 
 /** Longer than the keep-alive time of clients, so that the server does not close a connection that is being reused. */
@@ -12,7 +13,7 @@
 const MAX_HEADER_BYTES = 65_536;
 
 /** An HTTP/1.1 server on one address. */
-export class HttpListener {
+export class HttpListener implements DrainableListener {
     private constructor(private readonly server: Server) {}
 
     /** Opens `address` (`host:port`). Fails with PortUnavailable. */
@@ -33,16 +34,20 @@
         return (this.server.address() as AddressInfo).port;
     }
 
-    /** Accepts no more connections; resolves when the open ones have ended. Idle ones are closed at once. */
-    async close(): Promise<void> {
-        await new Promise<void>(resolve => {
-            this.server.close(() => resolve());
-            this.server.closeIdleConnections();
-        });
+    stop(): void {
+        this.server.close();
+        this.server.closeIdleConnections();
     }
 
-    /** Ends all connections, also those with a request. */
-    closeAllConnections(): void {
+    async close(): Promise<void> {
+        const closed = new Promise<void>(resolve => {
+            this.server.once("close", resolve);
+        });
+        const listening = this.server.listening;
+        this.stop();
         this.server.closeAllConnections();
+        if (listening) {
+            await closed;
+        }
     }
 }
--- a/src/edge/peer_http/decode_reply.ts
+++ b/src/edge/peer_http/decode_reply.ts
@@ -35,6 +35,7 @@
             answer: head.status === 0 ? undefined : { status: head.status, headers: head.headers, body },
             serviceMs: head.serviceMs,
             waitMs: head.waitMs,
+            keyRecorded: head.keyRecorded,
             upstream: head.upstream,
         });
     });
--- a/src/edge/peer_http/encode_reply.ts
+++ b/src/edge/peer_http/encode_reply.ts
@@ -16,6 +16,7 @@
         headers: (reply.answer?.headers ?? []).map(header => ({ name: header.name, value: header.value })),
         serviceMs: reply.serviceMs,
         waitMs: reply.waitMs,
+        keyRecorded: reply.keyRecorded ?? false,
         upstream: reply.upstream === undefined ? undefined : { ...reply.upstream },
     });
     return Buffer.from(toBinary(ReplyHeadSchema, head)).toString("base64");
--- a/src/edge/peer_http/undici_forwarder.ts
+++ b/src/edge/peer_http/undici_forwarder.ts
@@ -11,6 +11,7 @@
 import type { Forwarder } from "../../forward/forwarder.ts";
 import type { OwnerReply } from "../../forward/owner_reply.ts";
 import type { RevokeState } from "../../forward/revoke_state.ts";
+import type { RevokeTarget } from "../../operations/revoke_target.ts";
 import type { SelectedRequest } from "../../select/selected_request.ts";
 import { isConnectError } from "../http/is_connect_error.ts";
 import { readBody } from "../http/read_body.ts";
@@ -25,7 +26,7 @@
 const MAX_HEADER_BYTES = 65_536;
 
 /** Asks the owner at `address` to revoke an attempt. */
-type SendRevoke = (address: string, requestId: string, attempt: number) => Promise<RevokeState>;
+type SendRevoke = (address: string, target: RevokeTarget) => Promise<RevokeState>;
 
 /** One request for each attempt; a connection carries one request at a time. */
 export class UndiciForwarder implements Forwarder {
@@ -70,7 +71,12 @@
     }
 
     revoke(request: SelectedRequest): Promise<RevokeState> {
-        return this.options.sendRevoke(request.upstream.ownerAddress, request.requestId, request.attempt);
+        return this.options.sendRevoke(request.upstream.ownerAddress, {
+            requestId: request.requestId,
+            attempt: request.attempt,
+            idempotencyKey: request.idempotencyKey,
+            incarnation: request.ownerIncarnation,
+        });
     }
 
     async close(): Promise<void> {
--- a/src/forward/local_forwarder.ts
+++ b/src/forward/local_forwarder.ts
@@ -1,15 +1,15 @@
 import type { Filter } from "../core/filter.ts";
+import type { Revoker } from "../operations/revoker.ts";
 import type { OwnerRequest } from "../queue/owner_request.ts";
 import type { SelectedRequest } from "../select/selected_request.ts";
 import { createHopReply } from "./create_hop_reply.ts";
 import type { Forwarder } from "./forwarder.ts";
 import type { OwnerReply } from "./owner_reply.ts";
-import type { RevocationHandler } from "./revocation_handler.ts";
 import type { RevokeState } from "./revoke_state.ts";
 
 interface LocalForwarderOptions {
     readonly owner: Filter<OwnerRequest, OwnerReply>;
-    readonly revocations: RevocationHandler;
+    readonly revoker: Revoker;
 }
 
 /** Runs the owner pipeline in this process. */
@@ -39,6 +39,11 @@
     }
 
     async revoke(request: SelectedRequest): Promise<RevokeState> {
-        return this.options.revocations.revoke(request.requestId, request.attempt);
+        return this.options.revoker.revoke({
+            requestId: request.requestId,
+            attempt: request.attempt,
+            idempotencyKey: request.idempotencyKey,
+            incarnation: request.ownerIncarnation,
+        });
     }
 }
