--- /dev/null
+++ b/src/edge/control/json_instance_list_codec.ts
@@ -0,0 +1,67 @@
+import { err, ok, type Result } from "neverthrow";
+import { Code } from "../../core/code.ts";
+import { createFailure } from "../../core/create_failure.ts";
+import type { Failure } from "../../core/failure.ts";
+import type { Upstream } from "../../core/upstream.ts";
+import type { InstanceListCodec } from "../../platform/instance_list_codec.ts";
+
+/**
+ * One line of JSON for each daemon: `[failureDomain, region, ownerId, ownerAddress, [[id, service, leaving]...]]`.
+ * The upstreams of a daemon share its fields, which makes the list about a third of the size of one object each.
+ */
+export class JsonInstanceListCodec implements InstanceListCodec {
+    encode(upstreams: readonly Upstream[]): readonly string[] {
+        const groups = new Map<string, { head: readonly string[]; members: Upstream[]; }>();
+        for (const upstream of upstreams) {
+            const head = [upstream.failureDomain, upstream.region, upstream.ownerId, upstream.ownerAddress];
+            const key = JSON.stringify(head);
+            const group = groups.get(key) ?? { head, members: [] };
+            group.members.push(upstream);
+            groups.set(key, group);
+        }
+        return [...groups].sort(([left], [right]) => left < right ? -1 : 1).map(([, { head, members }]) => {
+            const sorted = members.sort((left, right) => left.id < right.id ? -1 : 1);
+            const rows = sorted.map(({ id, service, leaving }) => [id, service, leaving ? 1 : 0]);
+            return `${JSON.stringify([...head, rows])}\n`;
+        });
+    }
+
+    decode(sections: readonly string[]): Result<readonly Upstream[], Failure> {
+        const upstreams: Upstream[] = [];
+        for (const section of sections) {
+            const decoded = decodeSection(section);
+            if (decoded === undefined) {
+                return err(createFailure(Code.InstanceListBadValue));
+            }
+            upstreams.push(...decoded);
+        }
+        return ok(upstreams);
+    }
+}
+
+function decodeSection(section: string): readonly Upstream[] | undefined {
+    let value: unknown;
+    try {
+        value = JSON.parse(section);
+    }
+    catch {
+        return undefined;
+    }
+    const [failureDomain, region, ownerId, ownerAddress, rows] = Array.isArray(value)
+        ? value as unknown[]
+        : [];
+    const isHead = typeof failureDomain === "string" && typeof region === "string"
+        && typeof ownerId === "string" && typeof ownerAddress === "string";
+    if (!isHead || !Array.isArray(rows)) {
+        return undefined;
+    }
+    const upstreams: Upstream[] = [];
+    for (const row of rows as unknown[]) {
+        const [id, service, leaving] = Array.isArray(row) ? row as unknown[] : [];
+        if (typeof id !== "string" || typeof service !== "string" || (leaving !== 0 && leaving !== 1)) {
+            return undefined;
+        }
+        upstreams.push({ id, service, failureDomain, region, ownerId, ownerAddress, leaving: leaving === 1 });
+    }
+    return upstreams;
+}
--- /dev/null
+++ b/src/gossip/document_name.ts
@@ -0,0 +1,7 @@
+/** Documents that daemons exchange. */
+export const DocumentName = {
+    Configuration: "configuration",
+    Instances: "instances",
+} as const;
+
+export type DocumentName = (typeof DocumentName)[keyof typeof DocumentName];
--- /dev/null
+++ b/src/gossip/head_exchange.ts
@@ -0,0 +1,13 @@
+import type { RejectedConfig } from "../platform/rejected_config.ts";
+import type { DocumentHead } from "./document_head.ts";
+import type { LeavingNotice } from "./leaving_notice.ts";
+
+/** What two daemons tell each other; request and reply have the same fields. */
+export interface HeadExchange {
+    readonly daemonId: string;
+    readonly incarnation: string;
+    readonly heads: readonly DocumentHead[];
+    /** Notices that the sender learned in its last rounds. */
+    readonly leaving: readonly LeavingNotice[];
+    readonly rejected: RejectedConfig | undefined;
+}
