Fetch newer documents from peers and accept them as a whole

Cause: a damaged or false section must change nothing. Conclusion: the fetcher verifies the digest of the whole before the document enters its control pipeline, runs one fetch of each document at a time, and does not fetch a refused head again.

--- /dev/null
+++ b/src/gossip/document_fetcher.ts
@@ -0,0 +1,158 @@
+/**
+ * Fetches a newer document from a peer, section by section, and accepts it only as a whole.
+ *
+ * @example
+ * ```ts
+ * const fetcher = new DocumentFetcher({ control, documents, logger, metrics });
+ * await fetcher.fetch({ id: "daemon-2", address: "10.0.0.2:7000" }, head);
+ * ```
+ *
+ * @module
+ */
+import { err, ok, type Result } from "neverthrow";
+import { Code } from "../core/code.ts";
+import { createFailure } from "../core/create_failure.ts";
+import type { Failure } from "../core/failure.ts";
+import { LogLevel } from "../core/log_level.ts";
+import type { Logger } from "../core/logger.ts";
+import type { Metrics } from "../core/metrics.ts";
+import { computeDigest } from "../platform/compute_digest.ts";
+import { compareHeads } from "./compare_heads.ts";
+import type { DocumentHead } from "./document_head.ts";
+import type { DocumentName } from "./document_name.ts";
+import type { GossipDocument } from "./gossip_document.ts";
+import { HeadOrder } from "./head_order.ts";
+import { mergePieces } from "./merge_pieces.ts";
+import type { Peer } from "./peer.ts";
+import type { PeerControl } from "./peer_control.ts";
+import type { Section } from "./section.ts";
+
+interface Options {
+    readonly control: PeerControl;
+    readonly documents: readonly GossipDocument[];
+    readonly logger: Logger;
+    readonly metrics: Metrics;
+    /** Time limit of one message in milliseconds; the default is 5 s. */
+    readonly timeoutMs?: number;
+}
+
+interface Fetched {
+    readonly head: DocumentHead;
+    readonly contents: readonly string[];
+}
+
+interface Wanted {
+    readonly peer: Peer;
+    readonly head: DocumentHead;
+}
+
+const noBase: readonly Section[] = [];
+
+/** Runs one fetch of each document at a time; of the heads that arrive meanwhile the newest is fetched next. */
+export class DocumentFetcher {
+    private readonly running = new Map<DocumentName, Promise<void>>();
+    private readonly wanted = new Map<DocumentName, Wanted>();
+    /** The last head of each document whose content the control pipeline refused. */
+    private readonly refused = new Map<DocumentName, string>();
+
+    constructor(private readonly options: Options) {}
+
+    /** Ends when the document of the head, or a newer one, was fetched or could not be. */
+    fetch(peer: Peer, head: DocumentHead): Promise<void> {
+        const document = this.options.documents.find(candidate => candidate.name === head.name);
+        if (document === undefined || this.isRefused(head)) {
+            return Promise.resolve();
+        }
+        const wanted = this.wanted.get(head.name);
+        if (wanted === undefined || wanted.head.version < head.version) {
+            this.wanted.set(head.name, { peer, head });
+        }
+        const running = this.running.get(head.name) ?? Promise.resolve().then(() => this.run(document));
+        this.running.set(head.name, running);
+        return running;
+    }
+
+    private async run(document: GossipDocument): Promise<void> {
+        const { name } = document;
+        for (let wanted = this.wanted.get(name); wanted !== undefined; wanted = this.wanted.get(name)) {
+            this.wanted.delete(name);
+            if (compareHeads(document.getHead(), wanted.head) !== HeadOrder.Newer) {
+                continue;
+            }
+            const result = await this.fetchOnce(document, wanted);
+            if (result.isErr()) {
+                const { code, detail } = result.error;
+                const fields = { document: name, code, detail, peer: wanted.peer.address };
+                this.options.logger.write(LogLevel.Warn, "fetch_failed", fields);
+                this.options.metrics.addCount("gossip.fetch_failed", { document: name, code: `${code}` });
+            }
+        }
+        this.running.delete(name);
+    }
+
+    private async fetchOnce(document: GossipDocument, wanted: Wanted): Promise<Result<void, Failure>> {
+        const base = document.getSections();
+        let fetched = await this.fetchWithBase(document, wanted, base);
+        if (fetched.isErr() && fetched.error.code === Code.DocumentDigestMismatch && base.length > 0) {
+            // Short section digests can collide; a transfer without a base does not use them.
+            fetched = await this.fetchWithBase(document, wanted, noBase);
+        }
+        if (fetched.isErr()) {
+            return err(fetched.error);
+        }
+        const { head, contents } = fetched.value;
+        const updated = await document.update(
+            head,
+            contents,
+            `peer ${wanted.peer.id ?? wanted.peer.address}`,
+        );
+        if (updated.isErr()) {
+            this.refused.set(head.name, formatHead(head));
+            return err(updated.error);
+        }
+        return ok(undefined);
+    }
+
+    private async fetchWithBase(
+        document: GossipDocument,
+        wanted: Wanted,
+        base: readonly Section[],
+    ): Promise<Result<Fetched, Failure>> {
+        const own = document.getHead();
+        const request = {
+            document: document.name,
+            baseVersion: base.length === 0 ? 0 : own.version,
+            baseDigest: base.length === 0 ? "" : own.digest,
+            knownDigests: [] as readonly string[],
+        };
+        const { control, timeoutMs = 5_000 } = this.options;
+        let response = await control.fetchSections(wanted.peer.address, request, timeoutMs);
+        if (response.isOk() && response.value.baseUnknown) {
+            const knownDigests = base.map(section => section.digest);
+            response = await control.fetchSections(
+                wanted.peer.address,
+                { ...request, knownDigests },
+                timeoutMs,
+            );
+        }
+        if (response.isErr()) {
+            return err(response.error);
+        }
+        const { head, pieces } = response.value;
+        const contents = mergePieces(base, pieces);
+        const isComplete = contents !== undefined && computeDigest(contents.join("")) === head.digest;
+        if (!isComplete || head.name !== document.name || head.version < wanted.head.version) {
+            const detail = `version ${head.version} of ${head.name} from ${wanted.peer.address} is damaged`;
+            return err(createFailure(Code.DocumentDigestMismatch, { detail }));
+        }
+        return ok({ head, contents });
+    }
+
+    private isRefused(head: DocumentHead): boolean {
+        return this.refused.get(head.name) === formatHead(head);
+    }
+}
+
+function formatHead(head: DocumentHead): string {
+    return `${head.version} ${head.digest}`;
+}
