--- /dev/null
+++ b/src/gossip/gossip.ts
@@ -0,0 +1,147 @@
+/**
+ * Exchanges document heads with a few peers every second and fetches what is newer.
+ *
+ * @example
+ * ```ts
+ * const gossip = new Gossip({ daemonId, incarnation, control, documents, fetcher, membership, store, selector,
+ *     election, timers, random, logger, metrics });
+ * gossip.start();
+ * gossip.close();
+ * ```
+ *
+ * @module
+ */
+import type { Metrics } from "../core/metrics.ts";
+import type { RandomSource } from "../core/random_source.ts";
+import type { Timer } from "../core/timer.ts";
+import type { Timers } from "../core/timers.ts";
+import type { LeavingAnnouncer } from "../lifecycle/leaving_announcer.ts";
+import type { MembershipTable } from "../membership/membership_table.ts";
+import type { ConfigStore } from "../platform/config_store.ts";
+import { compareHeads } from "./compare_heads.ts";
+import type { DocumentFetcher } from "./document_fetcher.ts";
+import type { GossipDocument } from "./gossip_document.ts";
+import type { HeadExchange } from "./head_exchange.ts";
+import { HeadOrder } from "./head_order.ts";
+import type { HeadsSender } from "./heads_sender.ts";
+import { NoticeBoard } from "./notice_board.ts";
+import type { Peer } from "./peer.ts";
+import type { PeerControl } from "./peer_control.ts";
+import type { PeerSelector } from "./peer_selector.ts";
+import type { ReaderElection } from "./reader_election.ts";
+
+interface Options {
+    readonly daemonId: string;
+    readonly incarnation: string;
+    readonly control: PeerControl;
+    readonly documents: readonly GossipDocument[];
+    readonly fetcher: DocumentFetcher;
+    readonly membership: MembershipTable;
+    readonly store: ConfigStore;
+    readonly selector: PeerSelector;
+    readonly election: ReaderElection;
+    readonly timers: Timers;
+    readonly random: RandomSource;
+    readonly metrics: Metrics;
+    /** Milliseconds between rounds; the default is 1 s. */
+    readonly roundMs?: number;
+    /** Peers that each round starts an exchange with; the default is two. */
+    readonly peersPerRound?: number;
+    /** Time limit of one exchange in milliseconds; the default is 2 s. */
+    readonly timeoutMs?: number;
+}
+
+/** The sending side of the gossip, and the decisions on what a message says. */
+export class Gossip implements LeavingAnnouncer, HeadsSender {
+    private readonly notices = new NoticeBoard();
+    private timer: Timer | undefined;
+    private closed = false;
+
+    constructor(private readonly options: Options) {}
+
+    /** Starts the rounds, the first after a random part of the interval so that daemons do not align. */
+    start(): void {
+        this.startTimer(this.options.random.take());
+    }
+
+    close(): void {
+        this.closed = true;
+        this.timer?.close();
+    }
+
+    /** Tells at once one daemon of each failure domain and several of the own one. */
+    sendLeaving(): void {
+        const { daemonId, incarnation, selector } = this.options;
+        this.notices.setOwn({ daemonId, incarnation });
+        for (const peer of selector.selectWide(8)) {
+            void this.sendHeads(peer);
+        }
+    }
+
+    /** The message of this daemon, as request or as reply. */
+    buildMessage(): HeadExchange {
+        const { daemonId, incarnation, documents, store } = this.options;
+        const heads = documents.map(document => document.getHead());
+        return { daemonId, incarnation, heads, leaving: this.notices.list(), rejected: store.getRejected() };
+    }
+
+    /** Makes one exchange; true when the peer replied. Ends after the fetches that follow from the reply. */
+    async sendHeads(peer: Peer): Promise<boolean> {
+        const { control, timeoutMs = 2_000, metrics, election } = this.options;
+        const reply = await control.sendHeads(peer.address, this.buildMessage(), timeoutMs);
+        if (reply.isErr()) {
+            metrics.addCount("gossip.exchange_failed", { code: `${reply.error.code}` });
+            return false;
+        }
+        election.recordContact();
+        await this.handleMessage(peer, reply.value, true);
+        return true;
+    }
+
+    /** Learns from a message; ends after the fetches that follow from it. */
+    async handleMessage(peer: Peer, message: HeadExchange, isReply: boolean): Promise<void> {
+        const { daemonId, membership, store, fetcher } = this.options;
+        if (message.daemonId === daemonId) {
+            return;
+        }
+        const cause = `peer ${message.daemonId}`;
+        membership.recordIncarnation(message.daemonId, message.incarnation, isReply);
+        for (const notice of message.leaving) {
+            const isOwn = notice.daemonId === daemonId;
+            if (!isOwn && membership.setDaemonLeaving(notice.daemonId, notice.incarnation, cause)) {
+                this.notices.add(notice);
+            }
+        }
+        if (message.rejected !== undefined) {
+            store.recordRejected(message.rejected, cause);
+        }
+        const fetches: Promise<void>[] = [];
+        for (const head of message.heads) {
+            const document = this.options.documents.find(candidate => candidate.name === head.name);
+            const order = document === undefined ? HeadOrder.Same : compareHeads(document.getHead(), head);
+            if (order === HeadOrder.Newer) {
+                fetches.push(fetcher.fetch(peer, head));
+            }
+            else if (order === HeadOrder.Conflict) {
+                document?.reportConflict(head, cause);
+            }
+        }
+        await Promise.all(fetches);
+    }
+
+    private runRound(): void {
+        const { selector, peersPerRound = 2 } = this.options;
+        for (const peer of selector.select(peersPerRound)) {
+            void this.sendHeads(peer);
+        }
+        this.notices.update();
+        this.startTimer(0.9 + this.options.random.take() / 5);
+    }
+
+    private startTimer(rounds: number): void {
+        if (!this.closed) {
+            const delayMs = rounds * (this.options.roundMs ?? 1_000);
+            this.timer = this.options.timers.start(delayMs, () => this.runRound());
+        }
+    }
+}
