--- /dev/null
+++ b/proof/control/fakes/fake_platform.ts
@@ -0,0 +1,128 @@
+import { err, ok, type Result } from "neverthrow";
+import { Code } from "../../../src/core/code.ts";
+import { createFailure } from "../../../src/core/create_failure.ts";
+import type { Failure } from "../../../src/core/failure.ts";
+import type { Timers } from "../../../src/core/timers.ts";
+import type { Upstream } from "../../../src/core/upstream.ts";
+import { computeDigest } from "../../../src/platform/compute_digest.ts";
+import type { InstanceList } from "../../../src/platform/instance_list.ts";
+import type { PlatformReader } from "../../../src/platform/platform_reader.ts";
+import type { PublishedValue } from "../../../src/platform/published_value.ts";
+import { EventKind } from "../../event_kind.ts";
+import type { VirtualTime } from "../../fakes/virtual_time.ts";
+import type { HistoryRecorder } from "../../history_recorder.ts";
+
+/** What the platform answers to one reader. */
+interface View {
+    readonly head: PublishedValue | undefined;
+    readonly instances: InstanceList | undefined;
+}
+
+/** The platform in memory: versions, pending watches, outages and stale answers. */
+export class FakePlatform {
+    reads = 0;
+    private view: View = { head: undefined, instances: undefined };
+    private stale: View | undefined;
+    private isAvailable: (reader: string) => boolean = () => true;
+    private isStale: (reader: string) => boolean = () => false;
+    private isReadable = true;
+    private isFresh = true;
+    /** True when the valid head has been recorded as readable. */
+    private isRecorded = false;
+    private readonly waiting = new Set<() => void>();
+
+    constructor(private readonly time: VirtualTime, private readonly history: HistoryRecorder) {}
+
+    getHead(): PublishedValue | undefined {
+        return this.view.head;
+    }
+
+    /** Publishes under the next version, whoever else publishes at the same time. */
+    addHead(content: string): void {
+        this.setHead({ name: "head", version: (this.view.head?.version ?? 0) + 1, content });
+    }
+
+    /** Puts a value in place under a version of its own, as a restore from a backup does. */
+    setHead(head: PublishedValue): void {
+        this.view = { ...this.view, head };
+        this.isRecorded = head.content.includes("invalid");
+        this.update();
+    }
+
+    setInstances(upstreams: readonly Upstream[]): void {
+        const version = (this.view.instances?.version ?? 0) + 1;
+        this.view = { ...this.view, instances: { version, upstreams } };
+        this.update();
+    }
+
+    /** `isReadable` says whether an elected reader can still read new values. */
+    setAvailable(isAvailable: (reader: string) => boolean, isReadable: boolean): void {
+        this.isAvailable = isAvailable;
+        this.isReadable = isReadable;
+        this.update();
+    }
+
+    /** From now on the readers for which the function is true see the values of this moment. */
+    setStale(isStale: (reader: string) => boolean, isFresh: boolean): void {
+        this.stale = this.view;
+        this.isStale = isStale;
+        this.isFresh = isFresh;
+        this.update();
+    }
+
+    createReader(reader: string, timers: Timers): PlatformReader {
+        return {
+            fetchValue: (_, afterVersion, waitMs) =>
+                this.fetch(reader, timers, view => view.head, afterVersion, waitMs),
+            fetchInstances: (afterVersion, waitMs) =>
+                this.fetch(reader, timers, view => view.instances, afterVersion, waitMs),
+            close: () => {},
+        };
+    }
+
+    private fetch<Document extends { readonly version: number; }>(
+        reader: string,
+        timers: Timers,
+        find: (view: View) => Document | undefined,
+        afterVersion: number,
+        waitMs: number,
+    ): Promise<Result<Document | undefined, Failure>> {
+        this.reads += 1;
+        return new Promise(resolve => {
+            const closeCall = (result: Result<Document | undefined, Failure>) => {
+                this.waiting.delete(check);
+                timer.close();
+                timers.start(2, () => resolve(result));
+            };
+            const check = () => {
+                const document = find(this.isStale(reader) ? this.stale ?? this.view : this.view);
+                if (!this.isAvailable(reader)) {
+                    closeCall(err(createFailure(Code.PlatformUnreachable)));
+                }
+                else if (document !== undefined && document.version > afterVersion) {
+                    closeCall(ok(document));
+                }
+            };
+            const timer = timers.start(waitMs, () => closeCall(ok(undefined)));
+            this.waiting.add(check);
+            check();
+        });
+    }
+
+    private update(): void {
+        const { head } = this.view;
+        if (head !== undefined && !this.isRecorded && this.isReadable && this.isFresh) {
+            this.isRecorded = true;
+            this.history.record({
+                kind: EventKind.ConfigPublished,
+                atMs: this.time.getMonotonicMs(),
+                actor: "platform",
+                version: head.version,
+                content: computeDigest(head.content),
+            });
+        }
+        for (const check of [...this.waiting]) {
+            check();
+        }
+    }
+}
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -16,7 +16,7 @@
 import type { Timer } from "../core/timer.ts";
 import type { Timers } from "../core/timers.ts";
 import type { LeavingAnnouncer } from "../lifecycle/leaving_announcer.ts";
-import type { MembershipTable } from "../membership/membership_table.ts";
+import type { DaemonTable } from "../membership/daemon_table.ts";
 import type { ConfigStore } from "../platform/config_store.ts";
 import { compareHeads } from "./compare_heads.ts";
 import type { DocumentFetcher } from "./document_fetcher.ts";
@@ -36,7 +36,7 @@
     readonly control: PeerControl;
     readonly documents: readonly GossipDocument[];
     readonly fetcher: DocumentFetcher;
-    readonly membership: MembershipTable;
+    readonly membership: DaemonTable;
     readonly store: ConfigStore;
     readonly selector: PeerSelector;
     readonly election: ReaderElection;
--- a/src/gossip/gossip_handler.ts
+++ b/src/gossip/gossip_handler.ts
@@ -1,4 +1,4 @@
-import type { MembershipTable } from "../membership/membership_table.ts";
+import type { DaemonTable } from "../membership/daemon_table.ts";
 import { buildPieces } from "./build_pieces.ts";
 import type { Gossip } from "./gossip.ts";
 import type { GossipDocument } from "./gossip_document.ts";
@@ -9,7 +9,7 @@
 interface Options {
     readonly gossip: Gossip;
     readonly documents: readonly GossipDocument[];
-    readonly membership: MembershipTable;
+    readonly membership: DaemonTable;
 }
 
 /** The receiving side of the gossip, free of encodings. */
--- a/src/gossip/peer_selector.ts
+++ b/src/gossip/peer_selector.ts
@@ -1,12 +1,12 @@
 import type { RandomSource } from "../core/random_source.ts";
 import type { Daemon } from "../membership/daemon.ts";
-import type { MembershipTable } from "../membership/membership_table.ts";
+import type { DaemonTable } from "../membership/daemon_table.ts";
 import type { Peer } from "./peer.ts";
 
 interface Options {
     readonly daemonId: string;
     readonly failureDomain: string;
-    readonly membership: MembershipTable;
+    readonly membership: DaemonTable;
     readonly random: RandomSource;
     /** Addresses from the settings, used while the list names no other daemon. */
     readonly seeds: readonly string[];
--- a/src/gossip/reader_election.ts
+++ b/src/gossip/reader_election.ts
@@ -1,12 +1,12 @@
 import type { Clock } from "../core/clock.ts";
-import type { MembershipTable } from "../membership/membership_table.ts";
+import type { DaemonTable } from "../membership/daemon_table.ts";
 import type { ReaderRole } from "../platform/reader_role.ts";
 import { computeRankScore } from "./compute_rank_score.ts";
 
 interface Options {
     readonly daemonId: string;
     readonly failureDomain: string;
-    readonly membership: MembershipTable;
+    readonly membership: DaemonTable;
     readonly clock: Clock;
     /** Readers in each failure domain; the default is two. */
     readonly readers?: number;
--- /dev/null
+++ b/src/membership/daemon_table.ts
@@ -0,0 +1,20 @@
+import type { Daemon } from "./daemon.ts";
+
+/** The known daemons and their processes, as the gossip uses them. */
+export interface DaemonTable {
+    /** All daemons of the instance list by identifier. */
+    getDaemons(): ReadonlyMap<string, Daemon>;
+    /** Version of the instance list. */
+    getVersion(): number;
+    /**
+     * Takes note of the incarnation of a daemon that a message came from. A new one ends the leaving marks of
+     * the process before it. A reply always comes from the process that now runs; a request may be late, so it
+     * does not bring back an incarnation that was replaced.
+     */
+    recordIncarnation(daemonId: string, incarnation: string, isReply: boolean): void;
+    /**
+     * Takes note that a daemon and so all its upstreams are leaving. Returns false when this changes nothing,
+     * also when the daemon has restarted since it had the incarnation.
+     */
+    setDaemonLeaving(daemonId: string, incarnation: string, cause: string): boolean;
+}
--- a/src/membership/membership_table.ts
+++ b/src/membership/membership_table.ts
@@ -24,6 +24,7 @@
 import type { Upstream } from "../core/upstream.ts";
 import type { InstanceList } from "../platform/instance_list.ts";
 import type { Daemon } from "./daemon.ts";
+import type { DaemonTable } from "./daemon_table.ts";
 import { IncarnationTable } from "./incarnation_table.ts";
 import type { LeavingMark } from "./leaving_mark.ts";
 import type { LeavingRecorder } from "./leaving_recorder.ts";
@@ -44,7 +45,7 @@
 const emptyList: InstanceList = { version: 0, upstreams: [] };
 
 /** Table of upstreams, kept in the memory of one daemon. */
-export class MembershipTable implements MembershipReader, LeavingRecorder {
+export class MembershipTable implements MembershipReader, LeavingRecorder, DaemonTable {
     private current: InstanceList = emptyList;
     private digest = "";
     private readonly upstreams = new Map<string, Upstream>();
@@ -74,7 +75,6 @@
         return { list: this.current, digest: this.digest };
     }
 
-    /** All daemons of the list by identifier. */
     getDaemons(): ReadonlyMap<string, Daemon> {
         return this.daemons;
     }
@@ -100,10 +100,6 @@
         }
     }
 
-    /**
-     * Takes note that a daemon and so all its upstreams are leaving. Returns false when this changes nothing,
-     * also when the daemon has restarted since it had the incarnation.
-     */
     setDaemonLeaving(daemonId: string, incarnation: string, cause: string): boolean {
         const mark = this.daemonMarks.get(daemonId);
         const isKnown = this.isMarked(mark) && mark?.incarnation === incarnation;
@@ -115,11 +111,6 @@
         return true;
     }
 
-    /**
-     * Takes note of the incarnation of a daemon that a message came from. A new one ends the leaving marks of
-     * the process before it. A reply always comes from the process that now runs; a request may be late, so it
-     * does not bring back an incarnation that was replaced.
-     */
     recordIncarnation(daemonId: string, incarnation: string, isReply: boolean): void {
         if (!this.incarnations.record(daemonId, incarnation, isReply)) {
             return;
