--- /dev/null
+++ b/proof/operations/fake_forwarder.ts
@@ -0,0 +1,108 @@
+import { Code } from "../../src/core/code.ts";
+import type { RandomSource } from "../../src/core/random_source.ts";
+import { buildOwnerReply } from "../../src/forward/build_owner_reply.ts";
+import type { Forwarder } from "../../src/forward/forwarder.ts";
+import type { OwnerReply } from "../../src/forward/owner_reply.ts";
+import { RevokeState } from "../../src/forward/revoke_state.ts";
+import type { SelectedRequest } from "../../src/select/selected_request.ts";
+import type { FakeDaemon } from "./fake_daemon.ts";
+import type { FakeNetwork } from "./fake_network.ts";
+import type { FakeProcess } from "./fake_process.ts";
+
+interface Options {
+    readonly daemonId: string;
+    readonly process: FakeProcess;
+    readonly network: FakeNetwork;
+    readonly random: RandomSource;
+    readonly find: (daemonId: string) => FakeDaemon;
+}
+
+interface Pending {
+    readonly selected: SelectedRequest;
+    readonly resolve: (reply: OwnerReply) => void;
+}
+
+/** Hop to an owner over a faulty network. A late reply may reach another request to the same owner. */
+export class FakeForwarder implements Forwarder {
+    private readonly pending = new Map<string, Pending>();
+
+    constructor(private readonly options: Options) {}
+
+    forward(selected: SelectedRequest, signal: AbortSignal): Promise<OwnerReply> {
+        const { daemonId, process, network, find } = this.options;
+        const ownerId = selected.upstream.ownerId;
+        const name = formatName(selected);
+        const remainingMs = selected.deadlineMs - process.getMonotonicMs();
+        const hop = new AbortController();
+        return new Promise(resolve => {
+            this.pending.set(name, { selected, resolve });
+            signal.addEventListener("abort", () => {
+                this.pending.delete(name);
+                network.send(daemonId, ownerId, () => hop.abort());
+            }, { once: true });
+            network.send(daemonId, ownerId, () => {
+                const owner = find(ownerId);
+                if (!owner.process.isAlive()) {
+                    this.report(selected, Code.PeerUnreachable);
+                    return;
+                }
+                owner.addConnection(() => this.report(selected, Code.PeerCut));
+                // The connection stays with the process that accepted it; a restarted owner gets no copy.
+                network.send(daemonId, ownerId, () => {
+                    owner.handleRequest(selected, remainingMs, hop.signal, reply => {
+                        network.send(ownerId, daemonId, () => this.handleReply(name, ownerId, reply));
+                    });
+                });
+            });
+        });
+    }
+
+    revoke(selected: SelectedRequest): Promise<RevokeState> {
+        const { daemonId, process, network, find } = this.options;
+        const ownerId = selected.upstream.ownerId;
+        return new Promise(resolve => {
+            network.send(daemonId, ownerId, () => {
+                const owner = find(ownerId);
+                if (!owner.process.isAlive()) {
+                    process.handle(() => resolve(RevokeState.NoReply));
+                    return;
+                }
+                owner.process.handle(() => {
+                    const state = owner.revoker.revoke({
+                        requestId: selected.requestId,
+                        attempt: selected.attempt,
+                        idempotencyKey: selected.idempotencyKey,
+                        incarnation: selected.ownerIncarnation,
+                    });
+                    network.send(ownerId, daemonId, () => process.handle(() => resolve(state)));
+                });
+            });
+        });
+    }
+
+    private report(selected: SelectedRequest, code: Code): void {
+        const identity = { ownerId: selected.upstream.ownerId, incarnation: "" };
+        const reply = buildOwnerReply(identity, selected, { code });
+        this.options.process.handle(() => this.close(formatName(selected), reply));
+    }
+
+    private handleReply(name: string, ownerId: string, reply: OwnerReply): void {
+        const { process, random } = this.options;
+        process.handle(() => {
+            const others = [...this.pending].filter(([, { selected }]) =>
+                selected.upstream.ownerId === ownerId
+            );
+            const other = others[Math.floor(random.take() * others.length)];
+            this.close(this.pending.has(name) ? name : other?.[0] ?? name, reply);
+        });
+    }
+
+    private close(name: string, reply: OwnerReply): void {
+        this.pending.get(name)?.resolve(reply);
+        this.pending.delete(name);
+    }
+}
+
+function formatName({ requestId, attempt }: SelectedRequest): string {
+    return `${attempt}/${requestId}`;
+}
--- /dev/null
+++ b/proof/operations/fake_process.ts
@@ -0,0 +1,84 @@
+import type { Clock } from "../../src/core/clock.ts";
+import type { Timer } from "../../src/core/timer.ts";
+import type { Timers } from "../../src/core/timers.ts";
+import type { LoopTurns } from "../../src/dispatch/loop_turns.ts";
+import type { VirtualTime } from "../fakes/virtual_time.ts";
+
+/** One process: its timers and sockets stand still during a pause, and after it timers run first. */
+export class FakeProcess implements Clock, Timers, LoopTurns {
+    private alive = true;
+    private paused = false;
+    private wallOffsetMs = 0;
+    private readonly lateTimers: (() => void)[] = [];
+    private unread: (() => void)[] = [];
+
+    constructor(private readonly time: VirtualTime) {}
+
+    getMonotonicMs(): number {
+        return this.time.getMonotonicMs();
+    }
+
+    getWallMs(): number {
+        return this.time.getWallMs() + this.wallOffsetMs;
+    }
+
+    addWallMs(offsetMs: number): void {
+        this.wallOffsetMs += offsetMs;
+    }
+
+    start(delayMs: number, action: () => void): Timer {
+        let closed = false;
+        const runDue = () => {
+            if (this.paused) {
+                this.lateTimers.push(runDue);
+            }
+            else if (this.alive && !closed) {
+                action();
+            }
+        };
+        this.time.start(delayMs, runDue);
+        return { close: () => void (closed = true) };
+    }
+
+    async wait(count: number): Promise<void> {
+        for (let turn = 0; turn < count; turn += 1) {
+            await new Promise<void>(resolve => this.start(0, () => resolve()));
+        }
+    }
+
+    /** Handles a message from a socket, after the ones that wait already. */
+    handle(action: () => void): void {
+        if (this.paused || this.unread.length > 0) {
+            this.unread.push(action);
+        }
+        else if (this.alive) {
+            action();
+        }
+    }
+
+    stop(durationMs: number): void {
+        if (this.paused) {
+            return;
+        }
+        this.paused = true;
+        this.time.start(durationMs, () => {
+            this.paused = false;
+            this.lateTimers.splice(0).forEach(runDue => runDue());
+            this.start(0, () => this.readSockets());
+        });
+    }
+
+    close(): void {
+        this.alive = false;
+    }
+
+    isAlive(): boolean {
+        return this.alive;
+    }
+
+    private readSockets(): void {
+        const actions = this.unread;
+        this.unread = [];
+        actions.forEach(action => this.handle(action));
+    }
+}
--- /dev/null
+++ b/proof/operations/run_operations.ts
@@ -0,0 +1,232 @@
+/**
+ * Runs three daemons under faults while callers send, repeat and cancel requests, and returns the history.
+ *
+ * @example
+ * ```ts
+ * const history = await runOperations({ seed: 1, faults: [], variant: new Variant() });
+ * ```
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import type { ServiceConfig } from "../../src/config/service_config.ts";
+import { WorkClass } from "../../src/core/work_class.ts";
+import { EventKind } from "../event_kind.ts";
+import { SeededRandom } from "../fakes/seeded_random.ts";
+import { VirtualTime } from "../fakes/virtual_time.ts";
+import type { HistoryEvent } from "../history_event.ts";
+import { HistoryRecorder } from "../history_recorder.ts";
+import { FakeDaemon } from "./fake_daemon.ts";
+import { FakeNetwork } from "./fake_network.ts";
+import type { Fault } from "./fault.ts";
+import { FaultKind } from "./fault_kind.ts";
+import { formatOperation } from "./format_operation.ts";
+import type { Variant } from "./variant.ts";
+
+interface Options {
+    readonly seed: number;
+    readonly faults: readonly Fault[];
+    readonly variant: Variant;
+}
+
+const daemonIds = ["d0", "d1", "d2"];
+const operationCount = 40;
+/** Operations start in this time in milliseconds; copies of their requests follow for as long again. */
+const startMs = 4_000;
+
+export async function runOperations(options: Options): Promise<readonly HistoryEvent[]> {
+    const run = new Run(options);
+    run.start();
+    await run.time.run(4 * startMs);
+    return run.history.list();
+}
+
+class Run {
+    readonly time = new VirtualTime();
+    readonly history = new HistoryRecorder();
+    private readonly random: SeededRandom;
+    private readonly network: FakeNetwork;
+    private readonly daemons = new Map<string, FakeDaemon>();
+    private nextId = 0;
+
+    constructor(private readonly options: Options) {
+        this.random = new SeededRandom(options.seed);
+        this.network = new FakeNetwork(this.time, this.random);
+    }
+
+    start(): void {
+        const identities = daemonIds.map(ownerId => this.startDaemon(ownerId));
+        this.daemons.forEach(({ owners }) => identities.forEach(identity => owners.setIncarnation(identity)));
+        for (const fault of this.options.faults) {
+            this.time.start(fault.atMs, () => this.apply(fault));
+        }
+        for (let index = 0; index < operationCount; index += 1) {
+            this.time.start(this.random.take() * startMs, () => this.startOperation(`pay ${index}`));
+        }
+    }
+
+    private startDaemon(ownerId: string) {
+        const identity = { ownerId, incarnation: `i${this.nextId++}` };
+        const upstreams = daemonIds.flatMap(id => [buildUpstream(id, 1), buildUpstream(id, 2)]);
+        const { time, network, random, history, options: { variant } } = this;
+        const find = (id: string) => this.daemons.get(id)!;
+        const daemon = new FakeDaemon({
+            identity,
+            upstreams,
+            time,
+            network,
+            random,
+            history,
+            variant,
+            find,
+        });
+        daemon.owners.setIncarnation(identity);
+        this.daemons.set(ownerId, daemon);
+        return identity;
+    }
+
+    private startAgain(ownerId: string): void {
+        this.daemons.get(ownerId)!.close();
+        this.time.start(30, () => {
+            const identity = this.startDaemon(ownerId);
+            for (const [peerId, { owners, process }] of this.daemons) {
+                this.network.send(
+                    ownerId,
+                    peerId,
+                    () => process.handle(() => owners.setIncarnation(identity)),
+                );
+            }
+        });
+    }
+
+    private apply(fault: Fault): void {
+        const id = daemonIds[fault.daemon]!;
+        const peerId = daemonIds[fault.peer]!;
+        const daemon = this.daemons.get(id)!;
+        if (fault.kind === FaultKind.Pause) {
+            daemon.process.stop(fault.durationMs);
+        }
+        else if (fault.kind === FaultKind.Restart) {
+            this.startAgain(id);
+        }
+        else if (fault.kind === FaultKind.Drain) {
+            daemon.drain();
+            this.time.start(fault.durationMs, () => this.startAgain(id));
+        }
+        else if (fault.kind === FaultKind.LinkLoss) {
+            this.network.close(id, peerId, fault.durationMs);
+        }
+        else if (fault.kind === FaultKind.ClockStep) {
+            daemon.process.addWallMs(-2 * fault.durationMs);
+        }
+        else {
+            const { selector } = this.daemons.get(peerId)!;
+            const owned = selector.list(id);
+            owned.forEach(upstream => selector.setEjected(upstream.id, true));
+            this.time.start(
+                fault.durationMs,
+                () => owned.forEach(upstream => selector.setEjected(upstream.id, false)),
+            );
+        }
+    }
+
+    /** A caller whose copies of a request go to any daemon, whatever it was told before. */
+    private startOperation(body: string): void {
+        const { random } = this;
+        const kind = random.take();
+        const idempotent = kind < 0.2;
+        const issuer = this.daemons.get(this.takeDaemonId())!.issuer;
+        const idempotencyKey = kind < 0.5 ? undefined : issuer.create("payments").unwrapOr(undefined);
+        const copies = idempotencyKey === undefined ? 1 : 1 + Math.floor(4 * random.take());
+        for (let copy = 0; copy < copies; copy += 1) {
+            const delayMs = copy === 0 ? 0 : random.take() * (random.take() < 0.5 ? 200 : startMs);
+            this.time.start(delayMs, () => this.send(body, idempotencyKey, idempotent));
+        }
+    }
+
+    private send(body: string, idempotencyKey: string | undefined, idempotent: boolean): void {
+        const { random, history, time } = this;
+        const daemon = this.daemons.get(this.takeDaemonId())!;
+        const { process } = daemon;
+        const requestId = `r${this.nextId++}`;
+        const budgetMs = 50 + 350 * random.take();
+        const caller = new AbortController();
+        if (random.take() < 0.1) {
+            time.start(random.take() * budgetMs, () => process.handle(() => caller.abort()));
+        }
+        process.handle(() => {
+            const receivedAtMs = process.getMonotonicMs();
+            const service = buildService(idempotent);
+            const fields = { requestId, idempotencyKey, body: Buffer.from(body) };
+            const operation = formatOperation(fields);
+            const event = { actor: "caller", requestId, operation, idempotent };
+            history.record({ kind: EventKind.CallerSent, atMs: receivedAtMs, ...event });
+            const applied = daemon.entry.apply({
+                ...fields,
+                service,
+                route: service.routes[0]!,
+                method: "POST",
+                path: "/payments",
+                target: "/payments",
+                headers: [],
+                organisation: "org",
+                budgetMs,
+                receivedAtMs,
+                deadlineMs: receivedAtMs + budgetMs,
+                configVersion: 1,
+                signal: caller.signal,
+            });
+            void Promise.resolve(applied).then(result => {
+                const reply = result.unwrapOr(undefined);
+                const { code, outcome } = reply ?? result._unsafeUnwrapErr();
+                const answer = reply?.answer;
+                const content = answer === undefined ? undefined : Buffer.from(answer.body).toString();
+                const atMs = time.getMonotonicMs();
+                history.record({ kind: EventKind.CallerAnswered, atMs, code, outcome, content, ...event });
+            });
+        });
+    }
+
+    private takeDaemonId(): string {
+        return daemonIds[Math.floor(this.random.take() * daemonIds.length)]!;
+    }
+}
+
+function buildUpstream(ownerId: string, index: number) {
+    const place = { failureDomain: "z", region: "r", ownerAddress: ownerId, leaving: false };
+    return { id: `${ownerId}-u${index}`, service: "payments", ownerId, ...place };
+}
+
+function buildService(idempotent: boolean): ServiceConfig {
+    return {
+        name: "payments",
+        description: "",
+        dependsOn: [],
+        members: 6,
+        floor: 3,
+        limits: {
+            queueLength: 4,
+            reserveShort: 0,
+            targetWaitMs: 50,
+            organisationPercent: 100,
+            retryPercent: 100,
+            hedgePercent: 0,
+            entryConcurrency: 100,
+        },
+        health: { falseAlarm: 0.001, slowFactor: 3, holdMinMs: 2_000, holdMaxMs: 60_000, rampMs: 1_000 },
+        routes: [{
+            name: "pay",
+            service: "payments",
+            method: "POST",
+            path: "/payments",
+            workClass: WorkClass.Short,
+            idempotent,
+            deadlineMs: 400,
+            serviceMs: 20,
+            maxRequestBytes: 1_000,
+            maxAnswerBytes: 1_000,
+            expect: { statuses: [200], contentType: "" },
+            shedStatuses: [503],
+        }],
+    };
+}
--- /dev/null
+++ b/proof/operations/variant.ts
@@ -0,0 +1,41 @@
+import type { Clock } from "../../src/core/clock.ts";
+import type { Filter } from "../../src/core/filter.ts";
+import type { Forwarder } from "../../src/forward/forwarder.ts";
+import type { OwnerReply } from "../../src/forward/owner_reply.ts";
+import { AttemptTable } from "../../src/operations/attempt_table.ts";
+import { KeyedOutcomeFilter } from "../../src/operations/keyed_outcome_filter.ts";
+import { OperationTable } from "../../src/operations/operation_table.ts";
+import type { OwnerIdentity } from "../../src/operations/owner_identity.ts";
+import type { Revoker } from "../../src/operations/revoker.ts";
+import type { OwnerRequest } from "../../src/queue/owner_request.ts";
+import type { RoutedRequest } from "../../src/route/routed_request.ts";
+
+/** The mechanisms of a daemon as they are; tests derive variants that lack one of them. */
+export class Variant {
+    createAttempts(): AttemptTable {
+        return new AttemptTable();
+    }
+
+    createOperations(clock: Clock): OperationTable {
+        return new OperationTable({ clock });
+    }
+
+    createRegister(
+        register: Filter<OwnerRequest, OwnerReply>,
+        _: OwnerIdentity,
+    ): Filter<OwnerRequest, OwnerReply> {
+        return register;
+    }
+
+    createEntry(entry: Filter<RoutedRequest, OwnerReply>): Filter<RoutedRequest, OwnerReply> {
+        return new KeyedOutcomeFilter(entry);
+    }
+
+    createForwarder(forwarder: Forwarder): Forwarder {
+        return forwarder;
+    }
+
+    createRevoker(revoker: Revoker, _: OwnerIdentity): Revoker {
+        return revoker;
+    }
+}
--- /dev/null
+++ b/proof/predicates/at_most_once_predicate.ts
@@ -0,0 +1,24 @@
+import { EventKind } from "../event_kind.ts";
+import type { HistoryEvent } from "../history_event.ts";
+import type { Predicate } from "../predicate.ts";
+import type { Violation } from "../violation.ts";
+
+/** Requirement 4: upstreams execute each non-idempotent operation at most once. */
+export class AtMostOncePredicate implements Predicate {
+    readonly name = "at-most-once";
+
+    check(history: readonly HistoryEvent[]): readonly Violation[] {
+        const runs = new Map<string, HistoryEvent[]>();
+        for (const event of history) {
+            const { kind, operation, idempotent } = event;
+            if (kind === EventKind.UpstreamExecuted && idempotent !== true && operation !== undefined) {
+                runs.set(operation, [...runs.get(operation) ?? [], event]);
+            }
+        }
+        return [...runs].filter(([, events]) => events.length > 1).map(([operation, events]) => ({
+            predicate: this.name,
+            message: `operation ${operation} was executed ${events.length} times`,
+            events,
+        }));
+    }
+}
--- /dev/null
+++ b/proof/predicates/own_answer_predicate.ts
@@ -0,0 +1,39 @@
+import { EventKind } from "../event_kind.ts";
+import type { HistoryEvent } from "../history_event.ts";
+import type { Predicate } from "../predicate.ts";
+import type { Violation } from "../violation.ts";
+
+/**
+ * Requirement 2: the content of an answer is, from first to last byte, one that an upstream made for the
+ * caller's own operation, and a caller gets at most one answer for each request.
+ */
+export class OwnAnswerPredicate implements Predicate {
+    readonly name = "own-answer";
+
+    check(history: readonly HistoryEvent[]): readonly Violation[] {
+        const made = new Set<string>();
+        const answered = new Set<string>();
+        const violations: Violation[] = [];
+        for (const event of history) {
+            const { kind, operation, content, requestId } = event;
+            if (kind === EventKind.UpstreamExecuted && content !== undefined) {
+                made.add(`${operation} ${content}`);
+            }
+            if (kind !== EventKind.CallerAnswered) {
+                continue;
+            }
+            if (content !== undefined && !made.has(`${operation} ${content}`)) {
+                violations.push(this.buildViolation(`${requestId} was answered with "${content}"`, event));
+            }
+            if (requestId !== undefined && answered.has(requestId)) {
+                violations.push(this.buildViolation(`${requestId} was answered twice`, event));
+            }
+            answered.add(requestId ?? "");
+        }
+        return violations;
+    }
+
+    private buildViolation(message: string, event: HistoryEvent): Violation {
+        return { predicate: this.name, message, events: [event] };
+    }
+}
--- a/src/forward/attempt_filter.ts
+++ b/src/forward/attempt_filter.ts
@@ -67,6 +67,7 @@
         const policy = idempotent ? new IdempotentRetryPolicy() : new SingleRunRetryPolicy();
         const excluded = new Set<string>();
         let last: OwnerReply | undefined;
+        let uncertain = false;
         for (let attempt = 1;; attempt += 1) {
             const result = selector.select(request, attempt, excluded);
             if (result.isErr()) {
@@ -79,6 +80,11 @@
             if (!idempotent && last.outcome === Outcome.Unknown && hopCodes.has(last.code)) {
                 last = await this.revokeLost(selected, last);
             }
+            if (uncertain && last.outcome === Outcome.NotExecuted) {
+                // An earlier attempt of idempotent work may have run.
+                last = { ...last, outcome: Outcome.Unknown };
+            }
+            uncertain = last.outcome !== Outcome.NotExecuted;
             if (!this.isRepeatable(selected, last, policy)) {
                 return ok(last);
             }
