Wire the daemon and add the commands serve, show and drain

A bad flag or variable ends with one line and exit code 2 before any port opens; citty passes unknown flags over, so flags are parsed strictly first.

--- a/src/admit/in_flight_filter.ts
+++ b/src/admit/in_flight_filter.ts
@@ -1,7 +1,9 @@
 import type { Result } from "neverthrow";
+import type { Clock } from "../core/clock.ts";
 import type { Failure } from "../core/failure.ts";
 import type { Filter } from "../core/filter.ts";
 import type { OwnerReply } from "../forward/owner_reply.ts";
+import type { ServiceTimes } from "../queue/service_times.ts";
 import type { RoutedRequest } from "../route/routed_request.ts";
 import type { InFlightTable } from "./in_flight_table.ts";
 import type { SaturationTable } from "./saturation_table.ts";
@@ -9,20 +11,25 @@
 interface Options {
     readonly inFlight: InFlightTable;
     readonly saturation: SaturationTable;
+    readonly serviceTimes: ServiceTimes;
+    readonly clock: Clock;
     readonly inner: Filter<RoutedRequest, OwnerReply>;
 }
 
-/** Counts each request as in flight while the inner filter runs, and records the saturation that its reply reports. */
+/** Counts each request as in flight while the inner filter runs, and records what its reply reports. */
 export class InFlightFilter implements Filter<RoutedRequest, OwnerReply> {
     constructor(private readonly options: Options) {}
 
     async apply(request: RoutedRequest): Promise<Result<OwnerReply, Failure>> {
-        const { inFlight, inner, saturation } = this.options;
+        const { clock, inFlight, inner, saturation, serviceTimes } = this.options;
         inFlight.add(request.service.name);
         const result = await inner.apply(request);
         inFlight.remove(request.service.name);
         if (result.isOk()) {
             saturation.record(request.service, result.value);
+            if (result.value.answer !== undefined) {
+                serviceTimes.record(request.route, result.value.serviceMs, clock.getMonotonicMs());
+            }
         }
         return result;
     }
--- /dev/null
+++ b/src/cli/drain_command.ts
@@ -0,0 +1,17 @@
+import { defineCommand } from "citty";
+import { adminSpecs } from "../settings/admin_specs.ts";
+import { createSettingArgs } from "./create_setting_args.ts";
+import { ProcessOutput } from "./process_output.ts";
+import { runAdmin } from "./run_admin.ts";
+
+/** `zinniaglade drain`. */
+export const drainCommand = defineCommand({
+    meta: {
+        name: "drain",
+        description: "Ask a running daemon to leave, wait until it has no more work, and report.",
+    },
+    args: createSettingArgs(adminSpecs),
+    run: async ({ rawArgs }) => {
+        process.exitCode = await runAdmin(rawArgs, client => client.drain(), new ProcessOutput());
+    },
+});
--- /dev/null
+++ b/src/cli/run_admin.ts
@@ -0,0 +1,37 @@
+import type { Result } from "neverthrow";
+import type { Failure } from "../core/failure.ts";
+import { AdminClient } from "../edge/admin_http/admin_client.ts";
+import { adminSpecs } from "../settings/admin_specs.ts";
+import { formatVariableName } from "../settings/format_variable_name.ts";
+import { readSettings } from "../settings/read_settings.ts";
+import { ExitCode } from "./exit_code.ts";
+import { formatFailure } from "./format_failure.ts";
+import type { Output } from "./output.ts";
+import { parseFlags } from "./parse_flags.ts";
+
+type Ask = (client: AdminClient) => Promise<Result<unknown, Failure>>;
+
+/** Asks a running daemon and prints its answer as JSON. */
+export async function runAdmin(rawArgs: readonly string[], ask: Ask, output: Output): Promise<ExitCode> {
+    // Variables of other commands may be set in the same environment, so only those of these settings are read.
+    const names = new Set(adminSpecs.map(spec => formatVariableName(spec.name)));
+    const environment = Object.fromEntries(Object.entries(process.env).filter(([name]) => names.has(name)));
+    const values = parseFlags(adminSpecs, rawArgs).andThen(flags =>
+        readSettings(adminSpecs, flags, environment)
+    );
+    if (values.isErr()) {
+        output.writeError(formatFailure(values.error));
+        return ExitCode.BadUsage;
+    }
+    const client = new AdminClient({
+        address: values.value.get("admin-address") ?? "",
+        drainTimeoutMs: Number(values.value.get("drain-timeout-ms")),
+    });
+    const result = await ask(client);
+    if (result.isErr()) {
+        output.writeError(formatFailure(result.error));
+        return ExitCode.Failed;
+    }
+    output.write(`${JSON.stringify(result.value, undefined, 4)}\n`);
+    return ExitCode.Ok;
+}
--- /dev/null
+++ b/src/cli/run_serve.ts
@@ -0,0 +1,25 @@
+import type { Daemon } from "../daemon.ts";
+import { ExitCode } from "./exit_code.ts";
+import { formatFailure } from "./format_failure.ts";
+
+/** Runs a daemon until it has been drained by a signal or by an operator; a second signal ends it at once. */
+export async function runServe(daemon: Daemon, writeError: (line: string) => void): Promise<ExitCode> {
+    const started = await daemon.start();
+    if (started.isErr()) {
+        writeError(formatFailure(started.error));
+        await daemon.close();
+        return ExitCode.Failed;
+    }
+    await Promise.race([waitForSignal().then(signal => daemon.drain(signal)), daemon.waitForClose()]);
+    await daemon.waitForClose();
+    await daemon.close();
+    return ExitCode.Ok;
+}
+
+function waitForSignal(): Promise<string> {
+    return new Promise(resolve => {
+        for (const signal of ["SIGTERM", "SIGINT"] as const) {
+            process.once(signal, () => resolve(signal));
+        }
+    });
+}
--- /dev/null
+++ b/src/cli/serve_command.ts
@@ -0,0 +1,34 @@
+import { defineCommand } from "citty";
+import { buildDaemon } from "../build_daemon.ts";
+import { readServeSettings } from "../settings/read_serve_settings.ts";
+import { serveSpecs } from "../settings/serve_specs.ts";
+import { createSettingArgs } from "./create_setting_args.ts";
+import { ExitCode } from "./exit_code.ts";
+import { formatFailure } from "./format_failure.ts";
+import { parseFlags } from "./parse_flags.ts";
+import { runServe } from "./run_serve.ts";
+
+/** `zinniaglade serve`. */
+export const serveCommand = defineCommand({
+    meta: {
+        name: "serve",
+        description:
+            "Run a daemon. Standard output is the audit trail, standard error the log; both are JSON lines.",
+    },
+    args: createSettingArgs(serveSpecs),
+    run: async ({ rawArgs }) => {
+        const settings = parseFlags(serveSpecs, rawArgs).andThen(flags =>
+            readServeSettings(flags, process.env)
+        );
+        if (settings.isErr()) {
+            process.stderr.write(formatFailure(settings.error));
+            process.exitCode = ExitCode.BadUsage;
+            return;
+        }
+        const daemon = buildDaemon(settings.value, {
+            writeAudit: line => void process.stdout.write(line),
+            writeLog: line => void process.stderr.write(line),
+        });
+        process.exitCode = await runServe(daemon, line => void process.stderr.write(line));
+    },
+});
--- /dev/null
+++ b/src/cli/show_command.ts
@@ -0,0 +1,14 @@
+import { defineCommand } from "citty";
+import { adminSpecs } from "../settings/admin_specs.ts";
+import { createSettingArgs } from "./create_setting_args.ts";
+import { ProcessOutput } from "./process_output.ts";
+import { runAdmin } from "./run_admin.ts";
+
+/** `zinniaglade show`. */
+export const showCommand = defineCommand({
+    meta: { name: "show", description: "Print what is in force at a running daemon, as JSON." },
+    args: createSettingArgs(adminSpecs),
+    run: async ({ rawArgs }) => {
+        process.exitCode = await runAdmin(rawArgs, client => client.fetchStatus(), new ProcessOutput());
+    },
+});
--- /dev/null
+++ b/src/daemon.ts
@@ -0,0 +1,15 @@
+import type { Result } from "neverthrow";
+import type { Failure } from "./core/failure.ts";
+import type { DrainReport } from "./lifecycle/drain_report.ts";
+
+/** A wired daemon. */
+export interface Daemon {
+    /** Opens the ports, learns configuration and instance list, and serves. Fails with PortUnavailable. */
+    start(): Promise<Result<void, Failure>>;
+    /** Leaves the fleet without cutting a request; the result comes when no work is left. */
+    drain(cause: string): Promise<Result<DrainReport, Failure>>;
+    /** Resolves when a drain has finished. */
+    waitForClose(): Promise<void>;
+    /** Stops everything at once. */
+    close(): Promise<void>;
+}
--- a/src/edge/admin_http/create_admin_app.ts
+++ b/src/edge/admin_http/create_admin_app.ts
@@ -25,6 +25,7 @@
         }
         else if (context.method === "POST" && context.path === "/v1/drain") {
             const report = await options.drain("operator");
+            context.set("connection", "close");
             context.status = report.isOk() ? 200 : codeTable[report.error.code].status;
             context.body = report.isOk() ? report.value : report.error;
         }
--- a/src/edge/caller_http/create_caller_app.ts
+++ b/src/edge/caller_http/create_caller_app.ts
@@ -15,8 +15,8 @@
 
 interface CallerAppOptions {
     readonly handle: (incoming: IncomingRequest) => Promise<Answer>;
-    /** True while the daemon drains: answers then ask the caller to close its connection. */
-    readonly isDraining: () => boolean;
+    /** Runs before each request. */
+    readonly lease: Koa.Middleware;
     /** Largest request body of any route, in bytes. */
     readonly maxRequestBytes: number;
 }
@@ -24,6 +24,7 @@
 /** Builds the koa application that hands each request to the entry pipeline. */
 export function createCallerApp(options: CallerAppOptions): Koa {
     const app = new Koa();
+    app.use(options.lease);
     app.use(async context => {
         const declaredLength = context.get("content-length") || undefined;
         const body = await readBody(context.req, options.maxRequestBytes, declaredLength);
@@ -37,9 +38,6 @@
                 signal: createAbortSignal(context.res),
             });
         sendAnswer(context, answer);
-        if (options.isDraining()) {
-            context.set("connection", "close");
-        }
     });
     // A caller that breaks its connection is not an error of the daemon; the pipeline has been aborted.
     app.on("error", () => undefined);
--- a/src/edge/control/create_control_routes.ts
+++ b/src/edge/control/create_control_routes.ts
@@ -3,22 +3,48 @@
  *
  * @module
  */
-import type { ConnectRouter } from "@connectrpc/connect";
+import { Code, ConnectError, type ConnectRouter } from "@connectrpc/connect";
 import { Control } from "../../gen/zinniaglade/v1/control_pb.ts";
+import type { DocumentName } from "../../gossip/document_name.ts";
+import type { GossipHandler } from "../../gossip/gossip_handler.ts";
 import type { Revoker } from "../../operations/revoker.ts";
+import { decodeHeadExchange } from "./decode_head_exchange.ts";
+import { encodeHeadExchange } from "./encode_head_exchange.ts";
 
 interface ControlRouteOptions {
     readonly incarnation: string;
     readonly revoker: Revoker;
+    readonly gossip: GossipHandler;
 }
 
 /** Builds the routes; each handler only translates between messages and typed values. */
 export function createControlRoutes(options: ControlRouteOptions): (router: ConnectRouter) => void {
+    const { gossip, incarnation, revoker } = options;
     return router => {
         router.service(Control, {
+            exchangeHeads: message => {
+                const exchange = decodeHeadExchange(message.exchange);
+                if (exchange === undefined) {
+                    throw new ConnectError("the exchange names no daemon", Code.InvalidArgument);
+                }
+                return { exchange: encodeHeadExchange(gossip.handleExchangeHeads(exchange)) };
+            },
+            fetchSections: message => {
+                const response = gossip.handleFetchSections({
+                    document: message.document as DocumentName,
+                    baseVersion: Number(message.baseVersion),
+                    baseDigest: message.baseDigest,
+                    knownDigests: message.knownDigests,
+                });
+                if (response === undefined) {
+                    throw new ConnectError(`no document ${message.document}`, Code.NotFound);
+                }
+                const { baseUnknown, head, pieces } = response;
+                return { head: { ...head, version: BigInt(head.version) }, baseUnknown, pieces: [...pieces] };
+            },
             revoke: message => ({
-                incarnation: options.incarnation,
-                state: options.revoker.revoke({
+                incarnation,
+                state: revoker.revoke({
                     requestId: message.requestId,
                     attempt: message.attempt,
                     idempotencyKey: message.idempotencyKey || undefined,
--- /dev/null
+++ b/src/edge/control/encode_head_exchange.ts
@@ -0,0 +1,19 @@
+import type { MessageInitShape } from "@bufbuild/protobuf";
+import type { HeadExchangeSchema } from "../../gen/zinniaglade/v1/control_pb.ts";
+import type { HeadExchange } from "../../gossip/head_exchange.ts";
+
+/** Message for a head exchange. */
+export function encodeHeadExchange(exchange: HeadExchange): MessageInitShape<typeof HeadExchangeSchema> {
+    const { rejected } = exchange;
+    return {
+        daemonId: exchange.daemonId,
+        incarnation: exchange.incarnation,
+        heads: exchange.heads.map(head => ({ ...head, version: BigInt(head.version) })),
+        leaving: exchange.leaving.map(notice => ({ ...notice })),
+        rejected: rejected === undefined ? undefined : {
+            ...rejected,
+            version: BigInt(rejected.version),
+            endsAtVersion: BigInt(rejected.endsAtVersion),
+        },
+    };
+}
--- /dev/null
+++ b/src/edge/daemon_servers.ts
@@ -0,0 +1,111 @@
+/**
+ * The three HTTP servers of a daemon: for callers, for other daemons, for administration.
+ *
+ * @module
+ */
+import { err, ok, type Result } from "neverthrow";
+import type { CallerHandler } from "../answer/caller_handler.ts";
+import type { Failure } from "../core/failure.ts";
+import type { Filter } from "../core/filter.ts";
+import type { OwnerReply } from "../forward/owner_reply.ts";
+import type { GossipHandler } from "../gossip/gossip_handler.ts";
+import { DaemonState } from "../lifecycle/daemon_state.ts";
+import type { DrainReport } from "../lifecycle/drain_report.ts";
+import type { DrainableListener } from "../lifecycle/drainable_listener.ts";
+import type { Lifecycle } from "../lifecycle/lifecycle.ts";
+import type { Revoker } from "../operations/revoker.ts";
+import type { IncomingDispatch } from "../queue/incoming_dispatch.ts";
+import type { ServeSettings } from "../settings/serve_settings.ts";
+import type { DaemonStatus } from "../status/daemon_status.ts";
+import { createAdminApp } from "./admin_http/create_admin_app.ts";
+import { createCallerApp } from "./caller_http/create_caller_app.ts";
+import { createControlRoutes } from "./control/create_control_routes.ts";
+import { createPeerListener } from "./control/create_peer_listener.ts";
+import { createLeaseMiddleware } from "./http/create_lease_middleware.ts";
+import { HttpListener } from "./http/http_listener.ts";
+import { createPeerApp } from "./peer_http/create_peer_app.ts";
+
+interface Options {
+    readonly settings: ServeSettings;
+    readonly incarnation: string;
+    readonly lifecycle: Lifecycle;
+    readonly caller: CallerHandler;
+    readonly owner: Filter<IncomingDispatch, OwnerReply>;
+    readonly revoker: Revoker;
+    readonly gossip: GossipHandler;
+    readonly buildStatus: () => DaemonStatus;
+    readonly drain: (cause: string) => Promise<Result<DrainReport, Failure>>;
+}
+
+/** Opens and closes the servers. */
+export class DaemonServers {
+    private readonly opened: HttpListener[] = [];
+    private readonly drainable: HttpListener[] = [];
+
+    constructor(private readonly options: Options) {}
+
+    /** Opens the interfaces for administration and for other daemons. Fails with PortUnavailable. */
+    async openInternal(): Promise<Result<void, Failure>> {
+        const { settings, owner, incarnation } = this.options;
+        const admin = createAdminApp(this.options).callback();
+        const app = createPeerApp({
+            lease: this.createLease(),
+            daemonId: settings.daemonId,
+            incarnation,
+            owner,
+            maxRequestBytes: settings.maxRequestBytes,
+        });
+        const adminListener = await HttpListener.open(settings.adminAddress, (request, response) => {
+            void admin(request, response);
+        });
+        if (adminListener.isErr()) {
+            return err(adminListener.error);
+        }
+        this.opened.push(adminListener.value);
+        const peerListener = await HttpListener.open(
+            settings.peerAddress,
+            createPeerListener(app, createControlRoutes(this.options)),
+        );
+        return this.addDrainable(peerListener);
+    }
+
+    /** Opens the interface for callers. Fails with PortUnavailable. */
+    async openCallers(): Promise<Result<void, Failure>> {
+        const { caller, settings } = this.options;
+        const app = createCallerApp({
+            lease: this.createLease(),
+            handle: incoming => caller.handle(incoming),
+            maxRequestBytes: settings.maxRequestBytes,
+        }).callback();
+        const listener = await HttpListener.open(settings.callerAddress, (request, response) => {
+            void app(request, response);
+        });
+        return this.addDrainable(listener);
+    }
+
+    /** The listeners that the drain sequence stops and closes; that for administration stays until the end. */
+    getDrainable(): readonly DrainableListener[] {
+        return this.drainable;
+    }
+
+    async close(): Promise<void> {
+        await Promise.all(this.opened.map(listener => listener.close()));
+    }
+
+    private createLease() {
+        const { lifecycle } = this.options;
+        return createLeaseMiddleware({
+            registerRequest: () => lifecycle.registerRequest(),
+            isDraining: () => lifecycle.getState() === DaemonState.Draining,
+        });
+    }
+
+    private addDrainable(listener: Result<HttpListener, Failure>): Result<void, Failure> {
+        if (listener.isErr()) {
+            return err(listener.error);
+        }
+        this.opened.push(listener.value);
+        this.drainable.push(listener.value);
+        return ok(undefined);
+    }
+}
--- /dev/null
+++ b/src/edge/http/create_lease_middleware.ts
@@ -0,0 +1,31 @@
+import type { Middleware } from "koa";
+import { formatProblem } from "../../answer/format_problem.ts";
+import { Code } from "../../core/code.ts";
+import { createFailure } from "../../core/create_failure.ts";
+import type { RequestLease } from "../../lifecycle/request_lease.ts";
+
+interface LeaseOptions {
+    /** Undefined when the daemon has closed. */
+    readonly registerRequest: () => RequestLease | undefined;
+    /** True while the daemon drains: responses then ask the peer to close its connection. */
+    readonly isDraining: () => boolean;
+}
+
+/** Keeps each request registered as in flight until the last byte of its response was handed to the connection. */
+export function createLeaseMiddleware(options: LeaseOptions): Middleware {
+    return async (context, next) => {
+        const lease = options.registerRequest();
+        if (lease === undefined) {
+            const problem = formatProblem(createFailure(Code.OwnerLeaving), "");
+            context.status = problem.status;
+            context.set("connection", "close");
+            context.body = Buffer.from(problem.body);
+            return;
+        }
+        context.res.once("close", () => lease.close());
+        await next();
+        if (options.isDraining()) {
+            context.set("connection", "close");
+        }
+    };
+}
--- a/src/edge/http/http_listener.ts
+++ b/src/edge/http/http_listener.ts
@@ -12,9 +12,18 @@
 /** Headers of a caller (16 KB at most) grow by a third when they travel in base64 between daemons. */
 const MAX_HEADER_BYTES = 65_536;
 
+/** Time in milliseconds after which connections that are still open are closed. */
+const CLOSE_LIMIT_MS = 500;
+
 /** An HTTP/1.1 server on one address. */
 export class HttpListener implements DrainableListener {
-    private constructor(private readonly server: Server) {}
+    private readonly ended: Promise<void>;
+
+    private constructor(private readonly server: Server) {
+        this.ended = new Promise(resolve => {
+            server.once("close", resolve);
+        });
+    }
 
     /** Opens `address` (`host:port`). Fails with PortUnavailable. */
     static async open(address: string, handler: RequestListener): Promise<Result<HttpListener, Failure>> {
@@ -39,15 +48,13 @@
         this.server.closeIdleConnections();
     }
 
+    /** Lets the responses that are being sent finish, for a bounded time. */
     async close(): Promise<void> {
-        const closed = new Promise<void>(resolve => {
-            this.server.once("close", resolve);
-        });
-        const listening = this.server.listening;
-        this.stop();
-        this.server.closeAllConnections();
-        if (listening) {
-            await closed;
+        if (this.server.listening) {
+            this.stop();
         }
+        const timer = setTimeout(() => this.server.closeAllConnections(), CLOSE_LIMIT_MS);
+        await this.ended;
+        clearTimeout(timer);
     }
 }
--- a/src/edge/peer_http/create_peer_app.ts
+++ b/src/edge/peer_http/create_peer_app.ts
@@ -18,6 +18,8 @@
 import { PeerHeader } from "./peer_header.ts";
 
 interface PeerAppOptions {
+    /** Runs before each request. */
+    readonly lease: Koa.Middleware;
     readonly daemonId: string;
     readonly incarnation: string;
     /** Resolves and runs an attempt. */
@@ -29,6 +31,7 @@
 /** Builds the koa application behind `POST /v1/dispatch`. */
 export function createPeerApp(options: PeerAppOptions): Koa {
     const app = new Koa();
+    app.use(options.lease);
     app.use(async context => {
         if (context.path !== "/v1/dispatch" || context.method !== "POST") {
             context.status = 404;
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,2 +1,20 @@
-/** Entry point of the program. */
-process.stdout.write("zinniaglade\n");
+/**
+ * Entry point of the program.
+ *
+ * @module
+ */
+import { defineCommand, runMain } from "citty";
+import { drainCommand } from "./cli/drain_command.ts";
+import { serveCommand } from "./cli/serve_command.ts";
+import { showCommand } from "./cli/show_command.ts";
+
+const main = defineCommand({
+    meta: {
+        name: "zinniaglade",
+        version: "0.1.0",
+        description: "Proxy fleet for upstreams with gray failures",
+    },
+    subCommands: { serve: serveCommand, show: showCommand, drain: drainCommand },
+});
+
+void runMain(main);
--- a/src/settings/check_setting.ts
+++ b/src/settings/check_setting.ts
@@ -16,6 +16,10 @@
                 : `'${value}' is not a name of 1 to 64 characters`;
         case SettingKind.Address:
             return isAddress(value) ? undefined : `'${value}' is not an IP number and port`;
+        case SettingKind.Addresses:
+            return value.split(",").every(isAddress)
+                ? undefined
+                : `'${value}' is not a list of IP numbers and ports`;
         case SettingKind.Url:
             return URL.canParse(value) && /^https?:/.test(value)
                 ? undefined
--- a/src/settings/serve_settings.ts
+++ b/src/settings/serve_settings.ts
@@ -10,8 +10,9 @@
     readonly peerAddress: string;
     readonly adminAddress: string;
     readonly platformUrl: string;
-    readonly configName: string;
     readonly upstreams: readonly OwnedUpstream[];
+    /** Addresses of other daemons to ask while the instance list names none. */
+    readonly peers: readonly string[];
     /** Undefined when no metrics are sent. */
     readonly metricsAddress: string | undefined;
     readonly logLevel: LogLevel;
--- a/src/settings/serve_specs.ts
+++ b/src/settings/serve_specs.ts
@@ -1,7 +1,7 @@
 import { SettingKind } from "./setting_kind.ts";
 import type { SettingSpec } from "./setting_spec.ts";
 
-const { Address, Integer, LogLevel, Name, Upstreams, Url } = SettingKind;
+const { Address, Addresses, Integer, LogLevel, Name, Upstreams, Url } = SettingKind;
 
 function buildSpec(
     name: string,
@@ -39,13 +39,18 @@
     buildSpec("peer-address", Address, undefined, "where other daemons connect"),
     buildSpec("admin-address", Address, undefined, "where show and drain connect"),
     buildSpec("platform-url", Url, undefined, "base URL of the platform's configuration service"),
-    buildSpec("config-name", Name, "config", "name of the configuration's value on the platform"),
     buildSpec(
         "upstreams",
         Upstreams,
         "",
         "upstreams that this daemon owns: ID=SERVICE@ADDRESS/SLOTS, comma-separated",
     ),
+    buildSpec(
+        "peers",
+        Addresses,
+        "",
+        "other daemons to ask while the instance list names none, comma-separated",
+    ),
     buildSpec("metrics-address", Address, "", "StatsD receiver; no metrics are sent without one"),
     buildSpec("log-level", LogLevel, "info", "debug, info, warn or error"),
     buildInteger(
--- a/src/settings/setting_kind.ts
+++ b/src/settings/setting_kind.ts
@@ -4,6 +4,8 @@
     Name: "name",
     /** IP number and port. */
     Address: "address",
+    /** Comma-separated addresses. */
+    Addresses: "addresses",
     Url: "url",
     /** Whole number within the limits of its specification. */
     Integer: "integer",
--- /dev/null
+++ b/src/status/status_builder.ts
@@ -0,0 +1,70 @@
+/**
+ * Snapshot of what is in force at this daemon, for the administration interface.
+ *
+ * @module
+ */
+import type { ServiceConfig } from "../config/service_config.ts";
+import type { Lifecycle } from "../lifecycle/lifecycle.ts";
+import type { MembershipTable } from "../membership/membership_table.ts";
+import type { OwnerIdentity } from "../operations/owner_identity.ts";
+import type { ConfigStore } from "../platform/config_store.ts";
+import type { OwnedUpstream } from "../queue/owned_upstream.ts";
+import type { UpstreamStateBuilder } from "../settle/upstream_state_builder.ts";
+import type { DaemonStatus } from "./daemon_status.ts";
+import type { ServiceStatus } from "./service_status.ts";
+
+interface Options {
+    readonly identity: OwnerIdentity;
+    readonly failureDomain: string;
+    readonly region: string;
+    readonly upstreams: readonly OwnedUpstream[];
+    readonly lifecycle: Lifecycle;
+    readonly store: ConfigStore;
+    readonly membership: MembershipTable;
+    readonly states: UpstreamStateBuilder;
+}
+
+/** Reads the parts of the daemon; changes nothing. */
+export class StatusBuilder {
+    constructor(private readonly options: Options) {}
+
+    build(): DaemonStatus {
+        const { failureDomain, identity, lifecycle, membership, region, states, store, upstreams } =
+            this.options;
+        const active = store.getActive();
+        const services = [...active?.configuration.services.values() ?? []];
+        return {
+            daemonId: identity.ownerId,
+            incarnation: identity.incarnation,
+            failureDomain,
+            region,
+            state: lifecycle.getState(),
+            requestsInFlight: lifecycle.countInFlight(),
+            configuration: active === undefined ? undefined : {
+                version: active.version,
+                digest: active.digest,
+                team: active.configuration.team,
+            },
+            rejected: store.getRejected(),
+            instanceListVersion: membership.getVersion(),
+            services: services.map(service => this.buildService(service)),
+            owned: upstreams.map(upstream => states.build(upstream.id)).filter(state => state !== undefined),
+        };
+    }
+
+    private buildService(service: ServiceConfig): ServiceStatus {
+        const { membership } = this.options;
+        const { upstreams } = membership.getList().list;
+        return {
+            name: service.name,
+            floor: service.floor,
+            members: service.members,
+            upstreams: upstreams.filter(upstream => upstream.service === service.name).map(upstream => ({
+                id: upstream.id,
+                ownerId: upstream.ownerId,
+                failureDomain: upstream.failureDomain,
+                leaving: membership.isLeaving(upstream.id),
+            })),
+        };
+    }
+}
