--- /dev/null
+++ b/measure/create_configuration_text.ts
@@ -0,0 +1,47 @@
+import { SeededRandom } from "../proof/fakes/seeded_random.ts";
+
+interface GenerateOptions {
+    readonly services: number;
+    readonly routes: number;
+    readonly seed: number;
+}
+
+/** Builds the text of a configuration as operators write it: block style, comments, some fields left out. */
+export function createConfigurationText(options: GenerateOptions): string {
+    const random = new SeededRandom(options.seed);
+    const take = (count: number): number => Math.floor(random.take() * count);
+    const lines = ["# Generated for measurements.", "team: measurement", "services:"];
+    for (let service = 0; service < options.services; service += 1) {
+        const members = 3 + take(40);
+        lines.push(
+            `  service-${service}:`,
+            `    description: Service ${service} of the generated configuration.`,
+            // Dependencies point to earlier services, so that they form no cycle.
+            `    dependsOn: [${service === 0 ? "" : `service-${take(service)}`}]`,
+            `    members: ${members}`,
+            `    floor: ${Math.ceil(members * 0.7)}`,
+            "    limits:",
+            `      queueLength: ${32 + take(64)}`,
+            `      targetWaitMs: ${50 + take(200)}`,
+            "    routes:",
+        );
+        const first = Math.floor(service * options.routes / options.services);
+        const end = Math.floor((service + 1) * options.routes / options.services);
+        for (let route = first; route < end; route += 1) {
+            const isRead = random.take() < 0.7;
+            lines.push(
+                `      # Route ${route}.`,
+                `      route-${route}:`,
+                `        method: ${isRead ? "GET" : "POST"}`,
+                `        path: /service-${service}/items/{item}/route-${route}`,
+                `        class: ${random.take() < 0.8 ? "short" : "long"}`,
+                `        idempotent: ${isRead}`,
+                `        deadlineMs: ${1_000 + take(9_000)}`,
+                `        serviceMs: ${5 + take(200)}`,
+                "        expect: { statuses: [200, 404], contentType: application/json }",
+                "        shedStatuses: [503]",
+            );
+        }
+    }
+    return `${lines.join("\n")}\n`;
+}
--- /dev/null
+++ b/src/cli/run_check.ts
@@ -0,0 +1,55 @@
+/**
+ * The command `check`: reports every problem of a configuration file with its line and column.
+ *
+ * @example
+ * ```ts
+ * process.exitCode = runCheck({ file: "safai.yaml", explain: false }, new FileTextReader(), output);
+ * ```
+ *
+ * @module
+ */
+import { dirname, join } from "node:path";
+import type { Configuration } from "../config/configuration.ts";
+import { formatConfiguration } from "../config/format_configuration.ts";
+import { formatProblem } from "../config/format_problem.ts";
+import { listParts } from "../config/list_parts.ts";
+import { parseConfiguration } from "../config/parse_configuration.ts";
+import { Code } from "../core/code.ts";
+import { ExitCode } from "./exit_code.ts";
+import type { Output } from "./output.ts";
+import type { TextReader } from "./text_reader.ts";
+
+interface CheckOptions {
+    readonly file: string;
+    /** Prints the configuration with every value filled in. */
+    readonly explain: boolean;
+}
+
+/** Parts of the configuration are read from files of their names in the folder of `file`. */
+export function runCheck(options: CheckOptions, files: TextReader, output: Output): ExitCode {
+    const { file, explain } = options;
+    const source = files.read(file);
+    if (source.isErr()) {
+        output.writeError(`${file}: error ${Code.FileUnreadable}: ${source.error.detail}\n`);
+        return ExitCode.BadUsage;
+    }
+    const parts = new Map<string, string>();
+    for (const { name } of listParts(source.value)) {
+        // A missing part is a problem of the configuration, which parseConfiguration reports with its place.
+        files.read(join(dirname(file), name)).map(content => parts.set(name, content));
+    }
+    const result = parseConfiguration(source.value, { name: file, parts });
+    if (result.isErr()) {
+        const lines = result.error.map(problem => `${formatProblem(problem)}\n`);
+        output.writeError(lines.join(""));
+        return ExitCode.Failed;
+    }
+    output.write(explain ? formatConfiguration(result.value) : formatSummary(file, result.value));
+    return ExitCode.Ok;
+}
+
+function formatSummary(file: string, configuration: Configuration): string {
+    const services = [...configuration.services.values()];
+    const routes = services.reduce((sum, service) => sum + service.routes.length, 0);
+    return `${file}: no problem found; services ${services.length}, routes ${routes}\n`;
+}
--- a/src/config/parse_configuration.test.ts
+++ b/src/config/parse_configuration.test.ts
@@ -1,8 +1,32 @@
 import assert from "node:assert/strict";
 import { readFileSync } from "node:fs";
 import { test } from "node:test";
+import { Code } from "../core/code.ts";
+import { computeSha256 } from "./compute_sha256.ts";
+import { listParts } from "./list_parts.ts";
 import { parseConfiguration } from "./parse_configuration.ts";
 
+/** Each problem as `line:column code field`. */
+function listProblems(source: string, parts?: ReadonlyMap<string, string>): readonly string[] {
+    return parseConfiguration(source, { parts }).match(
+        () => [],
+        problems =>
+            problems.map(({ source, line, column, code, field }) =>
+                `${source === "config" ? "" : `${source}:`}${line}:${column} ${code} ${field}`
+            ),
+    );
+}
+
+const route = "class: short, idempotent: true, deadlineMs: 1000";
+const valid = `team: test
+services:
+  bills:
+    members: 3
+    floor: 2
+    routes:
+      list: { method: GET, path: /bills, ${route} }
+`;
+
 for (const name of ["authority", "safai"]) {
     test(`demo/${name}.yaml has no problem, so that the demo starts with the files as they are`, () => {
         const source = readFileSync(new URL(`../../demo/${name}.yaml`, import.meta.url), "utf8");
@@ -11,3 +35,154 @@
         assert.equal(result._unsafeUnwrap().services.size, 3);
     });
 }
+
+test("fields that the text leaves out have the defaults of the table", () => {
+    const bills = parseConfiguration(valid)._unsafeUnwrap().services.get("bills")!;
+    assert.equal(bills.limits.queueLength, 64);
+    assert.deepEqual(bills.dependsOn, []);
+    assert.deepEqual(bills.routes[0], {
+        name: "list",
+        service: "bills",
+        method: "GET",
+        path: "/bills",
+        workClass: "short",
+        idempotent: true,
+        deadlineMs: 1000,
+        serviceMs: 10,
+        maxRequestBytes: 65_536,
+        maxAnswerBytes: 1_048_576,
+        expect: { statuses: [200], contentType: "" },
+        shedStatuses: [],
+    });
+});
+
+test("each fault is reported at its line and column, so that operators find it", () => {
+    const cases: readonly [string, string, string][] = [
+        ["floor: 2", "floor: 2\n    flor: 3", `6:5 ${Code.ConfigUnknownField} services.bills.flor`],
+        ["    floor: 2\n", "", `3:3 ${Code.ConfigMissingField} services.bills.floor`],
+        ["team: test", "", `2:1 ${Code.ConfigMissingField} team`],
+        ["floor: 2", "floor: two", `5:12 ${Code.ConfigBadValue} services.bills.floor`],
+        ["floor: 2", 'floor: "2"', `5:12 ${Code.ConfigBadValue} services.bills.floor`],
+        ["floor: 2", "floor:", `5:11 ${Code.ConfigBadValue} services.bills.floor`],
+        ["floor: 2", "floor: 2.5", `5:12 ${Code.ConfigBadValue} services.bills.floor`],
+        ["floor: 2", "floor: -1", `5:12 ${Code.ConfigBadValue} services.bills.floor`],
+        ["floor: 2", "floor: 2\n    limits: []", `6:13 ${Code.ConfigBadValue} services.bills.limits`],
+        ["GET", "FETCH", `7:23 ${Code.ConfigBadValue} services.bills.routes.list.method`],
+        ["/bills,", "bills,", `7:34 ${Code.ConfigBadValue} services.bills.routes.list.path`],
+        ["/bills,", "/a/../b,", `7:34 ${Code.ConfigBadValue} services.bills.routes.list.path`],
+        ["/bills,", "/.zinniaglade/keys,", `7:34 ${Code.ConfigBadValue} services.bills.routes.list.path`],
+        ["      list:", "      my list:", `7:7 ${Code.ConfigBadValue} services.bills.routes.my list`],
+        ["floor: 2", "floor: 4", `5:12 ${Code.ConfigFloorAboveMembers} services.bills.floor`],
+        ["floor: 2", "floor: 2\n    floor: 2", `6:5 ${Code.ConfigDuplicateName} services.bills.floor`],
+        [
+            "floor: 2",
+            "floor: 2\n    dependsOn: [rates]",
+            `6:17 ${Code.ConfigUnknownService} services.bills.dependsOn[0]`,
+        ],
+        [
+            "floor: 2",
+            "floor: 2\n    dependsOn: [bills]",
+            `6:17 ${Code.ConfigDependencyCycle} services.bills.dependsOn[0]`,
+        ],
+        [
+            "floor: 2",
+            "floor: 2\n    health: { holdMinMs: 70000 }",
+            `6:5 ${Code.ConfigBadValue} services.bills.health.holdMaxMs`,
+        ],
+        [
+            "1000 }",
+            "1000, serviceMs: 1001 }",
+            `7:103 ${Code.ConfigBadValue} services.bills.routes.list.serviceMs`,
+        ],
+    ];
+    assert.deepEqual(listProblems(valid), []);
+    for (const [before, after, problem] of cases) {
+        assert.deepEqual(listProblems(valid.replace(before, after)), [problem], after);
+    }
+});
+
+test("all faults of a text are reported at once", () => {
+    const source = valid.replace("members: 3", "members: x").replace("GET", "FETCH").replace(
+        "team: test",
+        "tea: test",
+    );
+    assert.deepEqual(listProblems(source), [
+        `1:1 ${Code.ConfigUnknownField} tea`,
+        `1:1 ${Code.ConfigMissingField} team`,
+        `4:14 ${Code.ConfigBadValue} services.bills.members`,
+        `7:23 ${Code.ConfigBadValue} services.bills.routes.list.method`,
+    ]);
+});
+
+test("routes that match the same requests and routes of one name conflict, wherever they are", () => {
+    const source = `${valid}      read: { method: GET, path: "/bills/{bill}", ${route} }
+  rates:
+    members: 1
+    floor: 1
+    routes:
+      list: { method: GET, path: /rates, ${route} }
+      other: { method: GET, path: "/bills/{number}", ${route} }
+      replace: { method: PUT, path: "/bills/{number}", ${route} }
+`;
+    assert.deepEqual(listProblems(source), [
+        `13:7 ${Code.ConfigDuplicateName} services.rates.routes.list`,
+        `14:35 ${Code.ConfigRouteConflict} services.rates.routes.other.path`,
+    ]);
+});
+
+test("a dependency cycle over several services is reported once, with its services", () => {
+    const services = [["a", "b"], ["b", "c"], ["c", "a"], ["d", "a"]].map(([name, dependency]) =>
+        `  ${name}: { members: 1, floor: 1, dependsOn: [${dependency}] }\n`
+    );
+    const problems = parseConfiguration(`team: test\nservices:\n${services.join("")}`)._unsafeUnwrapErr();
+    assert.deepEqual(problems.map(({ code, line, message }) => [code, line, message]), [
+        [Code.ConfigDependencyCycle, 5, "closes the dependency cycle a -> b -> c -> a"],
+    ]);
+});
+
+test("a text without services is refused, because it would take every service out of use", () => {
+    assert.deepEqual(listProblems("team: test\n"), [`1:1 ${Code.ConfigMissingField} services`]);
+    assert.deepEqual(listProblems(""), [`1:1 ${Code.ConfigBadValue} `]);
+});
+
+test("texts that are not plain YAML are refused", () => {
+    for (
+        const source of [
+            "team: [",
+            "team: 'x",
+            "a: b: c",
+            "team: &x a\nservices: *x",
+            "team: !!binary abcd",
+            "team: a\n---\nteam: b",
+            "? [a]\n: b",
+            "- a\nb: c",
+            "team: test\n\tservices: {}",
+            "%YAML 1.1\n---\nteam: a",
+        ]
+    ) {
+        const problems = parseConfiguration(source)._unsafeUnwrapErr();
+        assert.equal(problems[0]?.code, Code.ConfigSyntax, source);
+    }
+});
+
+test("parts complete the configuration, and a part of another version is never mixed in", () => {
+    const part = `services:\n  rates: { members: 1, floor: 1 }\n`;
+    const source = `${valid}parts:\n  - { name: config.2, digest: ${computeSha256(part)} }\n`;
+    const parts = new Map([["config.2", part]]);
+    assert.deepEqual(listParts(source).map(({ name }) => name), ["config.2"]);
+    assert.deepEqual([...parseConfiguration(source, { parts })._unsafeUnwrap().services.keys()], [
+        "bills",
+        "rates",
+    ]);
+    assert.deepEqual(listProblems(source), [`9:5 ${Code.ConfigMissingField} parts[0]`]);
+    const changed = new Map([["config.2", part.replace("floor: 1", "floor: 0")]]);
+    assert.deepEqual(listProblems(source, changed), [`9:5 ${Code.ConfigBadValue} parts[0]`]);
+});
+
+test("problems of a part name the part, and a service of two parts is refused", () => {
+    const part = "services:\n  bills: { members: 1, floor: 2 }\n";
+    const source = `${valid}parts:\n  - { name: config.2, digest: ${computeSha256(part)} }\n`;
+    assert.deepEqual(listProblems(source, new Map([["config.2", part]])), [
+        `config.2:2:3 ${Code.ConfigDuplicateName} services.bills`,
+    ]);
+});
--- a/src/config/table/config_type.ts
+++ b/src/config/table/config_type.ts
@@ -28,8 +28,8 @@
 export const configType = new RecordType<ConfigFields>({
     team: {
         type: new TextType({
-            meaning: "text without control characters, not empty,",
-            pattern: /^[^\u0000-\u001f\u007f-\u009f]+$/,
+            meaning: "text without control characters, not blank,",
+            pattern: /^(?=.*\S)[^\u0000-\u001f\u007f-\u009f]+$/,
             maxLength: 200,
         }),
         description: "Who answers for this configuration.",
--- a/src/config/yaml/source_document.ts
+++ b/src/config/yaml/source_document.ts
@@ -1,9 +1,9 @@
+import type { ProblemList } from "../problem_list.ts";
 import type { SourceNode } from "./source_node.ts";
 
 /** A YAML text with the tree of its values. */
 export interface SourceDocument {
-    /** Name of the file or published value, for messages. */
-    readonly name: string;
-    readonly text: string;
-    readonly root: SourceNode;
+    /** Undefined when the text is not YAML. */
+    readonly root: SourceNode | undefined;
+    readonly problems: ProblemList;
 }
--- /dev/null
+++ b/src/core/list_codes.ts
@@ -0,0 +1,15 @@
+import { Code } from "./code.ts";
+import type { CodeEntry } from "./code_entry.ts";
+import { codeTable } from "./code_table.ts";
+
+interface NamedCode extends CodeEntry {
+    readonly code: Code;
+    readonly name: string;
+}
+
+/** The rows of the code table with their numbers and names, in the order of the numbers. */
+export function listCodes(): readonly NamedCode[] {
+    return Object.entries(Code)
+        .map(([name, code]) => ({ code, name, ...codeTable[code] }))
+        .sort((left, right) => left.code - right.code);
+}
