Refuse work early by estimated wait with a margin, and measure load

Cause: with the mean service time as the only estimate, the queue settled at the deadline and 40% of the slot time of the payments surge went to expired work. Work that waits now needs two mean deviations of its service time as margin, on arrival and again when its turn comes; the wait is the fluid time until a usable slot is free, corrected by measured waits; sustained waits above target shed.

--- /dev/null
+++ b/measure/load.ts
@@ -0,0 +1,142 @@
+/**
+ * Measures queue, admission and retry budget under load in virtual time and prints Markdown tables.
+ *
+ * @example
+ * ```sh
+ * node --import tsx measure/load.ts --seeds 1,2,3 --only surge
+ * ```
+ *
+ * @module
+ */
+import { parseArgs } from "node:util";
+import { Outcome } from "../src/core/outcome.ts";
+import { buildScenarios } from "./load/build_scenarios.ts";
+import { buildSystems } from "./load/build_systems.ts";
+import { computeQuantile } from "./load/compute_quantile.ts";
+import { formatSpread } from "./load/format_spread.ts";
+import { formatTable } from "./load/format_table.ts";
+import type { LoadResult } from "./load/load_result.ts";
+import type { LoadScenario } from "./load/load_scenario.ts";
+import { runLoad } from "./load/run_load.ts";
+
+const { values: settings } = parseArgs({
+    options: {
+        seeds: { type: "string", default: "1,2,3,4,5" },
+        /** A table: surge, waiting or fairness. */
+        only: { type: "string", default: "" },
+        /** Part of the name of the systems to measure. */
+        system: { type: "string", default: "" },
+    },
+});
+const seeds = settings.seeds.split(",").map(Number);
+const systems = buildSystems().filter(system => system.name.includes(settings.system));
+const { surges, waiting, fairness } = buildScenarios();
+
+/** Prints one table with a row for each scenario and system; each figure is computed for each seed. */
+async function writeTable(
+    title: string,
+    scenarios: readonly LoadScenario[],
+    figures: Readonly<Record<string, (result: LoadResult, scenario: LoadScenario) => number>>,
+): Promise<void> {
+    const rows: string[][] = [];
+    for (const scenario of scenarios) {
+        for (const system of systems) {
+            const values: number[][] = [];
+            for (const seed of seeds) {
+                const result = await runLoad(scenario, system, seed);
+                values.push(Object.values(figures).map(compute => compute(result, scenario)));
+            }
+            const cells = Object.keys(figures).map((_, index) =>
+                formatSpread(values.map(row => row[index]!))
+            );
+            rows.push([scenario.name, system.name, ...cells]);
+        }
+    }
+    console.log(`## ${title}\n\n${formatTable(["load", "system", ...Object.keys(figures)], rows)}\n`);
+}
+
+function listMeasured(result: LoadResult, scenario: LoadScenario, stream?: string) {
+    const { warmUpMs, measuredMs } = scenario;
+    return result.tries.filter(entry =>
+        entry.sentAtMs >= warmUpMs && entry.sentAtMs < warmUpMs + measuredMs
+        && (stream === undefined || entry.stream === stream)
+    );
+}
+
+function computePercent(part: number, whole: number): number {
+    return whole === 0 ? 0 : 100 * part / whole;
+}
+
+function computeGoodput(result: LoadResult, scenario: LoadScenario): number {
+    const { warmUpMs, measuredMs, upstreams, slots, streams } = scenario;
+    const answered = result.tries.filter(entry =>
+        entry.answered && entry.endedAtMs >= warmUpMs && entry.endedAtMs < warmUpMs + measuredMs
+    );
+    const capacity = upstreams * slots * measuredMs / streams[0]!.serviceMs;
+    return computePercent(answered.length, capacity);
+}
+
+function listRefused(result: LoadResult, scenario: LoadScenario) {
+    return listMeasured(result, scenario).filter(entry => entry.outcome === Outcome.NotExecuted);
+}
+
+function computeRefusalMs(result: LoadResult, scenario: LoadScenario, quantile: number): number {
+    const times = listRefused(result, scenario).map(entry => entry.endedAtMs - entry.sentAtMs);
+    return computeQuantile(times, quantile);
+}
+
+function computeAnswered(result: LoadResult, scenario: LoadScenario, stream: string): number {
+    const tries = listMeasured(result, scenario, stream);
+    return computePercent(tries.filter(entry => entry.answered).length, tries.length);
+}
+
+function computeWait(result: LoadResult, stream: string, quantile: number): number {
+    return computeQuantile(result.waitsMs.get(stream) ?? [], quantile);
+}
+
+function computeRecovery(result: LoadResult, scenario: LoadScenario): number {
+    const endMs = scenario.warmUpMs + scenario.measuredMs;
+    const late = result.tries.filter(entry => entry.sentAtMs >= endMs && !entry.answered);
+    return late.reduce((last, entry) => Math.max(last, entry.sentAtMs - endMs), 0);
+}
+
+function isWanted(table: string): boolean {
+    return settings.only === "" || settings.only === table;
+}
+
+if (isWanted("surge")) {
+    await writeTable("Demand surge", surges, {
+        "answered in time, % of capacity": computeGoodput,
+        "refused as not executed, % of tries": (result, scenario) =>
+            computePercent(listRefused(result, scenario).length, listMeasured(result, scenario).length),
+        "no definite answer, % of tries": (result, scenario) =>
+            computePercent(
+                listMeasured(result, scenario).filter(entry => entry.outcome === Outcome.Unknown).length,
+                listMeasured(result, scenario).length,
+            ),
+        "time to refusal, median ms": (result, scenario) => computeRefusalMs(result, scenario, 0.5),
+        "p99 ms": (result, scenario) => computeRefusalMs(result, scenario, 0.99),
+        "slot time on expired work, %": ({ slotMs }) =>
+            computePercent(slotMs.expired, slotMs.expired + slotMs.useful),
+        "attempts per try": (result, scenario) => result.attempts / listMeasured(result, scenario).length,
+        "wait of started work, p50 ms": result => computeWait(result, "surge", 0.5),
+        "last failure after the surge, ms": computeRecovery,
+        "untruthful refusals": result => result.tries.filter(entry => entry.untruthful).length,
+    });
+}
+if (isWanted("waiting")) {
+    await writeTable("Short work behind long work", waiting, {
+        "wait of short work, median ms": result => computeWait(result, "short", 0.5),
+        "p99 ms": result => computeWait(result, "short", 0.99),
+        "short answered in time, %": (result, scenario) => computeAnswered(result, scenario, "short"),
+        "wait of long work, median ms": result => computeWait(result, "long", 0.5),
+        "long answered in time, %": (result, scenario) => computeAnswered(result, scenario, "long"),
+    });
+}
+if (isWanted("fairness")) {
+    await writeTable("One organisation sends half of twice the capacity", fairness, {
+        "others answered in time, %": (result, scenario) => computeAnswered(result, scenario, "others"),
+        "the one answered in time, %": (result, scenario) => computeAnswered(result, scenario, "one"),
+        "all answered in time, % of capacity": computeGoodput,
+    });
+}
--- /dev/null
+++ b/measure/load/build_scenarios.ts
@@ -0,0 +1,103 @@
+import { buildService } from "../../proof/fakes/build_service.ts";
+import { WorkClass } from "../../src/core/work_class.ts";
+import type { LoadScenario } from "./load_scenario.ts";
+import type { LoadStream } from "./load_stream.ts";
+import type { UpstreamProfile } from "./upstream_profile.ts";
+
+/** Lognormal spread of the service times: standard deviation divided by mean. */
+const variation = 0.5;
+const steady: UpstreamProfile = { capacity: Infinity, slowExponent: 0, shedFrom: Infinity };
+/** Small limits of the entry would hide the queue; 300 in flight at each entry daemon are never reached here. */
+const limits = { targetWaitMs: 200, queueLength: 100, organisationPercent: 25, entryConcurrency: 300 };
+
+const payments = buildService({
+    name: "payments",
+    limits,
+    routes: [{ deadlineMs: 1_000, serviceMs: 60, idempotent: false }],
+});
+const checklist = buildService({
+    name: "checklist",
+    limits: { ...limits, reserveShort: 2, targetWaitMs: 100 },
+    routes: [
+        { deadlineMs: 500, serviceMs: 40 },
+        { deadlineMs: 10_000, serviceMs: 1_600, workClass: WorkClass.Long },
+    ],
+});
+const authority = { upstreams: 12, slots: 3, entryDaemons: 27, hopMs: 0.5, service: payments };
+const safai = { upstreams: 6, slots: 4, entryDaemons: 24, hopMs: 1.5, service: checklist };
+const phases = { profile: steady, callerTries: 3, warmUpMs: 5_000, measuredMs: 30_000, recoveryMs: 5_000 };
+
+function buildStream(
+    name: string,
+    route: number,
+    of: typeof authority,
+    parts: Partial<LoadStream>,
+): LoadStream {
+    const routeConfig = of.service.routes[route]!;
+    return {
+        name,
+        route: routeConfig,
+        serviceMs: routeConfig.serviceMs,
+        variation,
+        organisations: 500,
+        calmRate: 0,
+        measuredRate: 0,
+        ...parts,
+    };
+}
+
+/** Requests per second of the route that all slots together can serve. */
+function computeCapacity(of: typeof authority, route: number): number {
+    return of.upstreams * of.slots * 1_000 / of.service.routes[route]!.serviceMs;
+}
+
+function buildSurge(name: string, of: typeof authority, times: number): LoadScenario {
+    const capacity = computeCapacity(of, 0);
+    const rates = { calmRate: 0.5 * capacity, measuredRate: times * capacity };
+    return { ...of, ...phases, name, streams: [buildStream("surge", 0, of, rates)] };
+}
+
+function buildWaiting(reserveShort: number, load: number): LoadScenario {
+    const service = { ...safai.service, limits: { ...safai.service.limits, reserveShort } };
+    const of = { ...safai, service };
+    const share = reserveShort / of.slots;
+    const shortRate = load * share * computeCapacity(of, 0);
+    const longRate = 1.5 * (1 - share) * computeCapacity(of, 1);
+    return {
+        ...of,
+        ...phases,
+        name: `${reserveShort} of 4 slots reserved, short work at ${100 * load}% of them`,
+        warmUpMs: 20_000,
+        callerTries: 1,
+        streams: [
+            buildStream("short", 0, of, { calmRate: shortRate, measuredRate: shortRate }),
+            buildStream("long", 1, of, { calmRate: longRate, measuredRate: longRate }),
+        ],
+    };
+}
+
+function buildFairness(name: string, of: typeof authority): LoadScenario {
+    const half = computeCapacity(of, 0);
+    return {
+        ...of,
+        ...phases,
+        name,
+        callerTries: 1,
+        streams: [
+            buildStream("one", 0, of, { organisations: 1, measuredRate: half }),
+            buildStream("others", 0, of, { organisations: 200, measuredRate: half }),
+        ],
+    };
+}
+
+/** All scenarios of the load measurement. */
+export function buildScenarios() {
+    return {
+        surges: [
+            buildSurge("payments, surge of 3 times capacity", authority, 3),
+            buildSurge("checklist, surge of 3 times capacity", safai, 3),
+        ],
+        waiting: [buildWaiting(2, 0.5), buildWaiting(2, 0.7), buildWaiting(1, 0.5)],
+        fairness: [buildFairness("payments", authority), buildFairness("checklist", safai)],
+    };
+}
--- /dev/null
+++ b/measure/load/fifo_queue_filter.ts
@@ -0,0 +1,78 @@
+import { err, ok, type Result } from "neverthrow";
+import type { Clock } from "../../src/core/clock.ts";
+import { Code } from "../../src/core/code.ts";
+import { createFailure } from "../../src/core/create_failure.ts";
+import type { Failure } from "../../src/core/failure.ts";
+import type { OwnedUpstream } from "../../src/queue/owned_upstream.ts";
+import type { OwnerRequest } from "../../src/queue/owner_request.ts";
+import type { QueueState } from "../../src/queue/queue_state.ts";
+import type { QueuedRequest } from "../../src/queue/queued_request.ts";
+import type { OwnerQueue } from "./owner_queue.ts";
+
+interface Entry {
+    readonly request: OwnerRequest;
+    readonly queuedAtMs: number;
+    readonly resolve: (result: Result<QueuedRequest, Failure>) => void;
+}
+
+/** Baseline: one unbounded first-in-first-out queue for all classes and organisations. */
+export class FifoQueueFilter implements OwnerQueue {
+    private entries: Entry[] = [];
+    private first = 0;
+    private running = 0;
+    private meanMs = 0;
+
+    /** With `dropsExpired` the queue skips work whose deadline has passed when its turn comes. */
+    constructor(
+        private readonly clock: Clock,
+        private readonly upstream: OwnedUpstream,
+        private readonly dropsExpired: boolean,
+    ) {}
+
+    apply(request: OwnerRequest): Promise<Result<QueuedRequest, Failure>> {
+        return new Promise(resolve => {
+            this.entries.push({ request, queuedAtMs: this.clock.getMonotonicMs(), resolve });
+            this.startNext();
+        });
+    }
+
+    getState(): QueueState {
+        const queued = this.entries.length - this.first;
+        const waitMs = this.running < this.upstream.slots
+            ? 0
+            : (queued + 1) * this.meanMs / this.upstream.slots;
+        return {
+            upstreamId: this.upstream.id,
+            slots: this.upstream.slots,
+            running: this.running,
+            queuedShort: queued,
+            queuedLong: 0,
+            waitShortMs: waitMs,
+            waitLongMs: waitMs,
+        };
+    }
+
+    private startNext(): void {
+        while (this.running < this.upstream.slots && this.first < this.entries.length) {
+            const entry = this.entries[this.first++]!;
+            const nowMs = this.clock.getMonotonicMs();
+            if (this.dropsExpired && nowMs >= entry.request.deadlineMs) {
+                entry.resolve(err(createFailure(Code.DeadlineExceeded, { outcome: "not-executed" })));
+                continue;
+            }
+            this.running += 1;
+            const lease = { close: (serviceMs: number | undefined) => this.release(serviceMs) };
+            entry.resolve(ok({ ...entry.request, lease, waitMs: nowMs - entry.queuedAtMs }));
+        }
+        if (this.first > 1_000) {
+            this.entries = this.entries.slice(this.first);
+            this.first = 0;
+        }
+    }
+
+    private release(serviceMs: number | undefined): void {
+        this.running -= 1;
+        this.meanMs += 0.1 * ((serviceMs ?? this.meanMs) - this.meanMs);
+        this.startNext();
+    }
+}
--- /dev/null
+++ b/measure/load/try_record.ts
@@ -0,0 +1,16 @@
+import type { Code } from "../../src/core/code.ts";
+import type { Outcome } from "../../src/core/outcome.ts";
+
+/** One try of a caller. */
+export interface TryRecord {
+    readonly stream: string;
+    readonly operation: number;
+    readonly sentAtMs: number;
+    readonly endedAtMs: number;
+    /** True when the answer arrived before the deadline. */
+    readonly answered: boolean;
+    readonly code: Code;
+    readonly outcome: Outcome;
+    /** True when the caller was told not-executed and an upstream ran the work. */
+    readonly untruthful: boolean;
+}
--- /dev/null
+++ b/measure/load/two_choice_selector.ts
@@ -0,0 +1,47 @@
+import type { RandomSource } from "../../src/core/random_source.ts";
+import type { WorkClass } from "../../src/core/work_class.ts";
+import type { QueueState } from "../../src/queue/queue_state.ts";
+
+interface Observed {
+    inFlight: number;
+    state: QueueState | undefined;
+}
+
+/** Fake of the selection stage: two random choices, compared by the last reported wait and own requests. */
+export class TwoChoiceSelector {
+    private readonly observed = new Map<string, Observed>();
+
+    constructor(private readonly random: RandomSource, private readonly upstreamIds: readonly string[]) {
+        for (const id of upstreamIds) {
+            this.observed.set(id, { inFlight: 0, state: undefined });
+        }
+    }
+
+    select(workClass: WorkClass, serviceMs: number, excluded: ReadonlySet<string>): string | undefined {
+        const candidates = this.upstreamIds.filter(id => !excluded.has(id));
+        const left = candidates[Math.floor(this.random.take() * candidates.length)];
+        const right = candidates[Math.floor(this.random.take() * candidates.length)];
+        if (left === undefined || right === undefined) {
+            return undefined;
+        }
+        return this.computeCost(left, workClass, serviceMs) <= this.computeCost(right, workClass, serviceMs)
+            ? left
+            : right;
+    }
+
+    recordStart(id: string): void {
+        this.observed.get(id)!.inFlight += 1;
+    }
+
+    recordReply(id: string, state: QueueState | undefined): void {
+        const observed = this.observed.get(id)!;
+        observed.inFlight -= 1;
+        observed.state = state ?? observed.state;
+    }
+
+    private computeCost(id: string, workClass: WorkClass, serviceMs: number): number {
+        const { inFlight, state } = this.observed.get(id)!;
+        const waitMs = (workClass === "long" ? state?.waitLongMs : state?.waitShortMs) ?? 0;
+        return waitMs + ((state?.running ?? 0) + inFlight) * serviceMs / (state?.slots ?? 1);
+    }
+}
--- /dev/null
+++ b/measure/load/unlimited_retry_budget.ts
@@ -0,0 +1,10 @@
+import type { RetryBudget } from "../../src/forward/retry_budget.ts";
+
+/** Baseline: no limit on retries. */
+export class UnlimitedRetryBudget implements RetryBudget {
+    add(): void {}
+
+    take(): boolean {
+        return true;
+    }
+}
--- a/src/admit/saturation_table.ts
+++ b/src/admit/saturation_table.ts
@@ -17,8 +17,11 @@
 import type { MembershipReader } from "../membership/membership_reader.ts";
 import type { SaturationReader } from "./saturation_reader.ts";
 
-/** Codes by which an owner says that it cannot take more work now. */
-const saturationCodes: readonly Code[] = [Code.QueueFull, Code.WaitTooLong, Code.OwnerOverloaded];
+/**
+ * Codes by which an owner says that it cannot take more work now. `WaitTooLong` is not among them, because a short
+ * time budget alone can cause it.
+ */
+const saturationCodes: readonly Code[] = [Code.QueueFull, Code.OwnerOverloaded];
 /** Age at which a reply no longer counts: an unknown upstream may have recovered, so work may try it again. */
 const staleMs = 1_000;
 
--- /dev/null
+++ b/src/queue/compute_fluid_wait.ts
@@ -0,0 +1,18 @@
+/**
+ * Time in milliseconds until `workMs` of queued work has started, when it flows into slots that become free after the
+ * given times. Treats the work as divisible, which makes the time exact for many small requests and slightly low
+ * for few large ones.
+ */
+export function computeFluidWait(freeAfterMs: readonly number[], workMs: number): number {
+    const sorted = [...freeAfterMs].sort((left, right) => left - right);
+    let sumMs = workMs;
+    let waitMs = Infinity;
+    for (const [index, freeMs] of sorted.entries()) {
+        if (waitMs <= freeMs) {
+            break;
+        }
+        sumMs += freeMs;
+        waitMs = sumMs / (index + 1);
+    }
+    return waitMs;
+}
--- a/src/queue/queue_filter.ts
+++ b/src/queue/queue_filter.ts
@@ -30,9 +30,8 @@
     private readonly queues: ReadonlyMap<string, UpstreamQueue>;
 
     constructor(private readonly options: QueueFilterOptions) {
-        const { clock, timers, upstreams } = options;
         this.queues = new Map(
-            upstreams.map(upstream => [upstream.id, new UpstreamQueue(upstream, clock, timers)]),
+            options.upstreams.map(upstream => [upstream.id, new UpstreamQueue(upstream, options)]),
         );
     }
 
--- a/src/queue/queue_filter_options.ts
+++ b/src/queue/queue_filter_options.ts
@@ -2,6 +2,7 @@
 import type { Timers } from "../core/timers.ts";
 import type { DaemonStateReader } from "../lifecycle/daemon_state_reader.ts";
 import type { OwnedUpstream } from "./owned_upstream.ts";
+import type { ShedPolicy } from "./shed_policy.ts";
 
 /** What a `QueueFilter` needs. */
 export interface QueueFilterOptions {
@@ -9,4 +10,6 @@
     readonly timers: Timers;
     readonly upstreams: readonly OwnedUpstream[];
     readonly daemonState: DaemonStateReader;
+    /** Creates the policy of one upstream's queue; `SustainedWaitShedPolicy` by default. */
+    readonly createShedPolicy?: () => ShedPolicy;
 }
--- a/src/queue/service_times.ts
+++ b/src/queue/service_times.ts
@@ -22,8 +22,8 @@
     private readonly routes = new Map<string, Measured>();
 
     record(route: RouteConfig, serviceMs: number, nowMs: number): void {
-        const measured = this.routes.get(route.name);
-        if (measured === undefined || nowMs - measured.measuredAtMs > staleMs) {
+        const measured = this.getRecent(route, nowMs);
+        if (measured === undefined) {
             this.routes.set(route.name, {
                 meanMs: serviceMs,
                 deviationMs: serviceMs / 2,
@@ -37,11 +37,17 @@
         measured.measuredAtMs = nowMs;
     }
 
-    /** Mean in milliseconds; the configured time when there is no recent measurement. */
     getMeanMs(route: RouteConfig, nowMs: number): number {
+        return this.getRecent(route, nowMs)?.meanMs ?? route.serviceMs;
+    }
+
+    /** Mean deviation in milliseconds; half the configured service time when there is no recent measurement. */
+    getDeviationMs(route: RouteConfig, nowMs: number): number {
+        return this.getRecent(route, nowMs)?.deviationMs ?? route.serviceMs / 2;
+    }
+
+    private getRecent(route: RouteConfig, nowMs: number): Measured | undefined {
         const measured = this.routes.get(route.name);
-        return measured === undefined || nowMs - measured.measuredAtMs > staleMs
-            ? route.serviceMs
-            : measured.meanMs;
+        return measured === undefined || nowMs - measured.measuredAtMs > staleMs ? undefined : measured;
     }
 }
--- /dev/null
+++ b/src/queue/shed_policy.ts
@@ -0,0 +1,7 @@
+/** Decides when a queue sheds load because its wait stays too long. All times are in milliseconds. */
+export interface ShedPolicy {
+    /** True when an arriving request with this expected wait is refused. */
+    decideArrival(nowMs: number, expectedWaitMs: number, targetWaitMs: number): boolean;
+    /** Records the wait of a request whose turn has come; true when the request is refused instead of started. */
+    decideStart(nowMs: number, waitedMs: number, targetWaitMs: number): boolean;
+}
--- a/src/queue/upstream_queue.ts
+++ b/src/queue/upstream_queue.ts
@@ -3,58 +3,63 @@
  *
  * @example
  * ```ts
- * const queue = new UpstreamQueue(upstream, clock, timers);
+ * const queue = new UpstreamQueue(upstream, { clock, timers });
  * const result = await queue.add(request);
  * ```
  *
  * @module
  */
 import { err, ok, type Result } from "neverthrow";
-import type { LimitsConfig } from "../config/limits_config.ts";
-import type { Clock } from "../core/clock.ts";
 import { Code } from "../core/code.ts";
 import { createFailure } from "../core/create_failure.ts";
 import type { Failure } from "../core/failure.ts";
 import { Outcome } from "../core/outcome.ts";
-import type { Timers } from "../core/timers.ts";
 import { WorkClass } from "../core/work_class.ts";
+import { computeFluidWait } from "./compute_fluid_wait.ts";
 import { FairQueue } from "./fair_queue.ts";
 import type { OwnedUpstream } from "./owned_upstream.ts";
 import type { OwnerRequest } from "./owner_request.ts";
 import type { QueueEntry } from "./queue_entry.ts";
+import type { QueueFilterOptions } from "./queue_filter_options.ts";
 import type { QueueState } from "./queue_state.ts";
 import type { QueuedRequest } from "./queued_request.ts";
+import { RunningWork } from "./running_work.ts";
 import { ServiceTimes } from "./service_times.ts";
+import type { ShedPolicy } from "./shed_policy.ts";
 import type { SlotLease } from "./slot_lease.ts";
+import { SustainedWaitShedPolicy } from "./sustained_wait_shed_policy.ts";
+import { WaitCorrection } from "./wait_correction.ts";
 
-interface Running {
-    readonly workClass: WorkClass;
-    readonly startedAtMs: number;
-    readonly costMs: number;
-}
+/** Mean deviations by which the service time of work that had to wait may exceed its mean. */
+const marginDeviations = 2;
 
 /** Gives the slots of one upstream to requests. All refusals happen before dispatch. */
 export class UpstreamQueue {
     private readonly queues = { [WorkClass.Short]: new FairQueue(), [WorkClass.Long]: new FairQueue() };
-    private readonly running = new Set<Running>();
+    private readonly running = new RunningWork();
     private readonly serviceTimes = new ServiceTimes();
+    private readonly correction = new WaitCorrection();
+    private readonly shed: ShedPolicy;
     private reserveShort = 0;
+    /** True when long work is next, because short work took the last slot that both could use. */
+    private longNext = false;
     private drained = false;
 
     constructor(
         private readonly upstream: OwnedUpstream,
-        private readonly clock: Clock,
-        private readonly timers: Timers,
-    ) {}
+        private readonly options: Pick<QueueFilterOptions, "clock" | "timers" | "createShedPolicy">,
+    ) {
+        this.shed = options.createShedPolicy?.() ?? new SustainedWaitShedPolicy();
+    }
 
     /** Waits for a slot. The result is a failure with outcome not-executed when the request never got one. */
     async add(request: OwnerRequest): Promise<Result<QueuedRequest, Failure>> {
-        const nowMs = this.clock.getMonotonicMs();
+        const nowMs = this.options.clock.getMonotonicMs();
         const limits = request.service.limits;
         this.reserveShort = limits.reserveShort;
         const costMs = this.serviceTimes.getMeanMs(request.route, nowMs);
         const estimatedWaitMs = this.computeArrivalWaitMs(request, costMs, nowMs);
-        const code = this.checkArrival(request, limits, nowMs, estimatedWaitMs + costMs);
+        const code = this.checkArrival(request, nowMs, this.correction.apply(estimatedWaitMs));
         if (code !== Code.Ok) {
             return this.refuse(code);
         }
@@ -75,24 +80,24 @@
     }
 
     getState(): QueueState {
-        const nowMs = this.clock.getMonotonicMs();
+        const nowMs = this.options.clock.getMonotonicMs();
         return {
             upstreamId: this.upstream.id,
             slots: this.upstream.slots,
-            running: this.running.size,
+            running: this.running.count(),
             queuedShort: this.queues.short.count(),
             queuedLong: this.queues.long.count(),
-            waitShortMs: this.computeWaitMs(WorkClass.Short, this.queues.short.getWorkMs(), nowMs),
-            waitLongMs: this.computeWaitMs(WorkClass.Long, this.queues.long.getWorkMs(), nowMs),
+            waitShortMs: this.correction.apply(
+                this.computeWaitMs(WorkClass.Short, this.queues.short.getWorkMs(), nowMs),
+            ),
+            waitLongMs: this.correction.apply(
+                this.computeWaitMs(WorkClass.Long, this.queues.long.getWorkMs(), nowMs),
+            ),
         };
     }
 
-    private checkArrival(
-        request: OwnerRequest,
-        limits: LimitsConfig,
-        nowMs: number,
-        estimatedMs: number,
-    ): Code {
+    private checkArrival(request: OwnerRequest, nowMs: number, waitMs: number): Code {
+        const { limits } = request.service;
         if (this.drained) {
             return Code.OwnerLeaving;
         }
@@ -102,15 +107,28 @@
         if (nowMs >= request.deadlineMs) {
             return Code.DeadlineExceeded;
         }
-        if (nowMs + estimatedMs > request.deadlineMs) {
+        if (nowMs + waitMs + this.computeNeededMs(request, waitMs, nowMs) > request.deadlineMs) {
             return Code.WaitTooLong;
         }
+        if (this.shed.decideArrival(nowMs, waitMs, limits.targetWaitMs)) {
+            return Code.OwnerOverloaded;
+        }
         if (this.queues.short.count() + this.queues.long.count() >= limits.queueLength) {
             return Code.QueueFull;
         }
         return Code.Ok;
     }
 
+    /**
+     * Time in milliseconds that the request needs with a slot. Work that waits displaces other work when it misses
+     * its deadline, so it needs a margin; work that gets a free slot does not.
+     */
+    private computeNeededMs(request: OwnerRequest, waitMs: number, nowMs: number): number {
+        const deviations = waitMs > 0 ? marginDeviations : 0;
+        return this.serviceTimes.getMeanMs(request.route, nowMs)
+            + deviations * this.serviceTimes.getDeviationMs(request.route, nowMs);
+    }
+
     private addEntry(arrived: QueueEntry): void {
         const { request } = arrived;
         const queue = this.queues[request.route.workClass];
@@ -120,7 +138,7 @@
             }
         };
         const handleAbort = (): void => cancel(Code.CallerCancelled);
-        const timer = this.timers.start(
+        const timer = this.options.timers.start(
             request.deadlineMs - arrived.queuedAtMs,
             () => cancel(Code.DeadlineExceeded),
         );
@@ -139,36 +157,57 @@
 
     private startNext(): void {
         for (let entry = this.takeNext(); entry !== undefined; entry = this.takeNext()) {
-            const nowMs = this.clock.getMonotonicMs();
-            if (nowMs >= entry.request.deadlineMs) {
-                entry.resolve(this.refuse(Code.DeadlineExceeded));
+            const nowMs = this.options.clock.getMonotonicMs();
+            const waitMs = nowMs - entry.queuedAtMs;
+            this.correction.record(entry.estimatedWaitMs, waitMs);
+            const code = this.checkStart(entry.request, nowMs, waitMs);
+            if (code !== Code.Ok) {
+                entry.resolve(this.refuse(code));
                 continue;
             }
-            const lease = this.createLease(entry, nowMs);
-            entry.resolve(ok({ ...entry.request, lease, waitMs: nowMs - entry.queuedAtMs }));
+            entry.resolve(ok({ ...entry.request, lease: this.createLease(entry.request, nowMs), waitMs }));
+        }
+    }
+
+    private checkStart(request: OwnerRequest, nowMs: number, waitMs: number): Code {
+        const shed = this.shed.decideStart(nowMs, waitMs, request.service.limits.targetWaitMs);
+        if (nowMs >= request.deadlineMs) {
+            return Code.DeadlineExceeded;
         }
+        if (nowMs + this.computeNeededMs(request, waitMs, nowMs) > request.deadlineMs) {
+            return Code.WaitTooLong;
+        }
+        return shed ? Code.OwnerOverloaded : Code.Ok;
     }
 
+    /** Takes the next request that may have a slot. The classes alternate on slots that both can use. */
     private takeNext(): QueueEntry | undefined {
-        if (this.running.size >= this.upstream.slots) {
+        if (this.running.count() >= this.upstream.slots) {
             return undefined;
         }
-        const longSlots = this.getLongSlots();
-        return this.queues.short.take()
-            ?? (this.countRunning(WorkClass.Long) < longSlots ? this.queues.long.take() : undefined);
+        const { short, long } = this.queues;
+        const longAllowed = long.count() > 0 && this.running.countClass(WorkClass.Long) < this.getLongSlots();
+        const entry = longAllowed && (this.longNext || short.count() === 0) ? long.take() : short.take();
+        this.longNext = longAllowed && entry?.request.route.workClass === WorkClass.Short;
+        return entry;
     }
 
-    private createLease(entry: QueueEntry, nowMs: number): SlotLease {
-        const { route } = entry.request;
-        const running = { workClass: route.workClass, startedAtMs: nowMs, costMs: entry.costMs };
+    private createLease(request: OwnerRequest, nowMs: number): SlotLease {
+        const { route } = request;
+        const running = {
+            workClass: route.workClass,
+            startedAtMs: nowMs,
+            meanMs: this.serviceTimes.getMeanMs(route, nowMs),
+            deviationMs: this.serviceTimes.getDeviationMs(route, nowMs),
+        };
         this.running.add(running);
         return {
             close: serviceMs => {
-                if (!this.running.delete(running)) {
+                if (!this.running.remove(running)) {
                     return;
                 }
                 if (serviceMs !== undefined) {
-                    this.serviceTimes.record(route, serviceMs, this.clock.getMonotonicMs());
+                    this.serviceTimes.record(route, serviceMs, this.options.clock.getMonotonicMs());
                 }
                 this.startNext();
             },
@@ -183,19 +222,13 @@
 
     /** Expected wait in milliseconds behind `aheadMs` of queued work and the running work. */
     private computeWaitMs(workClass: WorkClass, aheadMs: number, nowMs: number): number {
-        const running = [...this.running].filter(entry => entry.workClass === workClass);
-        const others = this.running.size - running.length;
-        const slots = workClass === WorkClass.Long
-            ? Math.min(this.getLongSlots(), this.upstream.slots - others)
-            : this.upstream.slots - others;
-        if (running.length < slots && aheadMs === 0) {
-            return 0;
-        }
-        const restMs = running.reduce(
-            (sum, entry) => sum + Math.max(0, entry.startedAtMs + entry.costMs - nowMs),
-            0,
+        const freeAfterMs = this.running.listFreeAfterMs(
+            workClass,
+            this.upstream.slots,
+            this.getLongSlots(),
+            nowMs,
         );
-        return (restMs + aheadMs) / Math.max(1, slots);
+        return computeFluidWait(freeAfterMs, aheadMs);
     }
 
     /** Slots that long work may use. At least one slot stays usable for long work so that it cannot starve. */
@@ -203,14 +236,6 @@
         return Math.max(1, this.upstream.slots - this.reserveShort);
     }
 
-    private countRunning(workClass: WorkClass): number {
-        let count = 0;
-        for (const entry of this.running) {
-            count += entry.workClass === workClass ? 1 : 0;
-        }
-        return count;
-    }
-
     private refuse(code: Code): Result<QueuedRequest, Failure> {
         return err(createFailure(code, { outcome: Outcome.NotExecuted }));
     }
