Shed with a gap between start and end, so that waits stay at the target

Cause: each wait below the target ended the shedding at once, and the queue filled up to the deadline again before the next interval was over. Shedding now ends only when all waits of an interval are below half the target.

--- a/src/queue/sustained_wait_shed_policy.ts
+++ b/src/queue/sustained_wait_shed_policy.ts
@@ -7,23 +7,30 @@
 const intervalMs = 100;
 
 /**
- * While no request has waited less than the target for an interval, refuses arrivals that would wait longer than
- * the target. Work that has been queued is not shed, so a refusal reaches the caller without any wait.
+ * Sheds arrivals that would wait longer than the target, from the time when no request has waited less than the
+ * target for an interval until no request has waited more than half of it for an interval. The gap keeps the queue
+ * from filling up again each time that shedding has brought the wait down to the target. Queued work is not shed, so
+ * a refusal reaches the caller without any wait.
  */
 export class SustainedWaitShedPolicy implements ShedPolicy {
-    private aboveSinceMs: number | undefined;
+    private shedding = false;
+    /** Monotonic milliseconds since which all waits have spoken for a change of `shedding`. */
+    private changeSinceMs: number | undefined;
 
-    decideArrival(nowMs: number, expectedWaitMs: number, targetWaitMs: number): boolean {
-        return this.aboveSinceMs !== undefined && nowMs - this.aboveSinceMs >= intervalMs
-            && expectedWaitMs > targetWaitMs;
+    decideArrival(_nowMs: number, expectedWaitMs: number, targetWaitMs: number): boolean {
+        return this.shedding && expectedWaitMs > targetWaitMs;
     }
 
     decideStart(nowMs: number, waitedMs: number, targetWaitMs: number): boolean {
-        if (waitedMs <= targetWaitMs) {
-            this.aboveSinceMs = undefined;
+        const change = this.shedding ? waitedMs < targetWaitMs / 2 : waitedMs > targetWaitMs;
+        if (!change) {
+            this.changeSinceMs = undefined;
+            return false;
         }
-        else {
-            this.aboveSinceMs ??= nowMs;
+        this.changeSinceMs ??= nowMs;
+        if (nowMs - this.changeSinceMs >= intervalMs) {
+            this.shedding = !this.shedding;
+            this.changeSinceMs = undefined;
         }
         return false;
     }
