--- /dev/null
+++ b/src/queue/sustained_wait_shed_policy.ts
@@ -0,0 +1,37 @@
+import type { ShedPolicy } from "./shed_policy.ts";
+
+/**
+ * Time in milliseconds for which waits must stay above target before the queue sheds. A burst that the queue absorbs
+ * within this time loses no work; the value is the interval of RFC 8289 (controlled delay).
+ */
+const intervalMs = 100;
+
+/**
+ * Sheds arrivals that would wait longer than the target, from the time when no request has waited less than the
+ * target for an interval until no request has waited more than half of it for an interval. The gap keeps the queue
+ * from filling up again each time that shedding has brought the wait down to the target. Queued work is not shed, so
+ * a refusal reaches the caller without any wait.
+ */
+export class SustainedWaitShedPolicy implements ShedPolicy {
+    private shedding = false;
+    /** Monotonic milliseconds since which all waits have spoken for a change of `shedding`. */
+    private changeSinceMs: number | undefined;
+
+    decideArrival(_nowMs: number, expectedWaitMs: number, targetWaitMs: number): boolean {
+        return this.shedding && expectedWaitMs > targetWaitMs;
+    }
+
+    decideStart(nowMs: number, waitedMs: number, targetWaitMs: number): boolean {
+        const change = this.shedding ? waitedMs < targetWaitMs / 2 : waitedMs > targetWaitMs;
+        if (!change) {
+            this.changeSinceMs = undefined;
+            return false;
+        }
+        this.changeSinceMs ??= nowMs;
+        if (nowMs - this.changeSinceMs >= intervalMs) {
+            this.shedding = !this.shedding;
+            this.changeSinceMs = undefined;
+        }
+        return false;
+    }
+}
