Bind each attempt without a key to one incarnation of its owner

A trace showed an attempt that ran although its caller was told not-executed: the owner revoked the attempt and ended, then a connection of the same attempt opened late and reached the next incarnation.

Idempotent attempts are registered too: a copy of one was refused while another copy ran, and the caller was told not-executed.

--- a/proof/operations/fake_forwarder.ts
+++ b/proof/operations/fake_forwarder.ts
@@ -40,7 +40,14 @@
                 this.pending.delete(name);
                 network.send(daemonId, ownerId, () => hop.abort());
             }, { once: true });
+            let opened = false;
             network.send(daemonId, ownerId, () => {
+                // TCP opens one connection from several copies of its first segment, and none for a process
+                // that has ended or has closed its socket.
+                if (opened || signal.aborted || !process.isAlive()) {
+                    return;
+                }
+                opened = true;
                 const owner = find(ownerId);
                 if (!owner.process.isAlive()) {
                     this.report(selected, Code.PeerUnreachable);
--- a/proof/operations/run_operations.ts
+++ b/proof/operations/run_operations.ts
@@ -9,13 +9,12 @@
  * @module
  */
 import { Buffer } from "node:buffer";
-import type { ServiceConfig } from "../../src/config/service_config.ts";
-import { WorkClass } from "../../src/core/work_class.ts";
 import { EventKind } from "../event_kind.ts";
 import { SeededRandom } from "../fakes/seeded_random.ts";
 import { VirtualTime } from "../fakes/virtual_time.ts";
 import type { HistoryEvent } from "../history_event.ts";
 import { HistoryRecorder } from "../history_recorder.ts";
+import { buildService } from "./build_service.ts";
 import { FakeDaemon } from "./fake_daemon.ts";
 import { FakeNetwork } from "./fake_network.ts";
 import type { Fault } from "./fault.ts";
@@ -196,37 +195,3 @@
     const place = { failureDomain: "z", region: "r", ownerAddress: ownerId, leaving: false };
     return { id: `${ownerId}-u${index}`, service: "payments", ownerId, ...place };
 }
-
-function buildService(idempotent: boolean): ServiceConfig {
-    return {
-        name: "payments",
-        description: "",
-        dependsOn: [],
-        members: 6,
-        floor: 3,
-        limits: {
-            queueLength: 4,
-            reserveShort: 0,
-            targetWaitMs: 50,
-            organisationPercent: 100,
-            retryPercent: 100,
-            hedgePercent: 0,
-            entryConcurrency: 100,
-        },
-        health: { falseAlarm: 0.001, slowFactor: 3, holdMinMs: 2_000, holdMaxMs: 60_000, rampMs: 1_000 },
-        routes: [{
-            name: "pay",
-            service: "payments",
-            method: "POST",
-            path: "/payments",
-            workClass: WorkClass.Short,
-            idempotent,
-            deadlineMs: 400,
-            serviceMs: 20,
-            maxRequestBytes: 1_000,
-            maxAnswerBytes: 1_000,
-            expect: { statuses: [200], contentType: "" },
-            shedStatuses: [503],
-        }],
-    };
-}
--- a/src/core/code.ts
+++ b/src/core/code.ts
@@ -38,6 +38,7 @@
     KeyClosed: 2031,
     AttemptRepeated: 2032,
     KeyOwnerUnknown: 2033,
+    OwnerRestarted: 2034,
     PeerUnreachable: 3001,
     PeerCut: 3002,
     PeerTimeout: 3003,
--- a/src/core/code_table.ts
+++ b/src/core/code_table.ts
@@ -45,6 +45,7 @@
     2031: buildEntry(409, NotExecuted, "the idempotency key was closed without execution; use a new key"),
     2032: buildEntry(409, Unknown, "the owner has already received this attempt"),
     2033: buildEntry(409, Unknown, "the owner named in the idempotency key is not known"),
+    2034: buildEntry(503, NotExecuted, "the attempt was addressed to an earlier incarnation of the owner"),
     3001: buildEntry(502, NotExecuted, "the owner refused the connection"),
     3002: buildEntry(502, Unknown, "the connection to the owner closed before the reply was complete"),
     3003: buildEntry(504, Unknown, "the owner did not reply in time"),
--- a/src/forward/transient_codes.ts
+++ b/src/forward/transient_codes.ts
@@ -8,6 +8,7 @@
     Code.NotOwner,
     Code.UnknownRouteAtOwner,
     Code.OwnerOverloaded,
+    Code.OwnerRestarted,
     Code.UpstreamRefused,
     Code.UpstreamShed,
     Code.UpstreamCut,
--- a/src/operations/attempt_table.ts
+++ b/src/operations/attempt_table.ts
@@ -10,7 +10,7 @@
 import { RunningAttempt } from "./running_attempt.ts";
 
 /**
- * Attempts of non-idempotent work at this owner: the running ones, the last `capacity` that ended and the last
+ * Attempts at this owner: the running ones, the last `capacity` that ended and the last
  * `capacity` tombstones. Both rings are bounded by count and not by time, because a process that resumes after
  * a pause runs expired timers before it reads the requests that they protect against.
  */
@@ -40,9 +40,6 @@
     }
 
     recordDispatch(request: OwnerRequest): Result<void, Failure> {
-        if (request.route.idempotent) {
-            return ok(undefined);
-        }
         const dispatched = this.running.get(formatId(request))?.recordDispatch() ?? false;
         return dispatched ? ok(undefined) : err(createFailure(Code.Revoked));
     }
--- a/src/operations/register_filter.ts
+++ b/src/operations/register_filter.ts
@@ -44,19 +44,22 @@
     constructor(private readonly options: Options) {}
 
     async apply(request: OwnerRequest): Promise<Result<OwnerReply, Failure>> {
-        if (request.route.idempotent) {
-            return ok(await this.run(request));
-        }
+        const { route, idempotencyKey } = request;
         return ok(
-            request.idempotencyKey === undefined
+            route.idempotent || idempotencyKey === undefined
                 ? await this.runAttempt(request)
-                : await this.runKey(request, request.idempotencyKey),
+                : await this.runKey(request, idempotencyKey),
         );
     }
 
     /** Each receipt without a key is its own operation. */
     private async runAttempt(request: OwnerRequest): Promise<OwnerReply> {
-        const { attempts } = this.options;
+        const { attempts, identity } = this.options;
+        const addressed = request.ownerIncarnation ?? identity.incarnation;
+        // The addressed incarnation may have promised that the attempt will not run.
+        if (!request.route.idempotent && addressed !== identity.incarnation) {
+            return this.refuse(request, createFailure(Code.OwnerRestarted));
+        }
         const registered = attempts.register(request);
         if (registered.isErr()) {
             return this.refuse(request, registered.error);
@@ -66,7 +69,9 @@
         if (request.signal.aborted) {
             revoke();
         }
-        const reply = await this.run({ ...request, signal: registered.value.signal });
+        // The end of the hop cancels idempotent work also after dispatch.
+        const signal = request.route.idempotent ? request.signal : registered.value.signal;
+        const reply = await this.run({ ...request, signal });
         request.signal.removeEventListener("abort", revoke);
         attempts.recordEnd(request);
         return reply;
--- a/src/queue/owner_request.ts
+++ b/src/queue/owner_request.ts
@@ -14,6 +14,8 @@
     /** Monotonic milliseconds of this process. */
     readonly receivedAtMs: number;
     readonly deadlineMs: number;
+    /** Incarnation of the owner that the sender addressed; undefined when it knew none. */
+    readonly ownerIncarnation?: string | undefined;
     readonly baselineMs: number;
     readonly trial: boolean;
     readonly method: string;
