--- a/proof/operations/fault_kind.ts
+++ b/proof/operations/fault_kind.ts
@@ -6,7 +6,7 @@
     Drain: "drain",
     /** Loses messages in one direction. */
     LinkLoss: "link-loss",
-    /** Steps the wall clock back. */
+    /** Steps the wall clock forward or back. */
     ClockStep: "clock-step",
     /** Ejects the upstreams of one daemon at another. */
     Ejection: "ejection",
--- a/proof/operations/format_operation.ts
+++ b/proof/operations/format_operation.ts
@@ -1,12 +1,6 @@
 import { Buffer } from "node:buffer";
 
-interface Request {
-    readonly requestId: string;
-    readonly idempotencyKey: string | undefined;
-    readonly body: Uint8Array;
-}
-
-/** Names the operation of a request: key and body, or the request identifier when there is no key. */
-export function formatOperation({ requestId, idempotencyKey, body }: Request): string {
-    return `${idempotencyKey ?? requestId}#${Buffer.from(body).toString()}`;
+/** Names the operation of a request: each caller of a run gives each of its operations another body. */
+export function formatOperation({ body }: { readonly body: Uint8Array; }): string {
+    return Buffer.from(body).toString();
 }
--- a/proof/operations/run_operations.ts
+++ b/proof/operations/run_operations.ts
@@ -116,7 +116,7 @@
             this.network.close(id, peerId, fault.durationMs);
         }
         else if (fault.kind === FaultKind.ClockStep) {
-            daemon.process.addWallMs(-2 * fault.durationMs);
+            daemon.process.addWallMs((fault.peer === 0 ? 2 : -2) * fault.durationMs);
         }
         else {
             const { selector } = this.daemons.get(peerId)!;
