--- /dev/null
+++ b/src/forward/attempt_filter.test.ts
@@ -0,0 +1,205 @@
+import { err, ok } from "neverthrow";
+import assert from "node:assert/strict";
+import { Buffer } from "node:buffer";
+import { test } from "node:test";
+import { VirtualTime } from "../../proof/fakes/virtual_time.ts";
+import { buildService } from "../../proof/operations/build_service.ts";
+import { Code } from "../core/code.ts";
+import { createFailure } from "../core/create_failure.ts";
+import { Outcome } from "../core/outcome.ts";
+import type { Upstream } from "../core/upstream.ts";
+import { encodeKey } from "../operations/encode_key.ts";
+import { KeyedSelector } from "../operations/keyed_selector.ts";
+import { KnownOwnerTable } from "../operations/known_owner_table.ts";
+import type { RoutedRequest } from "../route/routed_request.ts";
+import type { SelectedRequest } from "../select/selected_request.ts";
+import { AttemptExchanger } from "./attempt_exchanger.ts";
+import { AttemptFilter } from "./attempt_filter.ts";
+import { buildOwnerReply } from "./build_owner_reply.ts";
+import type { OwnerReply } from "./owner_reply.ts";
+import { RevokeState } from "./revoke_state.ts";
+
+type Reply = Partial<OwnerReply> & Pick<OwnerReply, "code">;
+
+const upstreams: Upstream[] = ["a", "b", "c"].map(name => {
+    const place = { failureDomain: "z", region: "r", ownerAddress: name, leaving: false };
+    return { id: `u-${name}`, service: "payments", ownerId: `d-${name}`, ...place };
+});
+
+/** An entry daemon whose hop gives `replies` in turn; after the last one the owner is silent. */
+class Entry {
+    readonly time = new VirtualTime();
+    readonly sent: SelectedRequest[] = [];
+    readonly revoked: SelectedRequest[] = [];
+    readonly ejected = new Set<string>();
+    readonly leaving: string[] = [];
+    retries = 10;
+    revokeState: RevokeState = RevokeState.NoReply;
+    readonly filter: AttemptFilter;
+
+    constructor(private readonly replies: readonly Reply[]) {
+        const preference = { isPreferred: (upstream: Upstream) => !this.ejected.has(upstream.id) };
+        const membership = { list: () => upstreams, getFirstSeenMs: () => 0, getVersion: () => 1 };
+        const owners = new KnownOwnerTable({ membership, preference });
+        const exchanger = new AttemptExchanger({
+            forwarder: {
+                forward: selected => this.forward(selected),
+                revoke: selected => {
+                    this.revoked.push(selected);
+                    return Promise.resolve(this.revokeState);
+                },
+            },
+            clock: this.time,
+            timers: this.time,
+            metrics: { addCount: () => undefined, setGauge: () => undefined, recordTime: () => undefined },
+        });
+        this.filter = new AttemptFilter({
+            selector: {
+                select: (request, attempt, excluded) => {
+                    const upstream = upstreams.find(({ id }) => !excluded.has(id));
+                    return upstream === undefined
+                        ? err(createFailure(Code.NoUpstream))
+                        : ok({ ...request, attempt, upstream, baselineMs: 0, trial: false });
+                },
+                recordStart: () => undefined,
+                recordReply: () => undefined,
+            },
+            keyedSelector: new KeyedSelector({
+                upstreams: { list: ownerId => upstreams.filter(upstream => upstream.ownerId === ownerId) },
+                owners,
+                preference,
+                baselines: { getBaselineMs: () => 0 },
+            }),
+            owners,
+            exchanger,
+            budget: { add: () => undefined, take: () => this.retries-- > 0 },
+            leaving: { setLeaving: id => void this.leaving.push(id) },
+            clock: this.time,
+        });
+    }
+
+    async apply(fields: Partial<RoutedRequest> = {}, idempotent = false): Promise<OwnerReply> {
+        const service = buildService(idempotent);
+        const reply = this.filter.apply({
+            requestId: "r1",
+            method: "POST",
+            path: "/payments",
+            target: "/payments",
+            headers: [],
+            body: Buffer.from("pay"),
+            organisation: "org",
+            idempotencyKey: undefined,
+            budgetMs: undefined,
+            receivedAtMs: 0,
+            signal: new AbortController().signal,
+            service,
+            route: service.routes[0]!,
+            deadlineMs: 400,
+            configVersion: 1,
+            ...fields,
+        });
+        await this.time.run(1_000);
+        return (await reply)._unsafeUnwrap();
+    }
+
+    private forward(selected: SelectedRequest): Promise<OwnerReply> {
+        const reply = this.replies[this.sent.push(selected) - 1];
+        const identity = { ownerId: selected.upstream.ownerId, incarnation: "i1" };
+        return reply === undefined
+            ? new Promise(() => undefined)
+            : Promise.resolve({ ...buildOwnerReply(identity, selected, reply), ...reply });
+    }
+}
+
+const key = encodeKey({ ownerId: "d-b", incarnation: "i1", expiresAtMs: 1_900_000_000_000, nonce: "n" });
+
+test("non-idempotent work is sent again after a definite not-executed only", async () => {
+    const refused = new Entry([{ code: Code.UpstreamRefused }, { code: Code.Ok }]);
+    assert.equal((await refused.apply()).code, Code.Ok);
+    assert.deepEqual(refused.sent.map(({ upstream }) => upstream.id), ["u-a", "u-b"]);
+    const cut = new Entry([{ code: Code.UpstreamCut }, { code: Code.Ok }]);
+    assert.deepEqual([(await cut.apply()).outcome, cut.sent.length], [Outcome.Unknown, 1]);
+});
+
+test("after a cut hop, non-idempotent work is sent again only when the owner revoked the attempt", async () => {
+    for (const [revokeState, code] of [[RevokeState.Revoked, 0], [RevokeState.Dispatched, 3002]] as const) {
+        const entry = new Entry([{ code: Code.PeerCut }, { code: Code.Ok }]);
+        entry.revokeState = revokeState;
+        assert.equal((await entry.apply()).code, code);
+    }
+});
+
+test("at the deadline, not-executed is told only when the owner revoked the attempt", async () => {
+    for (const state of Object.values(RevokeState)) {
+        const entry = new Entry([]);
+        entry.revokeState = state;
+        const { code, outcome } = await entry.apply();
+        const expected = state === RevokeState.Revoked ? Outcome.NotExecuted : Outcome.Unknown;
+        assert.deepEqual([code, outcome, entry.revoked.length], [Code.DeadlineExceeded, expected, 1]);
+    }
+});
+
+test("a reply to another request or attempt is dropped", async () => {
+    for (const other of [{ requestId: "r2" }, { attempt: 2 }]) {
+        const answer = { status: 200, headers: [], body: Buffer.from("of another caller") };
+        const reply = await new Entry([{ code: Code.Ok, answer, ...other }]).apply();
+        assert.deepEqual([reply.code, reply.answer, reply.outcome], [3004, undefined, Outcome.Unknown]);
+    }
+});
+
+test("idempotent work is retried elsewhere, and an uncertain attempt keeps the outcome unknown", async () => {
+    const entry = new Entry([{ code: Code.UpstreamCut }, { code: Code.QueueFull }, {
+        code: Code.UpstreamShed,
+    }]);
+    const reply = await entry.apply({}, true);
+    assert.deepEqual([entry.sent.length, reply.outcome], [3, Outcome.Unknown]);
+});
+
+test("no attempt is repeated without retry budget, so that retries cannot amplify a load peak", async () => {
+    const entry = new Entry([{ code: Code.QueueFull }, { code: Code.Ok }]);
+    entry.retries = 0;
+    assert.deepEqual([(await entry.apply()).code, entry.sent.length], [Code.QueueFull, 1]);
+});
+
+test("a request with a key goes to the owner of the key only, also when it is sent again", async () => {
+    const entry = new Entry([{ code: Code.PeerCut }, { code: Code.Ok, keyRecorded: true }]);
+    assert.equal((await entry.apply({ idempotencyKey: key })).code, Code.Ok);
+    assert.deepEqual(entry.sent.map(({ upstream }) => upstream.ownerId), ["d-b", "d-b"]);
+});
+
+test("a refusal that the owner has not recorded is unknown for a request with a key", async () => {
+    for (const code of [Code.PeerUnreachable, Code.NotOwner, Code.UnknownRouteAtOwner]) {
+        const replies = [{ code }, { code }, { code }];
+        assert.equal((await new Entry(replies).apply({ idempotencyKey: key })).outcome, Outcome.Unknown);
+    }
+});
+
+test("a new key of an owner that is out of rotation is closed, a known one is answered", async () => {
+    const unseen = new Entry([]);
+    unseen.ejected.add("u-b");
+    unseen.revokeState = RevokeState.Revoked;
+    const closed = await unseen.apply({ idempotencyKey: key });
+    assert.deepEqual([closed.code, closed.outcome, unseen.sent.length], [2031, Outcome.NotExecuted, 0]);
+    const known = new Entry([{ code: Code.Ok, keyRecorded: true }]);
+    known.ejected.add("u-b");
+    known.revokeState = RevokeState.Finished;
+    assert.equal((await known.apply({ idempotencyKey: key })).code, Code.Ok);
+});
+
+test("a key on an idempotent route does not bind the request to the owner of the key", async () => {
+    const entry = new Entry([{ code: Code.Ok }]);
+    await entry.apply({ idempotencyKey: key }, true);
+    assert.equal(entry.sent[0]?.upstream.ownerId, "d-a");
+});
+
+test("an owner that refuses because it leaves is recorded as leaving at once", async () => {
+    const entry = new Entry([{ code: Code.OwnerLeaving }, { code: Code.Ok }]);
+    await entry.apply();
+    assert.deepEqual(entry.leaving, ["u-a"]);
+});
+
+test("a caller that closes its connection has its attempt revoked", async () => {
+    const entry = new Entry([]);
+    const reply = await entry.apply({ signal: AbortSignal.abort() });
+    assert.deepEqual([reply.code, entry.revoked.length], [Code.CallerCancelled, 1]);
+});
