--- /dev/null
+++ b/src/settle/settle_filter.test.ts
@@ -0,0 +1,75 @@
+import assert from "node:assert/strict";
+import { Buffer } from "node:buffer";
+import { test } from "node:test";
+import { VirtualTime } from "../../proof/fakes/virtual_time.ts";
+import { buildOwnerRequest } from "../../proof/operations/build_owner_request.ts";
+import { Code } from "../core/code.ts";
+import { createFailure } from "../core/create_failure.ts";
+import { Outcome } from "../core/outcome.ts";
+import type { DispatchedRequest } from "../dispatch/dispatched_request.ts";
+import { UpstreamResultKind } from "../dispatch/upstream_result_kind.ts";
+import type { Evidence } from "../health/evidence.ts";
+import { DaemonState } from "../lifecycle/daemon_state.ts";
+import { SettleFilter } from "./settle_filter.ts";
+import { UpstreamStateBuilder } from "./upstream_state_builder.ts";
+
+function run(kind: UpstreamResultKind | undefined, status?: number, type = "application/json") {
+    const evidence: Evidence[] = [];
+    const closed: (number | undefined)[] = [];
+    const recorder = { record: (entry: Evidence) => void evidence.push(entry), getScore: () => 0 };
+    const filter = new SettleFilter({
+        identity: { ownerId: "d1", incarnation: "i1" },
+        clock: new VirtualTime(),
+        evidence: recorder,
+        states: new UpstreamStateBuilder({
+            queues: { getState: () => undefined },
+            evidence: recorder,
+            daemonState: { getState: () => DaemonState.Serving },
+        }),
+    });
+    const request = buildOwnerRequest();
+    const headers = [{ name: "content-type", value: type }];
+    const answer = status === undefined ? undefined : { status, headers, body: Buffer.from("{}") };
+    const dispatched: DispatchedRequest = {
+        ...request,
+        route: { ...request.route, expect: { statuses: [200], contentType: "application/json" } },
+        lease: { close: serviceMs => void closed.push(serviceMs) },
+        waitMs: 1,
+        result: kind === undefined ? undefined : { kind, answer, detail: "" },
+        refusal: kind === undefined ? createFailure(Code.Revoked) : undefined,
+        serviceMs: 20,
+    };
+    const { code, outcome } = filter.apply(dispatched)._unsafeUnwrap();
+    return { code, outcome, closed, evidence: evidence.map(entry => entry.expected) };
+}
+
+const { Answered, NotSent, Cut, TimedOut, AnswerTooLarge, Cancelled } = UpstreamResultKind;
+const { Executed, NotExecuted, Unknown } = Outcome;
+
+test("not-executed follows only from no byte sent, a declared shed or a refusal before dispatch", () => {
+    assert.equal(run(NotSent).outcome, NotExecuted);
+    assert.equal(run(Answered, 503).outcome, NotExecuted);
+    assert.equal(run(undefined).outcome, NotExecuted);
+    for (const kind of [Cut, TimedOut, AnswerTooLarge]) {
+        assert.equal(run(kind).outcome, Unknown);
+    }
+    assert.equal(run(Answered, 500).outcome, Unknown);
+});
+
+test("an answer counts as executed when status and media type are those that the route expects", () => {
+    assert.equal(run(Answered, 200, "Application/JSON; charset=utf-8").outcome, Executed);
+    assert.equal(run(Answered, 200, "text/html").code, Code.UpstreamUnexpected);
+});
+
+test("the slot is released in every case, with a service time only when something was sent", () => {
+    assert.deepEqual([undefined, NotSent, Cut].map(kind => run(kind).closed), [[undefined], [undefined], [
+        20,
+    ]]);
+});
+
+test("shed, cancelled and refused work is no evidence of a fault", () => {
+    assert.deepEqual(run(Answered, 503).evidence, []);
+    assert.deepEqual(run(Cancelled).evidence, []);
+    assert.deepEqual(run(undefined).evidence, []);
+    assert.deepEqual([run(Answered, 200).evidence, run(Answered, 500).evidence], [[true], [false]]);
+});
