--- a/src/main.ts
+++ b/src/main.ts
@@ -4,6 +4,8 @@
  * @module
  */
 import { defineCommand, runMain } from "citty";
+import { checkCommand } from "./cli/check_command.ts";
+import { codesCommand } from "./cli/codes_command.ts";
 import { drainCommand } from "./cli/drain_command.ts";
 import { serveCommand } from "./cli/serve_command.ts";
 import { showCommand } from "./cli/show_command.ts";
@@ -14,7 +16,13 @@
         version: "0.1.0",
         description: "Proxy fleet for upstreams with gray failures",
     },
-    subCommands: { serve: serveCommand, show: showCommand, drain: drainCommand },
+    subCommands: {
+        serve: serveCommand,
+        check: checkCommand,
+        show: showCommand,
+        drain: drainCommand,
+        codes: codesCommand,
+    },
 });
 
 void runMain(main);
--- /dev/null
+++ b/standin/fleet.ts
@@ -0,0 +1,191 @@
+/**
+ * A platform, upstreams and daemons as processes on loopback, for the demo and the tests of processes.
+ *
+ * @example
+ * ```ts
+ * const fleet = await Fleet.start({ configuration, services: ["accounts"], daemons: 3, slots: 3, failureDomains });
+ * await fetch(`${fleet.daemons[0].callerUrl}/accounts/7/balance`);
+ * await fleet.close();
+ * ```
+ *
+ * @module
+ */
+import { findFreePorts } from "./find_free_ports.ts";
+import type { FleetDaemon } from "./fleet_daemon.ts";
+import type { FleetOptions } from "./fleet_options.ts";
+import { ProcessHandle } from "./process_handle.ts";
+import { waitUntil } from "./wait_until.ts";
+
+const START_LIMIT_MS = 20_000;
+const PORTS_PER_DAEMON = 3;
+const daemonProgram = "dist/zinniaglade";
+const standinProgram = "dist/standin.cjs";
+
+interface FleetUpstream {
+    readonly id: string;
+    readonly service: string;
+    readonly address: string;
+    readonly daemon: number;
+    process: ProcessHandle;
+}
+
+/** Started processes; ends only those. */
+export class Fleet {
+    readonly daemons: FleetDaemon[] = [];
+    readonly upstreams: FleetUpstream[] = [];
+
+    private constructor(
+        private readonly options: FleetOptions,
+        private readonly platform: ProcessHandle,
+        readonly platformUrl: string,
+    ) {}
+
+    static async start(options: FleetOptions): Promise<Fleet> {
+        const upstreamCount = options.daemons * options.services.length;
+        const [platformPort, ...ports] = await findFreePorts(
+            1 + upstreamCount + options.daemons * PORTS_PER_DAEMON,
+        );
+        const address = `127.0.0.1:${platformPort}`;
+        const platform = new ProcessHandle(process.execPath, [standinProgram, "platform", address]);
+        const fleet = new Fleet(options, platform, `http://${address}`);
+        await waitUntil("platform started", START_LIMIT_MS, () => platform.output.length > 0);
+        fleet.startUpstreams(ports.splice(0, upstreamCount));
+        await waitUntil(
+            "upstreams started",
+            START_LIMIT_MS,
+            () => fleet.upstreams.every(upstream => upstream.process.output.length > 0),
+        );
+        fleet.addDaemons(ports);
+        await fleet.setValue("head", options.configuration);
+        await fleet.setInstances(new Set());
+        await Promise.all(fleet.daemons.map((_, index) => fleet.startDaemon(index)));
+        return fleet;
+    }
+
+    /** Publishes a value; the platform gives it the next version unless one is named. */
+    async setValue(name: string, content: string, version?: number): Promise<void> {
+        const query = version === undefined ? "" : `?version=${version}`;
+        await fetch(`${this.platformUrl}/control/values/${name}${query}`, { method: "PUT", body: content });
+    }
+
+    /** Publishes the instance list; upstreams in `leaving` are marked so. */
+    async setInstances(leaving: ReadonlySet<string>): Promise<void> {
+        const list = this.upstreams.map(upstream => {
+            const daemon = this.daemons[upstream.daemon]!;
+            return {
+                id: upstream.id,
+                service: upstream.service,
+                failureDomain: daemon.failureDomain,
+                region: "local",
+                ownerId: daemon.id,
+                ownerAddress: daemon.peerAddress,
+                leaving: leaving.has(upstream.id),
+            };
+        });
+        await this.setValue("instances", JSON.stringify(list));
+    }
+
+    /** `normal`, `stale` or `absent`. */
+    async setPlatformMode(mode: string): Promise<void> {
+        await fetch(`${this.platformUrl}/control/mode?mode=${mode}`, { method: "PUT" });
+    }
+
+    /** Changes how an upstream serves. */
+    async setBehaviour(upstreamId: string, behaviour: object): Promise<void> {
+        const upstream = this.upstreams.find(({ id }) => id === upstreamId)!;
+        await fetch(`http://${upstream.address}/control/behaviour`, {
+            method: "PUT",
+            body: JSON.stringify(behaviour),
+        });
+    }
+
+    /** What all upstreams recorded. */
+    async fetchHistory(): Promise<
+        readonly { requestId: string; key: string; body: string; phase: string; path: string; }[]
+    > {
+        const histories = await Promise.all(this.upstreams.map(async ({ address }) => {
+            const response = await fetch(`http://${address}/control/history`);
+            return await response.json() as {
+                requestId: string;
+                key: string;
+                body: string;
+                phase: string;
+                path: string;
+            }[];
+        }));
+        return histories.flat();
+    }
+
+    /** Starts a daemon again after it has ended; it is another incarnation. */
+    async startDaemon(index: number): Promise<void> {
+        const daemon = this.daemons[index]!;
+        daemon.process = new ProcessHandle(daemonProgram, ["serve", ...daemon.flags]);
+        await waitUntil(`${daemon.id} serves`, START_LIMIT_MS, async () => {
+            const response = await fetch(`http://${daemon.adminAddress}/v1/status`);
+            const status = await response.json() as { state: string; };
+            return status.state === "serving";
+        });
+    }
+
+    async close(): Promise<void> {
+        const processes = [...this.daemons, ...this.upstreams].map(part => part.process);
+        await Promise.all([...processes, this.platform].map(child => child.close()));
+    }
+
+    private startUpstreams(ports: readonly number[]): void {
+        for (const [index, port] of ports.entries()) {
+            const service = this.options.services[index % this.options.services.length]!;
+            const daemon = Math.floor(index / this.options.services.length);
+            const id = `${service}-${daemon + 1}`;
+            const address = `127.0.0.1:${port}`;
+            const behaviour = JSON.stringify(this.options.behaviour ?? {});
+            const args = [
+                standinProgram,
+                "upstream",
+                id,
+                service,
+                address,
+                `${this.options.slots}`,
+                behaviour,
+            ];
+            this.upstreams.push({
+                id,
+                service,
+                address,
+                daemon,
+                process: new ProcessHandle(process.execPath, args),
+            });
+        }
+    }
+
+    private addDaemons(ports: readonly number[]): void {
+        const { failureDomains, flags = [], slots } = this.options;
+        for (let index = 0; index < this.options.daemons; index += 1) {
+            const [caller, peer, admin] = ports.slice(index * PORTS_PER_DAEMON).map(port =>
+                `127.0.0.1:${port}`
+            );
+            const id = `daemon-${index + 1}`;
+            const failureDomain = failureDomains[index % failureDomains.length]!;
+            const owned = this.upstreams.filter(upstream => upstream.daemon === index)
+                .map(upstream => `${upstream.id}=${upstream.service}@${upstream.address}/${slots}`);
+            this.daemons.push({
+                id,
+                callerUrl: `http://${caller}`,
+                peerAddress: peer!,
+                adminAddress: admin!,
+                failureDomain,
+                flags: [
+                    `--daemon-id=${id}`,
+                    `--failure-domain=${failureDomain}`,
+                    `--caller-address=${caller}`,
+                    `--peer-address=${peer}`,
+                    `--admin-address=${admin}`,
+                    `--platform-url=${this.platformUrl}`,
+                    `--upstreams=${owned.join(",")}`,
+                    ...flags,
+                ],
+                process: undefined!,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/standin/fleet_daemon.ts
@@ -0,0 +1,12 @@
+import type { ProcessHandle } from "./process_handle.ts";
+
+/** One daemon of a fleet. */
+export interface FleetDaemon {
+    readonly id: string;
+    readonly callerUrl: string;
+    readonly peerAddress: string;
+    readonly adminAddress: string;
+    readonly failureDomain: string;
+    readonly flags: readonly string[];
+    process: ProcessHandle;
+}
--- /dev/null
+++ b/standin/process_handle.ts
@@ -0,0 +1,46 @@
+import { type ChildProcess, spawn } from "node:child_process";
+import { createInterface } from "node:readline";
+
+/** A process that a fleet started. */
+export class ProcessHandle {
+    readonly output: string[] = [];
+    readonly errors: string[] = [];
+    private readonly child: ChildProcess;
+    private readonly ended: Promise<number>;
+
+    constructor(
+        command: string,
+        args: readonly string[],
+        environment: Readonly<Record<string, string>> = {},
+    ) {
+        this.child = spawn(command, args, {
+            env: { ...process.env, ...environment },
+            stdio: ["ignore", "pipe", "pipe"],
+        });
+        createInterface({ input: this.child.stdout! }).on("line", line => this.output.push(line));
+        createInterface({ input: this.child.stderr! }).on("line", line => this.errors.push(line));
+        this.ended = new Promise(resolve => {
+            this.child.once("exit", code => resolve(code ?? -1));
+        });
+    }
+
+    getPid(): number {
+        return this.child.pid ?? 0;
+    }
+
+    /** Sends a signal to this process only. */
+    send(signal: NodeJS.Signals): void {
+        this.child.kill(signal);
+    }
+
+    /** Exit code; -1 after a signal that was not handled. */
+    waitForExit(): Promise<number> {
+        return this.ended;
+    }
+
+    /** Ends the process at once, also when it is stopped. */
+    async close(): Promise<void> {
+        this.child.kill("SIGKILL");
+        await this.ended;
+    }
+}
