Check the platform's current version every 8 s instead of every 60 s

Cause: a watch asks for versions after the last one it saw. A platform that was restored from a backup can publish a number again that was seen before as an invalid configuration, and only a read of the current version notices it. Conclusion: watches and checks of 8 s.

--- /dev/null
+++ b/proof/control/configuration_mutation.test.ts
@@ -0,0 +1,67 @@
+import { err } from "neverthrow";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Code } from "../../src/core/code.ts";
+import { createFailure } from "../../src/core/create_failure.ts";
+import { computeDigest } from "../../src/platform/compute_digest.ts";
+import { checkHistory } from "../check_history.ts";
+import { ConfigMonotonicPredicate } from "../predicates/config_monotonic_predicate.ts";
+import { ConfigSpreadPredicate } from "../predicates/config_spread_predicate.ts";
+import { addDamage } from "./fakes/add_damage.ts";
+import { ConfigFleet } from "./fakes/config_fleet.ts";
+import { LenientConfigStore } from "./fakes/lenient_config_store.ts";
+
+const predicates = [new ConfigMonotonicPredicate(), new ConfigSpreadPredicate(16_000)];
+
+/** Mutations of the daemon, and the predicate that has to notice them in the runs of configuration.test.ts. */
+const mutations: readonly {
+    readonly name: string;
+    readonly predicate: string;
+    readonly options: Omit<ConstructorParameters<typeof ConfigFleet>[0], "seed">;
+}[] = [
+    {
+        name: "a store that takes older versions",
+        predicate: "config-monotonic",
+        options: { mutation: { createStore: sinks => new LenientConfigStore(sinks) } },
+    },
+    {
+        name: "a watch that does not retry",
+        predicate: "config-spread",
+        options: { mutation: { backoffMinMs: 1_000_000_000 } },
+    },
+    {
+        name: "a gossip that fetches no sections",
+        predicate: "config-spread",
+        options: {
+            createControl: control => ({
+                sendHeads: (address, message, timeoutMs) => control.sendHeads(address, message, timeoutMs),
+                fetchSections: async () => err(createFailure(Code.PeerTimeout)),
+            }),
+        },
+    },
+    {
+        name: "no verification of the whole document",
+        predicate: "config-monotonic",
+        options: {
+            // A head that fits the damaged sections has the effect of a fetcher that does not compare digests.
+            createControl: control =>
+                addDamage(control, response => {
+                    const digest = computeDigest(response.pieces.map(piece => piece.content).join(""));
+                    return { ...response, head: { ...response.head, digest } };
+                }),
+        },
+    },
+];
+
+for (const { name, predicate, options } of mutations) {
+    test(`the checker notices ${name}`, async () => {
+        const names = new Set<string>();
+        for (let seed = 1; seed <= 12 && !names.has(predicate); seed++) {
+            const history = await new ConfigFleet({ seed, ...options }).run(240_000);
+            for (const violation of checkHistory(history, predicates)) {
+                names.add(violation.predicate);
+            }
+        }
+        assert.ok(names.has(predicate));
+    });
+}
--- /dev/null
+++ b/proof/control/fakes/add_damage.ts
@@ -0,0 +1,22 @@
+import type { PeerControl } from "../../../src/gossip/peer_control.ts";
+import type { SectionResponse } from "../../../src/gossip/section_response.ts";
+
+/** Wraps the sending side of a daemon so that the content of each configuration section it receives is damaged. */
+export function addDamage(
+    control: PeerControl,
+    repair: (response: SectionResponse) => SectionResponse = response => response,
+): PeerControl {
+    return {
+        sendHeads: (address, message, timeoutMs) => control.sendHeads(address, message, timeoutMs),
+        fetchSections: async (address, request, timeoutMs) => {
+            const result = await control.fetchSections(address, request, timeoutMs);
+            return result.map(response => {
+                const pieces = response.pieces.map(piece => ({
+                    ...piece,
+                    content: piece.content.replace("valid", "forged"),
+                }));
+                return repair({ ...response, pieces });
+            });
+        },
+    };
+}
--- a/proof/control/fakes/fake_daemon.ts
+++ b/proof/control/fakes/fake_daemon.ts
@@ -57,6 +57,7 @@
     readonly createControl?: (control: PeerControl) => PeerControl;
     readonly peersPerRound?: number;
     readonly backoffMinMs?: number;
+    readonly startupPeers?: number;
 }
 
 /** The control pipelines of one daemon, wired from the real classes over fakes of platform and links. */
@@ -127,20 +128,23 @@
             ...reading,
             ...(backoffMinMs === undefined ? {} : { backoffMinMs, backoffMaxMs: backoffMinMs }),
         });
-        this.query = new StartupQuery({ ...reading, gossip: this.gossip, selector, store });
+        const { startupPeers: peers = 3 } = options;
+        this.query = new StartupQuery({ ...reading, gossip: this.gossip, selector, store, peers });
         network.setNode(upstream.ownerAddress, {
             timers,
             handler: new GossipHandler({ gossip: this.gossip, documents, membership: this.membership }),
         });
     }
 
-    /** Asks platform and peers, then starts rounds and watches. */
+    /** Starts rounds and watches, and serves when platform and peers were asked. */
     async start(): Promise<void> {
         this.recordEvent(EventKind.DaemonStarted, {});
-        await this.query.run();
-        this.recordEvent(EventKind.DaemonServing, { version: this.store.getActive()?.version ?? 0 });
         this.gossip.start();
         this.watcher.start();
+        while ((await this.query.run()).isErr()) {
+            await new Promise<void>(resolve => void this.timers.start(1_000, resolve));
+        }
+        this.recordEvent(EventKind.DaemonServing, { version: this.store.getActive()?.version ?? 0 });
     }
 
     /** Ends the process at once. */
--- /dev/null
+++ b/proof/control/fakes/lenient_config_store.ts
@@ -0,0 +1,10 @@
+import { ok, type Result } from "neverthrow";
+import type { Failure } from "../../../src/core/failure.ts";
+import { ConfigStore } from "../../../src/platform/config_store.ts";
+
+/** Mutation: takes any version, also an older one. */
+export class LenientConfigStore extends ConfigStore {
+    override checkOrder(): Result<void, Failure> {
+        return ok(undefined);
+    }
+}
--- a/proof/event_kind.ts
+++ b/proof/event_kind.ts
@@ -11,8 +11,10 @@
     RotationComputed: "rotation-computed",
     Ejected: "ejected",
     Returned: "returned",
-    /** A configuration became readable at the platform; `content` is its digest. */
+    /** Operators published a valid configuration; `content` is its digest. */
     ConfigPublished: "config-published",
+    /** The platform began to serve the last valid configuration that was published. */
+    ConfigReadable: "config-readable",
     ConfigAccepted: "config-accepted",
     ConfigActivated: "config-activated",
     DaemonStarted: "daemon-started",
@@ -20,7 +22,7 @@
     DaemonServing: "daemon-serving",
     DaemonDraining: "daemon-draining",
     DaemonClosed: "daemon-closed",
-    /** The daemon can neither reach the platform nor a daemon that can, or does not run. */
+    /** A daemon can reach neither the platform nor a daemon that can, or the platform cannot be read. */
     DaemonDisconnected: "daemon-disconnected",
     DaemonConnected: "daemon-connected",
     FaultInjected: "fault-injected",
--- a/src/platform/document_watch.ts
+++ b/src/platform/document_watch.ts
@@ -34,9 +34,12 @@
     readonly random: RandomSource;
     readonly logger: Logger;
     readonly metrics: Metrics;
-    /** Longest time in milliseconds that one watch waits at the platform; the default is 30 s. */
+    /**
+     * Longest time in milliseconds that one watch waits at the platform, and milliseconds between reads that ask
+     * for whatever version the platform has; the defaults are 8 s. A platform that went back to lower versions can
+     * publish a version that was seen before, which only such a read notices, and it must be active within 16 s.
+     */
     readonly watchMs?: number;
-    /** Milliseconds between reads that ask for whatever version the platform has; the default is 60 s. */
     readonly checkMs?: number;
     /** First and longest delay in milliseconds after a failure; the defaults are 250 ms and 5 s. */
     readonly backoffMinMs?: number;
@@ -86,7 +89,7 @@
     private async runOnce(): Promise<number> {
         const startMs = this.options.clock.getMonotonicMs();
         const isCheck = startMs >= this.nextCheckMs;
-        const watchMs = this.options.watchMs ?? 30_000;
+        const watchMs = this.options.watchMs ?? 8_000;
         const result = await this.fetch(isCheck ? 0 : this.seenVersion, isCheck ? 0 : watchMs);
         if (this.closed) {
             return 0;
@@ -95,7 +98,7 @@
             return this.handleFailure(result.error);
         }
         if (isCheck) {
-            this.nextCheckMs = startMs + (this.options.checkMs ?? 60_000);
+            this.nextCheckMs = startMs + (this.options.checkMs ?? 8_000);
         }
         const document = result.value;
         if (document === undefined) {
