Add ejection, return, slow start and a measurement of detection

The owner runs one CUSUM for slow answers and one for failed requests; the sender ejects what exceeds the other upstreams of the service, within the floor. Raised scores travel on replies (new optional field healthReports).

--- /dev/null
+++ b/measure/detection/deployment.ts
@@ -0,0 +1,13 @@
+/** Size of one service of section 1.5 of docs/design.md, and the daemons that send to it. */
+export interface Deployment {
+    readonly name: string;
+    readonly service: string;
+    readonly upstreams: number;
+    readonly slots: number;
+    readonly floor: number;
+    /** Daemons of the fleet; each is an entry daemon. */
+    readonly daemons: number;
+    /** One-way latency between failure domains in milliseconds. */
+    readonly pathMs: number;
+    readonly longPercent: number;
+}
--- /dev/null
+++ b/measure/detection/deployments.ts
@@ -0,0 +1,25 @@
+import type { Deployment } from "./deployment.ts";
+
+/** The two deployments of section 1.5 of docs/design.md; the floor is two thirds of the upstreams. */
+export const deployments: readonly Deployment[] = [
+    {
+        name: "Authority",
+        service: "payments",
+        upstreams: 12,
+        slots: 3,
+        floor: 8,
+        daemons: 27,
+        pathMs: 0.5,
+        longPercent: 0,
+    },
+    {
+        name: "Safai",
+        service: "checklist",
+        upstreams: 6,
+        slots: 4,
+        floor: 4,
+        daemons: 24,
+        pathMs: 1.5,
+        longPercent: 5,
+    },
+];
--- /dev/null
+++ b/measure/detection/fake_daemon.ts
@@ -0,0 +1,47 @@
+import type { VirtualTime } from "../../proof/fakes/virtual_time.ts";
+import type { AuditEntry } from "../../src/audit/audit_entry.ts";
+import type { ActiveConfigReader } from "../../src/config/active_config_reader.ts";
+import type { RandomSource } from "../../src/core/random_source.ts";
+import { DispatchWatch } from "../../src/health/dispatch_watch.ts";
+import { ScoreBoard } from "../../src/health/score_board.ts";
+import { SequentialEvidenceRecorder } from "../../src/health/sequential_evidence_recorder.ts";
+import type { MembershipReader } from "../../src/membership/membership_reader.ts";
+import { PowerOfTwoSelector } from "../../src/select/power_of_two_selector.ts";
+import type { UpstreamSelector } from "../../src/select/upstream_selector.ts";
+import { ConsecutiveErrorSelector } from "./consecutive_error_selector.ts";
+
+interface Options {
+    readonly id: string;
+    readonly time: VirtualTime;
+    readonly random: RandomSource;
+    readonly membership: MembershipReader;
+    readonly config: ActiveConfigReader;
+    readonly failureDomain: string;
+    readonly baseline: boolean;
+    readonly recordAudit: (entry: AuditEntry) => void;
+}
+
+/** The health parts of one daemon, wired as in the composition root. */
+export class FakeDaemon {
+    readonly id: string;
+    readonly failureDomain: string;
+    readonly board = new ScoreBoard();
+    readonly evidence: SequentialEvidenceRecorder;
+    readonly watch: DispatchWatch;
+    readonly selector: UpstreamSelector;
+
+    constructor({ id, time, random, membership, config, failureDomain, baseline, recordAudit }: Options) {
+        this.id = id;
+        this.failureDomain = failureDomain;
+        const { board } = this;
+        this.evidence = new SequentialEvidenceRecorder({ config, board });
+        const pauses = { measurePausedMs: () => 0 };
+        this.watch = new DispatchWatch({ clock: time, timers: time, evidence: this.evidence, pauses });
+        const audit = { record: recordAudit };
+        const leaving = { setLeaving: () => undefined };
+        const common = { clock: time, random, membership, audit, leaving, board };
+        this.selector = baseline
+            ? new ConsecutiveErrorSelector(common)
+            : new PowerOfTwoSelector({ ...common, failureDomain, region: "region" });
+    }
+}
--- /dev/null
+++ b/measure/detection/fake_owner.ts
@@ -0,0 +1,111 @@
+import type { VirtualTime } from "../../proof/fakes/virtual_time.ts";
+import { Code } from "../../src/core/code.ts";
+import { codeTable } from "../../src/core/code_table.ts";
+import type { UpstreamResult } from "../../src/dispatch/upstream_result.ts";
+import { UpstreamResultKind } from "../../src/dispatch/upstream_result_kind.ts";
+import type { OwnerReply } from "../../src/forward/owner_reply.ts";
+import type { DispatchWatch } from "../../src/health/dispatch_watch.ts";
+import type { EvidenceRecorder } from "../../src/health/evidence_recorder.ts";
+import type { ScoreBoard } from "../../src/health/score_board.ts";
+import type { OwnerRequest } from "../../src/queue/owner_request.ts";
+import type { FakeUpstream } from "./fake_upstream.ts";
+
+interface Options {
+    readonly time: VirtualTime;
+    readonly upstream: FakeUpstream;
+    readonly slots: number;
+    readonly evidence: EvidenceRecorder;
+    readonly watch: DispatchWatch;
+    readonly board: ScoreBoard;
+}
+
+interface Waiting {
+    readonly request: OwnerRequest;
+    readonly send: (reply: OwnerReply) => void;
+}
+
+const codes: Readonly<Record<UpstreamResultKind, Code>> = {
+    [UpstreamResultKind.Answered]: Code.Ok,
+    [UpstreamResultKind.NotSent]: Code.UpstreamRefused,
+    [UpstreamResultKind.Cut]: Code.UpstreamCut,
+    [UpstreamResultKind.TimedOut]: Code.UpstreamTimeout,
+    [UpstreamResultKind.Cancelled]: Code.CallerCancelled,
+    [UpstreamResultKind.AnswerTooLarge]: Code.AnswerTooLarge,
+};
+
+/** Owner of one upstream with a bounded queue in order of arrival, and the real evidence path. */
+export class FakeOwner {
+    private running = 0;
+    private meanMs = 30;
+    private readonly queue: Waiting[] = [];
+
+    constructor(private readonly options: Options) {}
+
+    handle(request: OwnerRequest, send: (reply: OwnerReply) => void): void {
+        if (this.queue.length >= request.service.limits.queueLength) {
+            send(this.buildReply(request, { code: Code.QueueFull }));
+            return;
+        }
+        this.queue.push({ request, send });
+        this.startNext();
+    }
+
+    private startNext(): void {
+        while (this.running < this.options.slots && this.queue.length > 0) {
+            this.startExchange(this.queue.shift()!);
+        }
+    }
+
+    private startExchange({ request, send }: Waiting): void {
+        const { time, upstream, watch } = this.options;
+        const startedAtMs = time.getMonotonicMs();
+        const waitMs = startedAtMs - request.receivedAtMs;
+        if (request.deadlineMs - startedAtMs < request.route.serviceMs) {
+            send(this.buildReply(request, { code: Code.WaitTooLong, waitMs }));
+            return;
+        }
+        this.running += 1;
+        watch.start(request);
+        upstream.run(request, startedAtMs, request.deadlineMs - startedAtMs, result => {
+            this.running -= 1;
+            const serviceMs = time.getMonotonicMs() - startedAtMs;
+            this.meanMs += (serviceMs - this.meanMs) * 0.1;
+            const lease = { close: () => undefined };
+            watch.record({ ...request, lease, waitMs, result, refusal: undefined, serviceMs });
+            send(this.buildReply(request, { code: codes[result.kind], waitMs, serviceMs, result }));
+            this.startNext();
+        });
+    }
+
+    private buildReply(
+        request: OwnerRequest,
+        end: { code: Code; waitMs?: number; serviceMs?: number; result?: UpstreamResult; },
+    ): OwnerReply {
+        const { time, slots, evidence, board } = this.options;
+        const waitMs = this.queue.length * this.meanMs / slots;
+        return {
+            requestId: request.requestId,
+            attempt: request.attempt,
+            ownerId: `owner of ${request.upstreamId}`,
+            incarnation: "1",
+            code: end.code,
+            outcome: codeTable[end.code].outcome,
+            detail: "",
+            answer: end.result?.answer,
+            serviceMs: end.serviceMs ?? 0,
+            waitMs: end.waitMs ?? 0,
+            upstream: {
+                upstreamId: request.upstreamId,
+                slots,
+                running: this.running,
+                queuedShort: this.queue.length,
+                queuedLong: 0,
+                waitShortMs: waitMs,
+                waitLongMs: waitMs,
+                healthScore: evidence.getScore(request.upstreamId),
+                leaving: false,
+            },
+            healthReports: board.listReports(time.getMonotonicMs()),
+        };
+    }
+}
--- /dev/null
+++ b/measure/detection/fake_upstream.ts
@@ -0,0 +1,87 @@
+import type { Answer } from "../../src/core/answer.ts";
+import type { RandomSource } from "../../src/core/random_source.ts";
+import type { Timers } from "../../src/core/timers.ts";
+import type { UpstreamResult } from "../../src/dispatch/upstream_result.ts";
+import { UpstreamResultKind } from "../../src/dispatch/upstream_result_kind.ts";
+import type { OwnerRequest } from "../../src/queue/owner_request.ts";
+import { FaultKind } from "./fault_kind.ts";
+
+/** Spread of the service time: standard deviation of its logarithm. */
+const spread = 0.4;
+
+/** With all slots busy an upstream takes longer by this share. */
+const contention = 0.5;
+
+/** Upstream with a lognormal service time around that of the route, and faults. */
+export class FakeUpstream {
+    fault: FaultKind = FaultKind.None;
+    faultSinceMs = 0;
+    /** Slowness of a dependency of all upstreams. */
+    dependencyFactor = 1;
+    private running = 0;
+
+    constructor(
+        private readonly random: RandomSource,
+        private readonly timers: Timers,
+        private readonly slots: number,
+    ) {}
+
+    /** `nowMs` is the virtual time; calls `finish` once. */
+    run(
+        request: OwnerRequest,
+        nowMs: number,
+        timeoutMs: number,
+        finish: (result: UpstreamResult) => void,
+    ): void {
+        const fault = this.getActiveFault(nowMs);
+        if (fault === FaultKind.Refused) {
+            this.timers.start(1, () => finish(buildResult(UpstreamResultKind.NotSent)));
+            return;
+        }
+        this.running += 1;
+        const busy = (this.running - 1) / Math.max(1, this.slots - 1);
+        const normal = Math.sqrt(-2 * Math.log(1 - this.random.take())) *
+            Math.cos(2 * Math.PI * this.random.take());
+        const serviceMs = fault === FaultKind.Hanging
+            ? Number.POSITIVE_INFINITY
+            : request.route.serviceMs * Math.exp(spread * normal) * (1 + contention * busy)
+                * this.dependencyFactor * (fault === FaultKind.Slow ? 5 : 1);
+        const handleEnd = (result: UpstreamResult): void => {
+            this.running -= 1;
+            finish(result);
+        };
+        if (serviceMs > timeoutMs) {
+            this.timers.start(timeoutMs, () => handleEnd(buildResult(UpstreamResultKind.TimedOut)));
+            return;
+        }
+        const answer: Answer = {
+            status: fault === FaultKind.WrongStatus ? 500 : 200,
+            headers: [{
+                name: "content-type",
+                value: fault === FaultKind.WrongContent ? "text/html" : "application/json",
+            }],
+            body: new Uint8Array(),
+        };
+        this.timers.start(serviceMs, () => handleEnd(buildResult(UpstreamResultKind.Answered, answer)));
+    }
+
+    private getActiveFault(nowMs: number): FaultKind {
+        const isOn = Math.floor((nowMs - this.faultSinceMs) / 3_000) % 2 === 0;
+        switch (this.fault) {
+            case FaultKind.FlappingSlow:
+                return isOn ? FaultKind.Slow : FaultKind.None;
+            case FaultKind.FlappingStatus:
+                return isOn ? FaultKind.WrongStatus : FaultKind.None;
+            case FaultKind.HalfBad:
+                return this.random.take() < 0.5 ? FaultKind.WrongStatus : FaultKind.None;
+            case FaultKind.HalfSlow:
+                return this.random.take() < 0.5 ? FaultKind.Slow : FaultKind.None;
+            default:
+                return this.fault;
+        }
+    }
+}
+
+function buildResult(kind: UpstreamResult["kind"], answer?: Answer): UpstreamResult {
+    return { kind, answer, detail: kind };
+}
--- /dev/null
+++ b/measure/detection/scenario.ts
@@ -0,0 +1,18 @@
+import type { FaultKind } from "./fault_kind.ts";
+
+/** One run of the measurement. Times are milliseconds from its begin. */
+export interface Scenario {
+    readonly name: string;
+    readonly fault: FaultKind;
+    /** Upstreams that get the fault at `eventMs`. */
+    readonly faulty: number;
+    /** Requests a second to each upstream before and after the event. */
+    readonly rate: number;
+    readonly eventRate: number;
+    /** Slowness of all upstreams from the event on. */
+    readonly dependencyFactor: number;
+    readonly eventMs: number;
+    readonly endMs: number;
+    /** True for round robin with ejection after consecutive errors. */
+    readonly baseline: boolean;
+}
--- a/src/forward/owner_reply.ts
+++ b/src/forward/owner_reply.ts
@@ -2,6 +2,7 @@
 import type { Code } from "../core/code.ts";
 import type { Outcome } from "../core/outcome.ts";
 import type { UpstreamState } from "../core/upstream_state.ts";
+import type { HealthReport } from "../health/health_report.ts";
 
 /** Result of one attempt as its owner, or the hop to it, reports it. */
 export interface OwnerReply {
@@ -20,4 +21,6 @@
     readonly waitMs: number;
     /** Undefined when the hop failed. */
     readonly upstream: UpstreamState | undefined;
+    /** Raised scores of any upstreams that the owner's daemon knows; absent when there are none. */
+    readonly healthReports?: readonly HealthReport[];
 }
--- /dev/null
+++ b/src/health/dispatch_watch.ts
@@ -0,0 +1,121 @@
+/**
+ * Turns the exchanges with upstreams into evidence, those that do not end included: an upstream that hangs would
+ * otherwise give its first evidence only when the deadlines of its requests have passed.
+ *
+ * @example
+ * ```ts
+ * watch.start(queuedRequest); // immediately before dispatch
+ * watch.record(dispatchedRequest); // in settle
+ * ```
+ *
+ * @module
+ */
+import type { Clock } from "../core/clock.ts";
+import type { Timer } from "../core/timer.ts";
+import type { Timers } from "../core/timers.ts";
+import type { DispatchedRequest } from "../dispatch/dispatched_request.ts";
+import { UpstreamResultKind } from "../dispatch/upstream_result_kind.ts";
+import type { OwnerRequest } from "../queue/owner_request.ts";
+import { createEvidence } from "./create_evidence.ts";
+import type { EvidenceRecorder } from "./evidence_recorder.ts";
+import type { PauseReader } from "./pause_reader.ts";
+
+/**
+ * An exchange counts as slow again after each further length of its baseline, up to this number of times. Three
+ * hanging requests, one in each slot, then raise the alarm, and a single one does not.
+ */
+const maxOverdue = 3;
+
+interface Options {
+    readonly clock: Clock;
+    readonly timers: Timers;
+    readonly evidence: EvidenceRecorder;
+    readonly pauses: PauseReader;
+}
+
+interface Exchange {
+    readonly request: OwnerRequest;
+    readonly startedAtMs: number;
+    timer: Timer | undefined;
+    overdue: number;
+}
+
+/** Watches the running exchanges of this owner. */
+export class DispatchWatch {
+    private readonly exchanges = new Map<string, Exchange>();
+
+    constructor(private readonly options: Options) {}
+
+    start(request: OwnerRequest): void {
+        const startedAtMs = this.options.clock.getMonotonicMs();
+        const exchange: Exchange = { request, startedAtMs, timer: undefined, overdue: 0 };
+        this.exchanges.set(formatKey(request), exchange);
+        if (request.baselineMs > 0) {
+            this.startTimer(exchange, request.baselineMs);
+        }
+    }
+
+    /** Ends the exchange and records its evidence. Slowness that was recorded while it ran is not counted twice. */
+    record(request: DispatchedRequest): void {
+        const key = formatKey(request);
+        const exchange = this.exchanges.get(key);
+        this.exchanges.delete(key);
+        exchange?.timer?.close();
+        const atMs = this.options.clock.getMonotonicMs();
+        const startedAtMs = exchange?.startedAtMs ?? atMs - request.serviceMs;
+        const pausedMs = this.options.pauses.measurePausedMs(startedAtMs, atMs);
+        const evidence = createEvidence(request, { atMs, pausedMs });
+        if (evidence === undefined) {
+            return;
+        }
+        if (exchange === undefined || exchange.overdue === 0) {
+            this.options.evidence.record(evidence);
+        }
+        else if (!evidence.expected && evidence.kind !== UpstreamResultKind.TimedOut) {
+            this.options.evidence.record({ ...evidence, baselineMs: 0 });
+        }
+    }
+
+    close(): void {
+        for (const exchange of this.exchanges.values()) {
+            exchange.timer?.close();
+        }
+        this.exchanges.clear();
+    }
+
+    private startTimer(exchange: Exchange, delayMs: number): void {
+        exchange.timer = this.options.timers.start(delayMs, () => this.checkOverdue(exchange));
+    }
+
+    private checkOverdue(exchange: Exchange): void {
+        const { request, startedAtMs } = exchange;
+        const atMs = this.options.clock.getMonotonicMs();
+        const pausedMs = this.options.pauses.measurePausedMs(startedAtMs, atMs);
+        const dueMs = request.baselineMs * (exchange.overdue + 1);
+        const serviceMs = atMs - startedAtMs - pausedMs;
+        if (serviceMs < dueMs) {
+            // At least one millisecond, because a difference in the last digit would start the timer without end.
+            this.startTimer(exchange, Math.max(1, dueMs - serviceMs));
+            return;
+        }
+        exchange.overdue += 1;
+        this.options.evidence.record({
+            upstreamId: request.upstreamId,
+            service: request.service.name,
+            kind: UpstreamResultKind.TimedOut,
+            expected: false,
+            // The answer is still missing, so the time counts as above the baseline.
+            serviceMs: Math.max(serviceMs, request.baselineMs + 1),
+            baselineMs: request.baselineMs,
+            trial: request.trial,
+            atMs,
+        });
+        if (exchange.overdue < maxOverdue) {
+            this.startTimer(exchange, request.baselineMs);
+        }
+    }
+}
+
+function formatKey(request: OwnerRequest): string {
+    return `${request.requestId}/${request.attempt}`;
+}
--- /dev/null
+++ b/src/health/ejection_table.ts
@@ -0,0 +1,225 @@
+/**
+ * Ejection, trial requests and return of the upstreams of all services, as one sender decides them.
+ *
+ * @example
+ * ```ts
+ * const rotation = table.update(service, members, unreachable, nowMs);
+ * const trial = table.findTrial(service.name, members, { idempotent: true, nowMs });
+ * ```
+ *
+ * @module
+ */
+import type { ServiceConfig } from "../config/service_config.ts";
+import type { Upstream } from "../core/upstream.ts";
+import { computeAlarmScore } from "./compute_alarm_score.ts";
+import { computeReferenceScore } from "./compute_reference_score.ts";
+import { computeRotation } from "./compute_rotation.ts";
+import { computeWeight } from "./compute_weight.ts";
+import type { EjectionOptions } from "./ejection_options.ts";
+import type { EjectionState } from "./ejection_state.ts";
+import type { Rotation } from "./rotation.ts";
+import type { RotationMember } from "./rotation_member.ts";
+import { TrialResult } from "./trial_result.ts";
+
+/**
+ * A score must call for ejection for this time in milliseconds. Meanwhile the raised scores of other upstreams
+ * arrive, if the cause is common to them, and raise the reference.
+ */
+const confirmMs = 400;
+
+/** Scores older than this in milliseconds do not count. */
+const scoreLifeMs = 10_000;
+
+/** Wait in milliseconds after a trial request that showed nothing. */
+const nextTrialMs = 500;
+
+/** A hold is longer by up to this share, so that the senders do not all send their trial requests at once. */
+const holdJitter = 0.1;
+
+/** Keeps the state of ejection of each upstream. */
+export class EjectionTable {
+    private readonly services = new Map<string, Map<string, EjectionState>>();
+
+    constructor(private readonly options: EjectionOptions) {}
+
+    /** Brings the rotation of the service up to date; `unreachable` holds identifiers of upstreams. */
+    update(
+        service: ServiceConfig,
+        members: readonly Upstream[],
+        unreachable: ReadonlySet<string>,
+        nowMs: number,
+    ): Rotation {
+        const states = this.updateStates(service.name, members);
+        const alarmScore = computeAlarmScore(service.health);
+        const candidates = members.map(({ id }) => {
+            const state = states.get(id)!;
+            const excess = this.computeExcess(id, states, alarmScore, nowMs);
+            updateAlarm(state, excess >= alarmScore, nowMs);
+            return buildMember(id, state, excess, unreachable.has(id), nowMs);
+        });
+        const rotation = computeRotation(candidates, service.floor);
+        for (const { upstreamId, excess } of candidates) {
+            const state = states.get(upstreamId)!;
+            if (rotation.ejected.has(upstreamId) && !state.ejected) {
+                this.startHold(service, state, excess, nowMs);
+                const cause = `score ${excess.toFixed(1)} nats above the service's other upstreams,`
+                    + ` alarm at ${alarmScore.toFixed(1)}, ejection ${state.ejections}`;
+                this.report("ejection", upstreamId, "in rotation", `ejected for ${state.holdMs} ms`, cause);
+            }
+            else if (state.ejected && !rotation.ejected.has(upstreamId)) {
+                this.startReturn(upstreamId, state, "the floor of the service", nowMs);
+            }
+        }
+        return rotation;
+    }
+
+    /**
+     * Finds an ejected upstream whose hold has ended. A request that is not idempotent is used only after a second
+     * hold in which no idempotent one came: its outcome may become `unknown`, but it is never sent again, and a
+     * service without idempotent routes could not return an upstream otherwise.
+     */
+    findTrial(
+        service: string,
+        members: readonly Upstream[],
+        options: { readonly idempotent: boolean; readonly nowMs: number; },
+    ): Upstream | undefined {
+        const states = this.services.get(service);
+        return members.find(({ id }) => {
+            const state = states?.get(id);
+            if (state === undefined || !state.ejected || state.trialRunning) {
+                return false;
+            }
+            return options.nowMs >= state.holdUntilMs + (options.idempotent ? 0 : state.holdMs);
+        });
+    }
+
+    recordTrialStart(service: string, upstreamId: string): void {
+        const state = this.services.get(service)?.get(upstreamId);
+        if (state !== undefined) {
+            state.trialRunning = true;
+            state.trials += 1;
+        }
+    }
+
+    /** Ends a trial request. After a good one the upstream returns if its owner's score agrees. */
+    recordTrialEnd(service: ServiceConfig, upstreamId: string, result: TrialResult, nowMs: number): void {
+        const state = this.services.get(service.name)?.get(upstreamId);
+        if (state === undefined) {
+            return;
+        }
+        state.trialRunning = false;
+        if (!state.ejected) {
+            return;
+        }
+        const score = this.options.board.getScore(upstreamId, state.changedAtMs) ?? 0;
+        if (result === TrialResult.Bad) {
+            this.startHold(service, state, state.excess, nowMs);
+            const after = `ejected for ${state.holdMs} ms`;
+            this.report("ejection", upstreamId, "ejected", after, "a trial request failed or was slow");
+        }
+        else if (result === TrialResult.Unclear) {
+            state.holdUntilMs = nowMs + nextTrialMs;
+        }
+        else if (score <= computeAlarmScore(service.health) / 2) {
+            this.startReturn(upstreamId, state, `good trial requests, score ${score.toFixed(1)}`, nowMs);
+        }
+    }
+
+    /** Weight in selection, above 0 and at most 1; lower while the upstream is new or has just returned. */
+    getWeight(service: ServiceConfig, upstreamId: string, nowMs: number): number {
+        const firstSeenMs = this.options.membership.getFirstSeenMs(upstreamId) ?? Number.NEGATIVE_INFINITY;
+        const returnedAtMs = this.services.get(service.name)?.get(upstreamId)?.returnedAtMs ?? firstSeenMs;
+        return computeWeight(Math.max(firstSeenMs, returnedAtMs), nowMs, service.health.rampMs);
+    }
+
+    getState(service: string, upstreamId: string): Readonly<EjectionState> | undefined {
+        return this.services.get(service)?.get(upstreamId);
+    }
+
+    /** Forgets upstreams that left and adds new ones. */
+    private updateStates(service: string, members: readonly Upstream[]): Map<string, EjectionState> {
+        const before = this.services.get(service);
+        const states = new Map(members.map(({ id }) => [id, before?.get(id) ?? createState()]));
+        this.services.set(service, states);
+        return states;
+    }
+
+    /** The reference is subtracted only from scores that reach the alarm; the others decide nothing. */
+    private computeExcess(
+        upstreamId: string,
+        states: ReadonlyMap<string, EjectionState>,
+        alarmScore: number,
+        nowMs: number,
+    ): number {
+        const getScore = (id: string, state: EjectionState): number =>
+            this.options.board.getScore(id, Math.max(state.changedAtMs, nowMs - scoreLifeMs)) ?? 0;
+        const score = getScore(upstreamId, states.get(upstreamId)!);
+        if (score < alarmScore) {
+            return score;
+        }
+        const others = [...states].filter(([id, state]) => id !== upstreamId && !state.ejected);
+        return score - computeReferenceScore(others.map(([id, state]) => getScore(id, state)));
+    }
+
+    /** Ejects, or extends an ejection. The hold doubles unless the upstream was in rotation for the longest hold. */
+    private startHold(service: ServiceConfig, state: EjectionState, excess: number, nowMs: number): void {
+        const { holdMinMs, holdMaxMs } = service.health;
+        const isFirst = state.holdMs === 0 || (!state.ejected && nowMs - state.changedAtMs >= holdMaxMs);
+        const jitter = 1 + holdJitter * this.options.random.take();
+        state.holdMs = isFirst ? holdMinMs : Math.min(holdMaxMs, state.holdMs * 2);
+        state.holdUntilMs = nowMs + Math.min(holdMaxMs, state.holdMs * jitter);
+        state.ejected = true;
+        state.changedAtMs = nowMs;
+        state.excess = excess;
+        state.ejections += 1;
+    }
+
+    private startReturn(upstreamId: string, state: EjectionState, cause: string, nowMs: number): void {
+        state.ejected = false;
+        state.changedAtMs = nowMs;
+        state.returnedAtMs = nowMs;
+        state.alarmSinceMs = undefined;
+        this.report("return", upstreamId, "ejected", "in rotation", cause);
+    }
+
+    private report(change: string, subject: string, before: string, after: string, cause: string): void {
+        const version = this.options.membership.getVersion();
+        this.options.audit.record({ change, subject, before, after, cause, version });
+    }
+}
+
+function createState(): EjectionState {
+    return {
+        ejected: false,
+        changedAtMs: Number.NEGATIVE_INFINITY,
+        returnedAtMs: undefined,
+        alarmSinceMs: undefined,
+        excess: 0,
+        holdMs: 0,
+        holdUntilMs: 0,
+        trialRunning: false,
+        ejections: 0,
+        trials: 0,
+    };
+}
+
+function updateAlarm(state: EjectionState, raised: boolean, nowMs: number): void {
+    state.alarmSinceMs = raised ? state.alarmSinceMs ?? nowMs : undefined;
+}
+
+function buildMember(
+    upstreamId: string,
+    state: EjectionState,
+    excess: number,
+    unreachable: boolean,
+    nowMs: number,
+): RotationMember {
+    const confirmed = state.alarmSinceMs !== undefined && nowMs - state.alarmSinceMs >= confirmMs;
+    return {
+        upstreamId,
+        excess: state.ejected ? state.excess : excess,
+        failing: state.ejected || confirmed,
+        ejected: state.ejected,
+        unreachable,
+    };
+}
--- /dev/null
+++ b/src/health/health_report.ts
@@ -0,0 +1,8 @@
+/** Score of an upstream as one daemon passes it on to another. */
+export interface HealthReport {
+    readonly upstreamId: string;
+    /** Nats, 0 or more. */
+    readonly score: number;
+    /** Milliseconds since the owner computed the score; clocks of different instances are never compared. */
+    readonly ageMs: number;
+}
--- /dev/null
+++ b/src/health/pause_meter.ts
@@ -0,0 +1,73 @@
+/**
+ * Measures pauses of this process, so that they do not count as slow answers of an upstream. A timer that fires
+ * late shows a pause; timers run before sockets are read, so a pause is known before the answers that waited for it.
+ *
+ * @example
+ * ```ts
+ * const pauses = new PauseMeter({ clock, timers });
+ * const pausedMs = pauses.measurePausedMs(startedAtMs, clock.getMonotonicMs());
+ * pauses.close();
+ * ```
+ *
+ * @module
+ */
+import type { Clock } from "../core/clock.ts";
+import type { Timer } from "../core/timer.ts";
+import type { Timers } from "../core/timers.ts";
+import type { PauseReader } from "./pause_reader.ts";
+
+/** Interval of the timer in milliseconds. */
+const intervalMs = 50;
+
+/** Lateness in milliseconds that still counts as ordinary scheduling. */
+const toleranceMs = 15;
+
+/** Pauses kept; the longest deadline of a request spans fewer. */
+const maxPauses = 64;
+
+interface Options {
+    readonly clock: Clock;
+    readonly timers: Timers;
+}
+
+interface Pause {
+    readonly fromMs: number;
+    readonly toMs: number;
+}
+
+/** Keeps the recent pauses. */
+export class PauseMeter implements PauseReader {
+    private readonly pauses: Pause[] = [];
+    private dueAtMs = 0;
+    private timer: Timer | undefined;
+
+    constructor(private readonly options: Options) {
+        this.startTimer();
+    }
+
+    measurePausedMs(fromMs: number, toMs: number): number {
+        const nowMs = this.options.clock.getMonotonicMs();
+        const running = nowMs > this.dueAtMs + toleranceMs ? [{ fromMs: this.dueAtMs, toMs: nowMs }] : [];
+        let pausedMs = 0;
+        for (const pause of [...this.pauses, ...running]) {
+            pausedMs += Math.max(0, Math.min(toMs, pause.toMs) - Math.max(fromMs, pause.fromMs));
+        }
+        return pausedMs;
+    }
+
+    close(): void {
+        this.timer?.close();
+    }
+
+    private startTimer(): void {
+        this.dueAtMs = this.options.clock.getMonotonicMs() + intervalMs;
+        this.timer = this.options.timers.start(intervalMs, () => {
+            const nowMs = this.options.clock.getMonotonicMs();
+            if (nowMs > this.dueAtMs + toleranceMs) {
+                this.pauses.push({ fromMs: this.dueAtMs, toMs: nowMs });
+                this.pauses.splice(0, this.pauses.length - maxPauses);
+            }
+            this.startTimer();
+        });
+    }
+}
--- a/src/health/sequential_evidence_recorder.ts
+++ b/src/health/sequential_evidence_recorder.ts
@@ -9,32 +9,41 @@
  *
  * @module
  */
+import type { ActiveConfigReader } from "../config/active_config_reader.ts";
 import { UpstreamResultKind } from "../dispatch/upstream_result_kind.ts";
-import { CumulativeSum } from "./cumulative_sum.ts";
+import { computeAlarmScore } from "./compute_alarm_score.ts";
 import type { Evidence } from "./evidence.ts";
 import type { EvidenceRecorder } from "./evidence_recorder.ts";
+import type { ScoreBoard } from "./score_board.ts";
+import { UpstreamTest } from "./upstream_test.ts";
 
-/** Bounds the score, so that an upstream that works again is seen to do so within a bounded number of requests. */
-const scoreLimit = 40;
+interface Options {
+    readonly config: ActiveConfigReader;
+    /** Receives each new score, so that this daemon can report it to others. */
+    readonly board: ScoreBoard;
+}
 
-/** Adds up evidence for each upstream. */
+/** Adds up the evidence about each owned upstream. */
 export class SequentialEvidenceRecorder implements EvidenceRecorder {
-    private readonly tests = new Map<string, CumulativeSum>();
+    private readonly tests = new Map<string, UpstreamTest>();
+
+    constructor(private readonly options: Options) {}
 
     record(evidence: Evidence): void {
-        if (evidence.kind === UpstreamResultKind.Cancelled) {
+        const service = this.options.config.getActive()?.configuration.services.get(evidence.service);
+        if (service === undefined || evidence.kind === UpstreamResultKind.Cancelled) {
             return;
         }
         let test = this.tests.get(evidence.upstreamId);
         if (test === undefined) {
-            test = new CumulativeSum({ healthyShare: 0.05, failingShare: 0.5 });
+            test = new UpstreamTest();
             this.tests.set(evidence.upstreamId, test);
         }
-        const slow = evidence.baselineMs > 0 && evidence.serviceMs > evidence.baselineMs;
-        test.add(evidence.kind !== UpstreamResultKind.Answered || !evidence.expected || slow, scoreLimit);
+        test.apply(evidence, computeAlarmScore(service.health));
+        this.options.board.record(evidence.upstreamId, test.getScore(), evidence.atMs);
     }
 
     getScore(upstreamId: string): number {
-        return this.tests.get(upstreamId)?.get() ?? 0;
+        return this.tests.get(upstreamId)?.getScore() ?? 0;
     }
 }
--- /dev/null
+++ b/src/health/upstream_status.ts
@@ -0,0 +1,20 @@
+/** One upstream as the `show` command reports it from the view of one daemon. */
+export interface UpstreamStatus {
+    readonly upstreamId: string;
+    /** Last known health score in nats; undefined when none is known. */
+    readonly score: number | undefined;
+    /** Score in nats from which on the upstream is ejected, if the floor allows it. */
+    readonly alarmScore: number;
+    readonly inRotation: boolean;
+    readonly ejected: boolean;
+    /** True when this daemon does not reach the owner of the upstream. */
+    readonly unreachable: boolean;
+    /** Milliseconds until trial requests begin; 0 when none is held. */
+    readonly holdLeftMs: number;
+    /** Share of its full weight, 1 after slow start. */
+    readonly weight: number;
+    readonly ejections: number;
+    readonly trials: number;
+    /** Requests of this daemon that are in flight. */
+    readonly inFlight: number;
+}
--- /dev/null
+++ b/src/health/upstream_test.ts
@@ -0,0 +1,69 @@
+import { UpstreamResultKind } from "../dispatch/upstream_result_kind.ts";
+import { CumulativeSum } from "./cumulative_sum.ts";
+import type { Evidence } from "./evidence.ts";
+
+/**
+ * The score stays below this multiple of the alarm score, so that an upstream that works again is seen to do so
+ * within some 35 requests even when it was never ejected.
+ */
+const limitFactor = 1.5;
+
+/** Good trial requests that lower the score by the alarm score. */
+const trialsPerAlarm = 4;
+
+/** Sequential test of one upstream: one sum for slow answers and one for failed requests. */
+export class UpstreamTest {
+    // A healthy upstream exceeds slowFactor times the third quartile of its peers in at most 5% of its answers.
+    private readonly slow = new CumulativeSum({ healthyShare: 0.05, failingShare: 0.5 });
+    private readonly failed = new CumulativeSum({ healthyShare: 0.01, failingShare: 0.5 });
+
+    apply(evidence: Evidence, alarmScore: number): void {
+        const limit = alarmScore * limitFactor;
+        const failed = isFailed(evidence);
+        const slow = evidence.baselineMs > 0 && evidence.serviceMs > evidence.baselineMs;
+        const known = evidence.baselineMs > 0 && !failed;
+        if (evidence.kind === UpstreamResultKind.TimedOut && !slow) {
+            // The request had less time than a healthy upstream may take.
+            return;
+        }
+        if (evidence.trial) {
+            this.applyTrial(failed, slow, alarmScore, limit);
+            return;
+        }
+        this.failed.add(failed, limit);
+        if (known) {
+            this.slow.add(slow, limit);
+        }
+    }
+
+    /** Nats. */
+    getScore(): number {
+        return Math.max(this.slow.get(), this.failed.get());
+    }
+
+    /** A bad trial request shows that the fault lasts; good ones end the run of the test at half the alarm score. */
+    private applyTrial(failed: boolean, slow: boolean, alarmScore: number, limit: number): void {
+        if (failed || slow) {
+            (failed ? this.failed : this.slow).set(limit, limit);
+            return;
+        }
+        const step = alarmScore / trialsPerAlarm;
+        this.failed.set(this.failed.get() - step, limit);
+        this.slow.set(this.slow.get() - step, limit);
+        if (this.getScore() <= alarmScore / 2) {
+            this.failed.set(0, limit);
+            this.slow.set(0, limit);
+        }
+    }
+}
+
+function isFailed(evidence: Evidence): boolean {
+    switch (evidence.kind) {
+        case UpstreamResultKind.Answered:
+            return !evidence.expected;
+        case UpstreamResultKind.TimedOut:
+            return false;
+        default:
+            return true;
+    }
+}
--- /dev/null
+++ b/src/select/baseline_table.ts
@@ -0,0 +1,103 @@
+/**
+ * Baselines of service times, from the answers that this sender received.
+ *
+ * @example
+ * ```ts
+ * baselines.record(request.service, request.route, { upstreamId, serviceMs, atMs });
+ * const baselineMs = baselines.compute(request.service, request.route, { upstreamId, excluded, nowMs });
+ * ```
+ *
+ * @module
+ */
+import type { RouteConfig } from "../config/route_config.ts";
+import type { ServiceConfig } from "../config/service_config.ts";
+import { RouteTime } from "./route_time.ts";
+
+/** Answers kept for each service and class. */
+const maxSamples = 32;
+
+/** Older answers in milliseconds say nothing about the present. */
+const sampleLifeMs = 5_000;
+
+/** Fewer answers, or answers of fewer other upstreams, give no baseline. */
+const minSamples = 8;
+const minUpstreams = 2;
+
+/** The third quartile does not move when fewer than a quarter of the answers come from slow upstreams. */
+const quantile = 0.75;
+
+interface Sample {
+    readonly upstreamId: string;
+    readonly serviceMs: number;
+    /** Monotonic milliseconds. */
+    readonly atMs: number;
+}
+
+interface RoutedSample extends Sample {
+    readonly route: string;
+}
+
+interface Options {
+    /** The upstream to judge; its own answers do not count. */
+    readonly upstreamId: string;
+    /** Upstreams that are ejected; their answers do not count. */
+    readonly excluded: ReadonlySet<string>;
+    readonly nowMs: number;
+}
+
+/** Keeps the recent answers of each service and class. */
+export class BaselineTable {
+    private readonly samples = new Map<string, RoutedSample[]>();
+    private readonly routeTimes = new Map<string, RouteTime>();
+
+    /** Counts an answer as expected by the route. */
+    record(service: ServiceConfig, route: RouteConfig, sample: Sample): void {
+        const key = formatKey(service, route);
+        let samples = this.samples.get(key);
+        if (samples === undefined) {
+            samples = [];
+            this.samples.set(key, samples);
+        }
+        samples.push({ ...sample, route: route.name });
+        samples.splice(0, samples.length - maxSamples);
+        let routeTime = this.routeTimes.get(route.name);
+        if (routeTime === undefined) {
+            routeTime = new RouteTime();
+            this.routeTimes.set(route.name, routeTime);
+        }
+        routeTime.add(sample.serviceMs);
+    }
+
+    /**
+     * Service time in milliseconds above which an answer counts as slow: `slowFactor` times the third quartile of
+     * the other upstreams' recent answers of the class. Routes differ, so each answer counts relative to the usual
+     * time of its route. 0 when too little is known.
+     */
+    compute(service: ServiceConfig, route: RouteConfig, options: Options): number {
+        const usualMs = this.routeTimes.get(route.name)?.get();
+        if (usualMs === undefined) {
+            return 0;
+        }
+        const ratios: number[] = [];
+        const upstreams = new Set<string>();
+        for (const sample of this.samples.get(formatKey(service, route)) ?? []) {
+            const sampleUsualMs = this.routeTimes.get(sample.route)?.get();
+            const isCounted = sample.upstreamId !== options.upstreamId
+                && !options.excluded.has(sample.upstreamId)
+                && options.nowMs - sample.atMs <= sampleLifeMs;
+            if (isCounted && sampleUsualMs !== undefined) {
+                ratios.push(sample.serviceMs / sampleUsualMs);
+                upstreams.add(sample.upstreamId);
+            }
+        }
+        if (ratios.length < minSamples || upstreams.size < minUpstreams) {
+            return 0;
+        }
+        ratios.sort((left, right) => left - right);
+        return service.health.slowFactor * usualMs * ratios[Math.floor(quantile * ratios.length)]!;
+    }
+}
+
+function formatKey(service: ServiceConfig, route: RouteConfig): string {
+    return `${service.name} ${route.workClass}`;
+}
--- a/src/select/observed_load.ts
+++ b/src/select/observed_load.ts
@@ -5,34 +5,47 @@
 
 /** Load of one upstream as this sender sees it: its own requests in flight and the last reported queue state. */
 export class ObservedLoad {
-    private inFlight = 0;
+    /** Time at which each request in flight becomes overdue, by key of the attempt. */
+    private readonly inFlight = new Map<string, number>();
     private slots = 1;
     private othersBusy = 0;
+    private waitMs = 0;
     private reportedAtMs = Number.NEGATIVE_INFINITY;
 
-    addRequest(): void {
-        this.inFlight += 1;
+    addRequest(key: string, overdueAtMs: number): void {
+        this.inFlight.set(key, overdueAtMs);
     }
 
-    removeRequest(): void {
-        this.inFlight = Math.max(0, this.inFlight - 1);
+    removeRequest(key: string): void {
+        this.inFlight.delete(key);
     }
 
     countInFlight(): number {
-        return this.inFlight;
+        return this.inFlight.size;
+    }
+
+    /** True while a request is in flight for longer than the upstream, its queue and the path should take. */
+    hasOverdue(nowMs: number): boolean {
+        return [...this.inFlight.values()].some(overdueAtMs => overdueAtMs < nowMs);
     }
 
     /** Takes the state that a reply carried. The own requests in it are counted here already. */
     update(state: UpstreamState, nowMs: number): void {
         this.slots = Math.max(1, state.slots);
         const busy = state.running + state.queuedShort + state.queuedLong;
-        this.othersBusy = Math.max(0, busy - this.inFlight);
+        this.othersBusy = Math.max(0, busy - this.inFlight.size);
+        this.waitMs = Math.max(state.waitShortMs, state.waitLongMs);
         this.reportedAtMs = nowMs;
     }
 
+    /** Longest wait in milliseconds that the last reply announced. */
+    getWaitMs(): number {
+        return this.waitMs;
+    }
+
     /** Requests per slot, 0 when idle; the reported part fades with its age. */
     measure(nowMs: number): number {
         const freshness = Math.max(0, 1 - (nowMs - this.reportedAtMs) / stateLifeMs);
-        return (this.inFlight + this.othersBusy * freshness) / this.slots;
+        return (this.inFlight.size + this.othersBusy * freshness) / this.slots;
     }
 }
--- a/src/select/power_of_two_selector.ts
+++ b/src/select/power_of_two_selector.ts
@@ -14,63 +14,195 @@
  * @module
  */
 import { err, ok, type Result } from "neverthrow";
+import type { ServiceConfig } from "../config/service_config.ts";
 import { Code } from "../core/code.ts";
 import { createFailure } from "../core/create_failure.ts";
 import type { Failure } from "../core/failure.ts";
+import type { Upstream } from "../core/upstream.ts";
 import type { OwnerReply } from "../forward/owner_reply.ts";
+import { computeAlarmScore } from "../health/compute_alarm_score.ts";
+import { decideTrialResult } from "../health/decide_trial_result.ts";
+import { EjectionTable } from "../health/ejection_table.ts";
+import { isExpected } from "../health/is_expected.ts";
+import { PathTable } from "../health/path_table.ts";
+import type { Rotation } from "../health/rotation.ts";
+import type { UpstreamStatus } from "../health/upstream_status.ts";
+import type { UpstreamStatusReader } from "../health/upstream_status_reader.ts";
 import type { RoutedRequest } from "../route/routed_request.ts";
+import { BaselineTable } from "./baseline_table.ts";
 import { ObservedLoad } from "./observed_load.ts";
 import { selectByLoad } from "./select_by_load.ts";
 import type { SelectedRequest } from "./selected_request.ts";
 import type { SelectorOptions } from "./selector_options.ts";
 import type { UpstreamSelector } from "./upstream_selector.ts";
 
-/** Selects by the power of two choices among the upstreams of the service. */
-export class PowerOfTwoSelector implements UpstreamSelector {
+/** Time in milliseconds for the two directions of a path and for scheduling before a reply counts as overdue. */
+const pathSlackMs = 100;
+
+/** Share of the remaining time after which a reply counts as overdue when no baseline is known. */
+const unknownOverdueShare = 0.5;
+
+/** Upstreams whose load is kept; above it, idle ones are dropped. */
+const maxLoads = 4_096;
+
+/** Codes 3xxx report that the hop between the daemons failed. */
+const firstHopCode = 3_000;
+const lastHopCode = 3_999;
+
+/** Selects by the power of two choices among the upstreams in rotation. */
+export class PowerOfTwoSelector implements UpstreamSelector, UpstreamStatusReader {
     private readonly loads = new Map<string, ObservedLoad>();
+    private readonly baselines = new BaselineTable();
+    private readonly paths = new PathTable();
+    private readonly ejections: EjectionTable;
 
-    constructor(private readonly options: SelectorOptions) {}
+    constructor(private readonly options: SelectorOptions) {
+        this.ejections = new EjectionTable(options);
+    }
 
     select(
         request: RoutedRequest,
         attempt: number,
         excluded: ReadonlySet<string>,
     ): Result<SelectedRequest, Failure> {
-        const members = this.options.membership.list(request.service.name);
+        const { service, route } = request;
+        const { idempotent } = route;
         const nowMs = this.options.clock.getMonotonicMs();
-        const upstream = selectByLoad(members.filter(member => !excluded.has(member.id)), {
-            random: this.options.random,
-            failureDomain: this.options.failureDomain,
-            region: this.options.region,
-            getLoad: candidate => this.getLoad(candidate.id).measure(nowMs),
-            getWeight: () => 1,
+        const members = this.options.membership.list(service.name);
+        const rotation = this.updateRotation(service, members, nowMs);
+        const open = members.filter(member => !excluded.has(member.id));
+        const reachable = open.filter(member => !this.paths.isAvoided(member.ownerId, idempotent, nowMs));
+
+        const trial = attempt === 1
+            ? this.ejections.findTrial(service.name, reachable, { idempotent, nowMs })
+            : undefined;
+        const inRotation = reachable.filter(member => !rotation.ejected.has(member.id));
+        // The later lists are for the case that the paths to all in rotation failed, or that all were tried.
+        const lists = [
+            inRotation.filter(member => !this.getLoad(member.id).hasOverdue(nowMs)),
+            inRotation,
+            open.filter(member => !rotation.ejected.has(member.id)),
+            open,
+        ];
+        const candidates = lists.find(list => list.length > 0) ?? [];
+        const upstream = trial ?? this.selectCandidate(service, candidates, nowMs);
+        if (upstream === undefined) {
+            return err(createFailure(Code.NoUpstream));
+        }
+        const baselineMs = this.baselines.compute(service, route, {
+            upstreamId: upstream.id,
+            excluded: rotation.ejected,
+            nowMs,
         });
-        return upstream === undefined
-            ? err(createFailure(Code.NoUpstream))
-            : ok({ ...request, attempt, upstream, baselineMs: 0, trial: false });
+        return ok({ ...request, attempt, upstream, baselineMs, trial: rotation.ejected.has(upstream.id) });
     }
 
     recordStart(selected: SelectedRequest): void {
-        this.getLoad(selected.upstream.id).addRequest();
+        const { upstream, baselineMs } = selected;
+        const nowMs = this.options.clock.getMonotonicMs();
+        const load = this.getLoad(upstream.id);
+        const patienceMs = baselineMs > 0
+            ? baselineMs + 2 * load.getWaitMs() + pathSlackMs
+            : (selected.deadlineMs - nowMs) * unknownOverdueShare;
+        load.addRequest(formatKey(selected), nowMs + patienceMs);
+        if (selected.trial) {
+            this.ejections.recordTrialStart(selected.service.name, upstream.id);
+        }
     }
 
-    recordReply(selected: SelectedRequest, reply: OwnerReply, _roundTripMs: number): void {
-        const load = this.getLoad(selected.upstream.id);
-        load.removeRequest();
+    recordReply(selected: SelectedRequest, reply: OwnerReply, roundTripMs: number): void {
+        const { service, route, upstream, trial } = selected;
+        const nowMs = this.options.clock.getMonotonicMs();
+        const load = this.getLoad(upstream.id);
+        load.removeRequest(formatKey(selected));
+        this.options.board.merge(reply.healthReports ?? [], nowMs);
         if (reply.upstream !== undefined) {
-            load.update(reply.upstream, this.options.clock.getMonotonicMs());
+            load.update(reply.upstream, nowMs);
+            this.paths.recordSuccess(upstream.ownerId);
+            // The reply may have been on its way for long; its score is not newer than the end of the exchange.
+            const scoredAtMs = Math.min(nowMs, nowMs - roundTripMs + reply.waitMs + reply.serviceMs);
+            this.options.board.record(upstream.id, reply.upstream.healthScore, scoredAtMs);
         }
-        if (reply.code === Code.OwnerLeaving) {
-            this.options.leaving.setLeaving(selected.upstream.id, "reply");
+        else if (reply.code >= firstHopCode && reply.code <= lastHopCode) {
+            this.paths.recordFailure(upstream.ownerId, nowMs);
         }
+        if (reply.code === Code.OwnerLeaving || reply.upstream?.leaving === true) {
+            this.options.leaving.setLeaving(upstream.id, "reply");
+        }
+        if (trial) {
+            this.ejections.recordTrialEnd(service, upstream.id, decideTrialResult(selected, reply), nowMs);
+        }
+        else if (reply.answer !== undefined && isExpected(reply.answer, route.expect)) {
+            const sample = { upstreamId: upstream.id, serviceMs: reply.serviceMs, atMs: nowMs };
+            this.baselines.record(service, route, sample);
+        }
+        this.updateRotation(service, this.options.membership.list(service.name), nowMs);
+    }
+
+    listStatus(service: ServiceConfig): readonly UpstreamStatus[] {
+        const nowMs = this.options.clock.getMonotonicMs();
+        const members = this.options.membership.list(service.name);
+        const rotation = this.updateRotation(service, members, nowMs);
+        return members.map(({ id, ownerId }) => {
+            const state = this.ejections.getState(service.name, id);
+            return {
+                upstreamId: id,
+                score: this.options.board.getScore(id, Number.NEGATIVE_INFINITY),
+                alarmScore: computeAlarmScore(service.health),
+                inRotation: rotation.inRotation.has(id),
+                ejected: rotation.ejected.has(id),
+                unreachable: this.paths.isAvoided(ownerId, true, nowMs),
+                holdLeftMs: state?.ejected === true ? Math.max(0, state.holdUntilMs - nowMs) : 0,
+                weight: this.ejections.getWeight(service, id, nowMs),
+                ejections: state?.ejections ?? 0,
+                trials: state?.trials ?? 0,
+                inFlight: this.getLoad(id).countInFlight(),
+            };
+        });
+    }
+
+    private updateRotation(service: ServiceConfig, members: readonly Upstream[], nowMs: number): Rotation {
+        const unreachable = new Set(
+            members.filter(({ ownerId }) => this.paths.isAvoided(ownerId, true, nowMs)).map(({ id }) => id),
+        );
+        return this.ejections.update(service, members, unreachable, nowMs);
+    }
+
+    private selectCandidate(
+        service: ServiceConfig,
+        candidates: readonly Upstream[],
+        nowMs: number,
+    ): Upstream | undefined {
+        return selectByLoad(candidates, {
+            random: this.options.random,
+            failureDomain: this.options.failureDomain,
+            region: this.options.region,
+            getLoad: ({ id }) => this.getLoad(id).measure(nowMs),
+            getWeight: ({ id }) => this.ejections.getWeight(service, id, nowMs),
+        });
     }
 
     private getLoad(upstreamId: string): ObservedLoad {
         let load = this.loads.get(upstreamId);
         if (load === undefined) {
+            if (this.loads.size >= maxLoads) {
+                this.removeIdleLoads();
+            }
             load = new ObservedLoad();
             this.loads.set(upstreamId, load);
         }
         return load;
     }
+
+    private removeIdleLoads(): void {
+        for (const [upstreamId, load] of this.loads) {
+            if (load.countInFlight() === 0) {
+                this.loads.delete(upstreamId);
+            }
+        }
+    }
+}
+
+function formatKey(selected: SelectedRequest): string {
+    return `${selected.requestId}/${selected.attempt}`;
 }
--- a/src/select/selector_options.ts
+++ b/src/select/selector_options.ts
@@ -1,6 +1,7 @@
 import type { AuditSink } from "../audit/audit_sink.ts";
 import type { Clock } from "../core/clock.ts";
 import type { RandomSource } from "../core/random_source.ts";
+import type { ScoreBoard } from "../health/score_board.ts";
 import type { LeavingRecorder } from "../membership/leaving_recorder.ts";
 import type { MembershipReader } from "../membership/membership_reader.ts";
 
@@ -11,6 +12,8 @@
     readonly membership: MembershipReader;
     readonly leaving: LeavingRecorder;
     readonly audit: AuditSink;
+    /** The same one as the owner's `SequentialEvidenceRecorder` uses. */
+    readonly board: ScoreBoard;
     /** Place of this daemon. */
     readonly failureDomain: string;
     readonly region: string;
