Split the configuration into sections and merge them

A section is one service as the operators wrote it, in JSON, so that peers transfer only changed services and digests do not depend on the program's defaults. Merging takes over unchanged services by digest.

The block reader now reads all spaces and scripts that YAML treats as text; before, one zero-width joiner in a description sent the whole text to the library's slow mode.

--- a/measure/config_load.ts
+++ b/measure/config_load.ts
@@ -6,6 +6,10 @@
  * @module
  */
 import { parseConfiguration } from "../src/config/parse_configuration.ts";
+import { compareSections } from "../src/config/sections/compare_sections.ts";
+import { computeSectionsDigest } from "../src/config/sections/compute_sections_digest.ts";
+import { mergeSections } from "../src/config/sections/merge_sections.ts";
+import { parseWithSections } from "../src/config/sections/parse_with_sections.ts";
 import { readDocument } from "../src/config/yaml/read_document.ts";
 import { RouteTable } from "../src/route/route_table.ts";
 import { createConfigurationText } from "./create_configuration_text.ts";
@@ -30,5 +34,12 @@
 console.log(`${(text.length / 1_000_000).toFixed(2)} MB, ${text.split("\n").length} lines`);
 measure("parse and check", () => parseConfiguration(text)._unsafeUnwrap());
 measure("  of it reading YAML", () => readDocument("", text));
-const configuration = parseConfiguration(text)._unsafeUnwrap();
-measure("compile routes", () => new RouteTable(configuration));
+measure("parse and split", () => parseWithSections(text)._unsafeUnwrap());
+const parsed = parseWithSections(text)._unsafeUnwrap();
+measure("merge all sections", () => mergeSections(parsed.sections)._unsafeUnwrap());
+const changedText = text.replace("queueLength: ", "queueLength: 1");
+const changed = parseWithSections(changedText)._unsafeUnwrap();
+const { length } = compareSections(parsed.sections, changed.sections).changed;
+measure(`merge ${length} changed section`, () => mergeSections(changed.sections, parsed)._unsafeUnwrap());
+measure("digest of sections", () => computeSectionsDigest(parsed.sections));
+measure("compile routes", () => new RouteTable(parsed.configuration));
--- a/proof/arbitrary_configuration.ts
+++ b/proof/arbitrary_configuration.ts
@@ -38,7 +38,7 @@
 
 const routeFields = buildRecord({
     method: fc.constantFrom("GET", "POST", "DELETE"),
-    // Each path gets the position of its route in front, so that no two routes conflict.
+    // Each path gets the service and the index of its route in front, so that no two routes conflict.
     path: fc.constantFrom("", "/", "/*", "/{a}", "/{a}/b", "/a-b_c.~!$&'()+,;=:@%20", "/null"),
     workClass: fc.constantFrom(...Object.values(WorkClass)),
     idempotent: fc.boolean(),
@@ -75,9 +75,9 @@
             const indexes = position === 0 ? [] : dependencies.map(dependency => dependency % position);
             const routes = fields.routes.map(([key, route], index): RouteConfig => ({
                 ...route,
-                name: `${key}_${position}`,
+                name: `${key}_${service}`,
                 service,
-                path: `/${position}/${index}${route.path}`,
+                path: `/${service}/${index}${route.path}`,
             }));
             return {
                 ...fields,
--- a/src/config/fields/number_type.ts
+++ b/src/config/fields/number_type.ts
@@ -30,7 +30,8 @@
             );
             return undefined;
         }
-        return value;
+        // JSON has no negative zero, so that a value and its copy at a peer would differ.
+        return value + 0;
     }
 
     encode(value: number): unknown {
--- a/src/config/yaml/block_reader.ts
+++ b/src/config/yaml/block_reader.ts
@@ -18,9 +18,8 @@
 import { readLibraryYaml } from "./read_library_yaml.ts";
 import type { SourceNode } from "./source_node.ts";
 
-// Control characters, tabs, unusual spaces and line separators, byte order marks and surrogates.
-const unusualPattern =
-    /[\u0000-\u0009\u000b-\u001f\u007f-\u00a0\u1680\u2000-\u200f\u2028-\u202f\u205f-\u206f\u3000\ud800-\udfff\ufeff]/;
+// Control characters, tabs, line separators and byte order marks.
+const unusualPattern = /[\u0000-\u0009\u000b-\u001f\u007f-\u009f\u2028\u2029\ufeff]/;
 const indentPattern = /(?: *(?:#[^\n]*)?\n)*( *)/y;
 const keyPattern = /([A-Za-z][A-Za-z0-9_-]*):(?=[ \n]|$) */y;
 
--- a/src/config/yaml/inline_reader.ts
+++ b/src/config/yaml/inline_reader.ts
@@ -33,8 +33,16 @@
         const offset = this.offset;
         const line = this.take(plainPattern);
         const comment = line?.indexOf(" #") ?? -1;
-        const text = (comment < 0 ? line : line?.slice(0, comment))?.trimEnd();
-        if (text === undefined || text.includes(": ") || text.endsWith(":")) {
+        if (line === undefined) {
+            return undefined;
+        }
+        let end = comment < 0 ? line.length : comment;
+        // Other white space than spaces belongs to the value.
+        while (line[end - 1] === " ") {
+            end -= 1;
+        }
+        const text = line.slice(0, end);
+        if (text.includes(": ") || text.endsWith(":")) {
             return undefined;
         }
         return createNode(offset, parsePlainScalar(text));
--- a/src/config/yaml/read_yaml.test.ts
+++ b/src/config/yaml/read_yaml.test.ts
@@ -115,6 +115,12 @@
                 ...[
                     "\u0a38",
                     "\u200c",
+                    "\u00a0",
+                    "\u3000",
+                    "\u2028",
+                    "\u{1f4a7}",
+                    "\ud83d",
+                    "\u0085",
                     "\ufeff",
                     "\r\n",
                     "a\n       b",
