--- a/src/config/yaml/block_reader.ts
+++ b/src/config/yaml/block_reader.ts
@@ -14,13 +14,11 @@
  * @module
  */
 import { ProblemList } from "../problem_list.ts";
+import { hasUnusualText } from "./has_unusual_text.ts";
 import { InlineReader } from "./inline_reader.ts";
 import { readLibraryYaml } from "./read_library_yaml.ts";
 import type { SourceNode } from "./source_node.ts";
 
-// Control characters, tabs, unusual spaces and line separators, byte order marks and surrogates.
-const unusualPattern =
-    /[\u0000-\u0009\u000b-\u001f\u007f-\u00a0\u1680\u2000-\u200f\u2028-\u202f\u205f-\u206f\u3000\ud800-\udfff\ufeff]/;
 const indentPattern = /(?: *(?:#[^\n]*)?\n)*( *)/y;
 const keyPattern = /([A-Za-z][A-Za-z0-9_-]*):(?=[ \n]|$) */y;
 
@@ -41,11 +39,11 @@
 
     /** Undefined when the text must be read by the library, because it is unusual or has a fault. */
     read(): SourceNode | undefined {
-        if (unusualPattern.test(this.text)) {
+        if (hasUnusualText(this.text)) {
             return undefined;
         }
         this.setLine(0);
-        const root = this.readMap(0);
+        const root = this.indent < 0 ? undefined : this.readMap(this.indent);
         return this.failed || this.indent >= 0 ? undefined : root;
     }
 
