--- a/src/build_daemon.ts
+++ b/src/build_daemon.ts
@@ -49,6 +49,8 @@
 import { ReaderElection } from "./gossip/reader_election.ts";
 import { ServiceSectionSplitter } from "./gossip/service_section_splitter.ts";
 import { StartupQuery } from "./gossip/startup_query.ts";
+import { HealthReportFilter } from "./health/health_report_filter.ts";
+import { ScoreBoard } from "./health/score_board.ts";
 import { SequentialEvidenceRecorder } from "./health/sequential_evidence_recorder.ts";
 import type { DrainableListener } from "./lifecycle/drainable_listener.ts";
 import { Lifecycle } from "./lifecycle/lifecycle.ts";
@@ -83,6 +85,7 @@
 import { RouteFilter } from "./route/route_filter.ts";
 import { RunningDaemon } from "./running_daemon.ts";
 import { PowerOfTwoSelector } from "./select/power_of_two_selector.ts";
+import { RotationPreference } from "./select/rotation_preference.ts";
 import type { ServeSettings } from "./settings/serve_settings.ts";
 import { SettleFilter } from "./settle/settle_filter.ts";
 import { UpstreamStateBuilder } from "./settle/upstream_state_builder.ts";
@@ -209,7 +212,8 @@
         limitMs: settings.drainTimeoutMs,
     });
     const queue = new QueueFilter({ ...base, upstreams, daemonState: lifecycle });
-    const evidence = new SequentialEvidenceRecorder();
+    const board = new ScoreBoard();
+    const evidence = new SequentialEvidenceRecorder({ config: control.store, board });
     const states = new UpstreamStateBuilder({ queues: queue, evidence, daemonState: lifecycle });
     const attempts = new AttemptTable();
     const operations = new OperationTable({ clock });
@@ -227,12 +231,14 @@
         daemonState: lifecycle,
         inner,
     });
-    const incoming = Pipeline.start(new ResolveFilter({ clock, config: control.store })).pipe(register);
+    const incoming = Pipeline.start(new ResolveFilter({ clock, config: control.store }))
+        .pipe(register)
+        .pipe(new HealthReportFilter({ clock, board }));
     const revoker = new OwnerRevoker({ identity, attempts, operations });
     const setListeners = (get: () => readonly DrainableListener[]) => {
         getListeners = get;
     };
-    return { lifecycle, setListeners, states, pauses, client, register, incoming, revoker };
+    return { lifecycle, setListeners, board, states, pauses, client, register, incoming, revoker };
 }
 
 /** The entry's side: from a caller's request to its answer. */
@@ -246,19 +252,26 @@
     });
     const local = new LocalForwarder({ owner: owner.register, revoker: owner.revoker });
     const forwarder = new OwnerForwarder({ daemonId: identity.ownerId, local, remote });
-    const preference = { isPreferred: () => true };
+    const selector = new PowerOfTwoSelector({
+        ...base,
+        ...place,
+        membership,
+        leaving: membership,
+        board: owner.board,
+    });
+    const preference = new RotationPreference({ config: store, selector });
     const owners = new KnownOwnerTable({ membership, preference });
     owners.setIncarnation(identity);
     const inFlight = new InFlightTable();
     const saturation = new SaturationTable(clock, membership);
     const serviceTimes = new ServiceTimes();
     const attempt = new AttemptFilter({
-        selector: new PowerOfTwoSelector({ ...base, ...place, membership, leaving: membership }),
+        selector,
         keyedSelector: new KeyedSelector({
             upstreams: new OwnerUpstreamIndex(() => membership.getList().list),
             owners,
             preference,
-            baselines: { getBaselineMs: () => 0 },
+            baselines: selector,
         }),
         owners,
         exchanger: new AttemptExchanger({ ...base, forwarder }),
--- a/src/edge/peer_http/decode_reply.ts
+++ b/src/edge/peer_http/decode_reply.ts
@@ -36,6 +36,7 @@
             serviceMs: head.serviceMs,
             waitMs: head.waitMs,
             keyRecorded: head.keyRecorded,
+            healthReports: head.healthReports,
             upstream: head.upstream,
         });
     });
--- a/src/edge/peer_http/encode_reply.ts
+++ b/src/edge/peer_http/encode_reply.ts
@@ -17,6 +17,7 @@
         serviceMs: reply.serviceMs,
         waitMs: reply.waitMs,
         keyRecorded: reply.keyRecorded ?? false,
+        healthReports: (reply.healthReports ?? []).map(report => ({ ...report })),
         upstream: reply.upstream === undefined ? undefined : { ...reply.upstream },
     });
     return Buffer.from(toBinary(ReplyHeadSchema, head)).toString("base64");
--- a/src/select/power_of_two_selector.ts
+++ b/src/select/power_of_two_selector.ts
@@ -29,6 +29,7 @@
 import type { UpstreamStatus } from "../health/upstream_status.ts";
 import type { UpstreamStatusReader } from "../health/upstream_status_reader.ts";
 import type { RoutedRequest } from "../route/routed_request.ts";
+import type { BaselineReader } from "./baseline_reader.ts";
 import { BaselineTable } from "./baseline_table.ts";
 import { ObservedLoad } from "./observed_load.ts";
 import { selectByLoad } from "./select_by_load.ts";
@@ -50,7 +51,7 @@
 const lastHopCode = 3_999;
 
 /** Selects by the power of two choices among the upstreams in rotation. */
-export class PowerOfTwoSelector implements UpstreamSelector, UpstreamStatusReader {
+export class PowerOfTwoSelector implements UpstreamSelector, UpstreamStatusReader, BaselineReader {
     private readonly loads = new Map<string, ObservedLoad>();
     private readonly baselines = new BaselineTable();
     private readonly paths = new PathTable();
@@ -161,6 +162,23 @@
         });
     }
 
+    /** True for an upstream of the service that is in rotation and that this daemon can reach. */
+    isAvailable(service: ServiceConfig, upstream: Upstream): boolean {
+        const nowMs = this.options.clock.getMonotonicMs();
+        const members = this.options.membership.list(service.name);
+        return this.updateRotation(service, members, nowMs).inRotation.has(upstream.id)
+            && members.some(({ id }) => id === upstream.id)
+            && !this.paths.isAvoided(upstream.ownerId, false, nowMs);
+    }
+
+    getBaselineMs(request: RoutedRequest, upstreamId: string): number {
+        const { service, route } = request;
+        const nowMs = this.options.clock.getMonotonicMs();
+        const excluded =
+            this.updateRotation(service, this.options.membership.list(service.name), nowMs).ejected;
+        return this.baselines.compute(service, route, { upstreamId, excluded, nowMs });
+    }
+
     private updateRotation(service: ServiceConfig, members: readonly Upstream[], nowMs: number): Rotation {
         const unreachable = new Set(
             members.filter(({ ownerId }) => this.paths.isAvoided(ownerId, true, nowMs)).map(({ id }) => id),
