--- a/measure/config_load.ts
+++ b/measure/config_load.ts
@@ -59,4 +59,13 @@
 const { length } = compareSections(parsed.sections, changed.sections).changed;
 measure(`merge ${length} changed section`, () => mergeSections(changed.sections, parsed)._unsafeUnwrap());
 measure("digest of sections", () => computeSectionsDigest(parsed.sections));
+const table = new RouteTable(parsed.configuration);
+const paths = [...parsed.configuration.services.values()].flatMap(service =>
+    service.routes.map(route => ({ method: route.method, path: route.path.replace("{item}", "42") }))
+);
+measure(`find each of ${paths.length} routes`, () => {
+    for (const { method, path } of paths) {
+        table.find(method, path)._unsafeUnwrap();
+    }
+});
 measure("compile routes", () => new RouteTable(parsed.configuration));
--- a/src/config/fields/boolean_type.ts
+++ b/src/config/fields/boolean_type.ts
@@ -1,20 +1,14 @@
-import { Code } from "../../core/code.ts";
 import type { ProblemList } from "../problem_list.ts";
 import type { SourceNode } from "../yaml/source_node.ts";
+import { addBadValue } from "./add_bad_value.ts";
 import type { FieldType } from "./field_type.ts";
-import { formatFound } from "./format_found.ts";
 import type { JsonSchema } from "./json_schema.ts";
 
 /** `true` or `false`. */
 export class BooleanType implements FieldType<boolean> {
     parse(node: SourceNode, field: string, problems: ProblemList): boolean | undefined {
         if (typeof node.value !== "boolean") {
-            problems.add(
-                Code.ConfigBadValue,
-                node.offset,
-                field,
-                `must be ${this.format()}, found ${formatFound(node)}`,
-            );
+            addBadValue(node, field, problems, this.format());
             return undefined;
         }
         return node.value;
--- a/src/config/fields/choice_type.ts
+++ b/src/config/fields/choice_type.ts
@@ -1,8 +1,7 @@
-import { Code } from "../../core/code.ts";
 import type { ProblemList } from "../problem_list.ts";
 import type { SourceNode } from "../yaml/source_node.ts";
+import { addBadValue } from "./add_bad_value.ts";
 import type { FieldType } from "./field_type.ts";
-import { formatFound } from "./format_found.ts";
 import type { JsonSchema } from "./json_schema.ts";
 
 /** One of several words. */
@@ -12,12 +11,7 @@
     parse(node: SourceNode, field: string, problems: ProblemList): Value | undefined {
         const found = this.values.find(value => value === node.value);
         if (found === undefined) {
-            problems.add(
-                Code.ConfigBadValue,
-                node.offset,
-                field,
-                `must be ${this.format()}, found ${formatFound(node)}`,
-            );
+            addBadValue(node, field, problems, this.format());
         }
         return found;
     }
--- a/src/config/fields/map_type.ts
+++ b/src/config/fields/map_type.ts
@@ -1,9 +1,9 @@
 import { Code } from "../../core/code.ts";
 import type { ProblemList } from "../problem_list.ts";
 import type { SourceNode } from "../yaml/source_node.ts";
+import { addBadValue } from "./add_bad_value.ts";
 import type { FieldRow } from "./field_row.ts";
 import type { FieldType } from "./field_type.ts";
-import { formatFound } from "./format_found.ts";
 import type { JsonSchema } from "./json_schema.ts";
 import type { TextType } from "./text_type.ts";
 
@@ -19,12 +19,7 @@
     parse(node: SourceNode, field: string, problems: ProblemList): ReadonlyMap<string, Item> | undefined {
         const { value } = node;
         if (!(value instanceof Map)) {
-            problems.add(
-                Code.ConfigBadValue,
-                node.offset,
-                field,
-                `must be ${this.format()}, found ${formatFound(node)}`,
-            );
+            addBadValue(node, field, problems, this.format());
             return undefined;
         }
         const entries = new Map<string, Item>();
--- a/src/config/fields/number_type.ts
+++ b/src/config/fields/number_type.ts
@@ -1,8 +1,7 @@
-import { Code } from "../../core/code.ts";
 import type { ProblemList } from "../problem_list.ts";
 import type { SourceNode } from "../yaml/source_node.ts";
+import { addBadValue } from "./add_bad_value.ts";
 import type { FieldType } from "./field_type.ts";
-import { formatFound } from "./format_found.ts";
 import type { JsonSchema } from "./json_schema.ts";
 
 interface NumberOptions {
@@ -22,12 +21,7 @@
         const { minimum, maximum, integer } = this.options;
         const inRange = typeof value === "number" && value >= minimum && value <= maximum;
         if (!inRange || (integer && !Number.isInteger(value))) {
-            problems.add(
-                Code.ConfigBadValue,
-                node.offset,
-                field,
-                `must be ${this.format()}, found ${formatFound(node)}`,
-            );
+            addBadValue(node, field, problems, this.format());
             return undefined;
         }
         // JSON has no negative zero, so that a value and its copy at a peer would differ.
--- a/src/config/fields/record_type.ts
+++ b/src/config/fields/record_type.ts
@@ -1,10 +1,10 @@
 import { Code } from "../../core/code.ts";
 import type { ProblemList } from "../problem_list.ts";
 import type { SourceNode } from "../yaml/source_node.ts";
+import { addBadValue } from "./add_bad_value.ts";
 import type { Field } from "./field.ts";
 import type { FieldRow } from "./field_row.ts";
 import type { FieldType } from "./field_type.ts";
-import { formatFound } from "./format_found.ts";
 import type { JsonSchema } from "./json_schema.ts";
 
 type FieldTable<Value> = { readonly [Key in keyof Value]-?: Field<Value[Key]>; };
@@ -30,12 +30,7 @@
     parse(node: SourceNode, field: string, problems: ProblemList): Value | undefined {
         const { value } = node;
         if (!(value instanceof Map)) {
-            problems.add(
-                Code.ConfigBadValue,
-                node.offset,
-                field,
-                `must be ${this.format()}, found ${formatFound(node)}`,
-            );
+            addBadValue(node, field, problems, this.format());
             return undefined;
         }
         const nodes = value as ReadonlyMap<string, SourceNode>;
--- a/src/config/fields/text_type.ts
+++ b/src/config/fields/text_type.ts
@@ -1,8 +1,7 @@
-import { Code } from "../../core/code.ts";
 import type { ProblemList } from "../problem_list.ts";
 import type { SourceNode } from "../yaml/source_node.ts";
+import { addBadValue } from "./add_bad_value.ts";
 import type { FieldType } from "./field_type.ts";
-import { formatFound } from "./format_found.ts";
 import type { JsonSchema } from "./json_schema.ts";
 
 interface TextOptions {
@@ -20,12 +19,7 @@
     parse(node: SourceNode, field: string, problems: ProblemList): string | undefined {
         const { value } = node;
         if (typeof value !== "string" || !this.has(value)) {
-            problems.add(
-                Code.ConfigBadValue,
-                node.offset,
-                field,
-                `must be ${this.format()}, found ${formatFound(node)}`,
-            );
+            addBadValue(node, field, problems, this.format());
             return undefined;
         }
         return value;
--- a/src/config/rules/config_rules.ts
+++ b/src/config/rules/config_rules.ts
@@ -2,6 +2,7 @@
 import type { ConfigRule } from "./config_rule.ts";
 import { CycleRule } from "./cycle_rule.ts";
 import { DependencyRule } from "./dependency_rule.ts";
+import { EachServiceRule } from "./each_service_rule.ts";
 import { RouteRule } from "./route_rule.ts";
 import { ServiceCountRule } from "./service_count_rule.ts";
 
@@ -10,6 +11,6 @@
     new ServiceCountRule(),
     new DependencyRule(),
     new CycleRule(),
-    new BoundRule(),
+    new EachServiceRule(new BoundRule()),
     new RouteRule(),
 ];
--- a/src/config/sections/config_parser.ts
+++ b/src/config/sections/config_parser.ts
@@ -1,6 +1,8 @@
 import type { Result } from "neverthrow";
+import { listParts } from "../list_parts.ts";
 import { parseDocuments } from "../parse_documents.ts";
 import type { ParseOptions } from "../parse_options.ts";
+import type { PartReference } from "../part_reference.ts";
 import type { Problem } from "../problem.ts";
 import { ChangedDocumentReader } from "../yaml/changed_document_reader.ts";
 import type { SourceBlock } from "../yaml/source_block.ts";
@@ -15,6 +17,11 @@
 export class ConfigParser {
     private blocks: ReadonlyMap<string, SourceBlock> = new Map();
 
+    /** The parts whose contents `parse` needs. */
+    listParts(source: string): readonly PartReference[] {
+        return listParts(source, new ChangedDocumentReader(this.blocks));
+    }
+
     parse(source: string, options: ParseOptions = {}): Result<ParsedConfig, readonly Problem[]> {
         const reader = new ChangedDocumentReader(this.blocks);
         const result = parseDocuments(source, options, reader);
--- a/src/route/route_table.test.ts
+++ b/src/route/route_table.test.ts
@@ -1,6 +1,9 @@
+import fc from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { parseConfiguration } from "../config/parse_configuration.ts";
+import type { RouteConfig } from "../config/route_config.ts";
+import type { ServiceConfig } from "../config/service_config.ts";
 import { Code } from "../core/code.ts";
 import { RouteTable } from "./route_table.ts";
 
@@ -54,3 +57,42 @@
         assert.equal(findName("GET", path), Code.NoRoute, path);
     }
 });
+
+test("the table finds the route that a scan of all routes finds", () => {
+    const configured = table.find("GET", "/bills")._unsafeUnwrap();
+    const segment = fc.constantFrom("a", "b", "{x}");
+    const path = fc.tuple(fc.array(segment, { maxLength: 4 }), fc.constantFrom("", "/", "/*"))
+        .map(([segments, end]) => segments.map(text => `/${text}`).join("") + end)
+        .filter(text => text !== "");
+    const requested = fc.array(fc.constantFrom("a", "b", "c", ""), { minLength: 1, maxLength: 5 });
+    const paths = fc.uniqueArray(path, { minLength: 1, maxLength: 12 });
+    fc.assert(
+        fc.property(paths, fc.array(requested, { minLength: 1, maxLength: 8 }), (patterns, requests) => {
+            const routes = patterns.map((pattern): RouteConfig => ({ ...configured.route, path: pattern }));
+            const service: ServiceConfig = { ...configured.service, routes };
+            const found = new RouteTable({ team: "t", services: new Map([["s", service]]) });
+            for (const segments of requests) {
+                const request = `/${segments.join("/")}`;
+                const actual = found.find("GET", request).match(match => match.route.path, () => undefined);
+                assert.equal(actual, findByScan(patterns, segments), `${patterns.join(" ")} for ${request}`);
+            }
+        }),
+        { numRuns: 500, seed: 1 },
+    );
+});
+
+/** The matching pattern that comes first when literals sort before parameters and these before the rest. */
+function findByScan(patterns: readonly string[], segments: readonly string[]): string | undefined {
+    const matching = patterns.filter(pattern => {
+        const parts = pattern.split("/").slice(1);
+        const hasRest = parts.at(-1) === "*";
+        const fixed = hasRest ? parts.slice(0, -1) : parts;
+        return (hasRest ? segments.length > fixed.length : segments.length === fixed.length)
+            && fixed.every((part, index) =>
+                part === "{x}" ? segments[index] !== "" : part === segments[index]
+            );
+    });
+    const format = (pattern: string): string =>
+        pattern.split("/").map(part => part === "*" ? 2 : part === "{x}" ? 1 : 0).join("");
+    return matching.sort((left, right) => format(left) < format(right) ? -1 : 1)[0];
+}
--- a/src/route/route_table.ts
+++ b/src/route/route_table.ts
@@ -15,12 +15,13 @@
 import type { RouteMatch } from "./route_match.ts";
 
 interface SegmentNode {
-    readonly literals: Map<string, SegmentNode>;
+    // Most nodes have one or two of these, and empty maps would double the time to build the tree.
+    literals: Map<string, SegmentNode> | undefined;
     parameter: SegmentNode | undefined;
     /** Routes that end at this segment, by method. */
-    readonly routes: Map<string, RouteMatch>;
+    routes: Map<string, RouteMatch> | undefined;
     /** Routes whose trailing `*` follows this segment, by method. */
-    readonly restRoutes: Map<string, RouteMatch>;
+    restRoutes: Map<string, RouteMatch> | undefined;
 }
 
 /**
@@ -60,7 +61,9 @@
         for (const segment of hasRest ? segments.slice(0, -1) : segments) {
             node = addChild(node, segment);
         }
-        (hasRest ? node.restRoutes : node.routes).set(match.route.method, match);
+        const key = hasRest ? "restRoutes" : "routes";
+        node[key] ??= new Map();
+        node[key].set(match.route.method, match);
     }
 }
 
@@ -75,7 +78,7 @@
         if (segment === undefined) {
             return this.take(node.routes);
         }
-        const literal = node.literals.get(segment);
+        const literal = node.literals?.get(segment);
         const match = literal && this.find(literal, index + 1);
         if (match !== undefined) {
             return match;
@@ -84,15 +87,15 @@
         return (parameter && this.find(parameter, index + 1)) ?? this.take(node.restRoutes);
     }
 
-    private take(routes: ReadonlyMap<string, RouteMatch>): RouteMatch | undefined {
-        const match = routes.get(this.method);
-        this.otherMethod ||= match === undefined && routes.size > 0;
+    private take(routes: ReadonlyMap<string, RouteMatch> | undefined): RouteMatch | undefined {
+        const match = routes?.get(this.method);
+        this.otherMethod ||= match === undefined && routes !== undefined;
         return match;
     }
 }
 
 function createNode(): SegmentNode {
-    return { literals: new Map(), parameter: undefined, routes: new Map(), restRoutes: new Map() };
+    return { literals: undefined, parameter: undefined, routes: undefined, restRoutes: undefined };
 }
 
 function addChild(node: SegmentNode, segment: string): SegmentNode {
@@ -100,6 +103,7 @@
         node.parameter ??= createNode();
         return node.parameter;
     }
+    node.literals ??= new Map();
     const child = node.literals.get(segment) ?? createNode();
     node.literals.set(segment, child);
     return child;
