--- /dev/null
+++ b/src/edge/http/http_listener.ts
@@ -0,0 +1,60 @@
+import { err, ok, type Result } from "neverthrow";
+import { createServer, type RequestListener, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { Code } from "../../core/code.ts";
+import { createFailure } from "../../core/create_failure.ts";
+import type { Failure } from "../../core/failure.ts";
+import type { DrainableListener } from "../../lifecycle/drainable_listener.ts";
+import { splitAddress } from "./split_address.ts";
+
+/** Longer than the keep-alive time of clients, so that the server does not close a connection that is being reused. */
+const KEEP_ALIVE_TIMEOUT_MS = 75_000;
+/** Headers of a caller (16 KB at most) grow by a third when they travel in base64 between daemons. */
+const MAX_HEADER_BYTES = 65_536;
+
+/** Time in milliseconds after which connections that are still open are closed. */
+const CLOSE_LIMIT_MS = 500;
+
+/** An HTTP/1.1 server on one address. */
+export class HttpListener implements DrainableListener {
+    private readonly ended: Promise<void>;
+
+    private constructor(private readonly server: Server) {
+        this.ended = new Promise(resolve => {
+            server.once("close", resolve);
+        });
+    }
+
+    /** Opens `address` (`host:port`). Fails with PortUnavailable. */
+    static async open(address: string, handler: RequestListener): Promise<Result<HttpListener, Failure>> {
+        const server = createServer({
+            keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+            maxHeaderSize: MAX_HEADER_BYTES,
+        }, handler);
+        return new Promise(resolve => {
+            server.once("error", error => {
+                resolve(err(createFailure(Code.PortUnavailable, { detail: `${address}: ${error.message}` })));
+            });
+            server.listen(splitAddress(address), () => resolve(ok(new HttpListener(server))));
+        });
+    }
+
+    getPort(): number {
+        return (this.server.address() as AddressInfo).port;
+    }
+
+    stop(): void {
+        this.server.close();
+        this.server.closeIdleConnections();
+    }
+
+    /** Lets the responses that are being sent finish, for a bounded time. */
+    async close(): Promise<void> {
+        if (this.server.listening) {
+            this.stop();
+        }
+        const timer = setTimeout(() => this.server.closeAllConnections(), CLOSE_LIMIT_MS);
+        await this.ended;
+        clearTimeout(timer);
+    }
+}
