Wire the incarnation of attempts and keep recorded refusals of keys

Cause: KeyedOutcomeFilter was wired around the answer filter, which turns a recorded refusal into an error, so that it became unknown.

--- a/src/build_daemon.ts
+++ b/src/build_daemon.ts
@@ -266,16 +266,16 @@
         leaving: membership,
         clock,
     });
-    const serve = Pipeline.start(new RouteFilter(store, clock))
+    const forward = Pipeline.start(new RouteFilter(store, clock))
         .pipe(new AdmitFilter({ clock, config: store, inFlight, saturation, serviceTimes }))
-        .pipe(new InFlightFilter({ clock, inFlight, saturation, serviceTimes, inner: attempt }))
-        .pipe(new AnswerFilter());
+        .pipe(new InFlightFilter({ clock, inFlight, saturation, serviceTimes, inner: attempt }));
+    const serve = Pipeline.start(new KeyedOutcomeFilter(forward)).pipe(new AnswerFilter());
     const handler = new CallerHandler({
         ...base,
         receive: new ReceiveFilter({ clock, random }),
         serve: new KeyRequestFilter({
             issuer: new KeyIssuer({ owners, clock, random }),
-            inner: new KeyedOutcomeFilter(serve),
+            inner: serve,
         }),
         metrics,
     });
--- a/src/edge/http/is_connect_error.ts
+++ b/src/edge/http/is_connect_error.ts
@@ -1,15 +1,11 @@
-const connectErrorCodes: ReadonlySet<string> = new Set([
-    "ECONNREFUSED",
-    "EHOSTUNREACH",
-    "ENETUNREACH",
-    "UND_ERR_CONNECT_TIMEOUT",
-]);
-
-/** True when a request failed while its connection was being opened, so that no byte of it was sent. */
+/**
+ * True when a request failed while its connection was being opened, so that no byte of it was sent. The error code
+ * alone does not tell: the kernel reports EHOSTUNREACH also for an open connection, after bytes were sent.
+ */
 export function isConnectError(error: unknown): boolean {
     if (!(error instanceof Error)) {
         return false;
     }
     const { code, syscall } = error as NodeJS.ErrnoException;
-    return syscall === "connect" || (code !== undefined && connectErrorCodes.has(code));
+    return syscall === "connect" || code === "UND_ERR_CONNECT_TIMEOUT";
 }
--- a/src/edge/peer_http/decode_dispatch.ts
+++ b/src/edge/peer_http/decode_dispatch.ts
@@ -25,6 +25,7 @@
         route: head.route,
         organisation: head.organisation,
         idempotencyKey: head.idempotencyKey === "" ? undefined : head.idempotencyKey,
+        ownerIncarnation: head.incarnation === "" ? undefined : head.incarnation,
         remainingMs: head.remainingMs,
         baselineMs: head.baselineMs,
         trial: head.trial,
--- a/src/forward/local_forwarder.ts
+++ b/src/forward/local_forwarder.ts
@@ -27,6 +27,7 @@
             idempotencyKey: request.idempotencyKey,
             receivedAtMs: request.receivedAtMs,
             deadlineMs: request.deadlineMs,
+            ownerIncarnation: request.ownerIncarnation,
             baselineMs: request.baselineMs,
             trial: request.trial,
             method: request.method,
--- a/src/operations/keyed_outcome_filter.ts
+++ b/src/operations/keyed_outcome_filter.ts
@@ -2,17 +2,22 @@
 import type { Failure } from "../core/failure.ts";
 import type { Filter } from "../core/filter.ts";
 import { Outcome } from "../core/outcome.ts";
+import type { OwnerReply } from "../forward/owner_reply.ts";
 import { parseKey } from "./parse_key.ts";
 
+interface KeyedInput {
+    readonly idempotencyKey: string | undefined;
+}
+
 /**
- * Wraps the entry pipeline. A refusal at the entry daemon is `unknown` for a request with a key, because an
- * earlier copy of the request may have been executed; the caller repeats the request with the same key.
+ * Wraps the entry pipeline up to the attempt filter, whose replies tell what the owner has recorded; the answer
+ * filter comes after it. A refusal at the entry daemon is `unknown` for a request with a key, because an earlier
+ * copy of the request may have been executed; the caller repeats the request with the same key.
  */
-export class KeyedOutcomeFilter<Input extends { readonly idempotencyKey: string | undefined; }, Output>
-    implements Filter<Input, Output> {
-    constructor(private readonly inner: Filter<Input, Output>) {}
+export class KeyedOutcomeFilter<Input extends KeyedInput> implements Filter<Input, OwnerReply> {
+    constructor(private readonly inner: Filter<Input, OwnerReply>) {}
 
-    async apply(input: Input): Promise<Result<Output, Failure>> {
+    async apply(input: Input): Promise<Result<OwnerReply, Failure>> {
         const result = await this.inner.apply(input);
         const keyed = input.idempotencyKey !== undefined && parseKey(input.idempotencyKey).isOk();
         return keyed && result.isErr() && result.error.outcome === Outcome.NotExecuted
