Accept keys of owners with long identifiers and keep their outcome on malformed headers

A key of an owner identifier of about 20 characters is longer than the limit of 128 characters that the receive filter had for keys. A copy with a malformed header was refused as not-executed, which said nothing about an earlier copy.

--- a/src/receive/receive_filter.test.ts
+++ b/src/receive/receive_filter.test.ts
@@ -4,6 +4,8 @@
 import { VirtualTime } from "../../proof/fakes/virtual_time.ts";
 import { Code } from "../core/code.ts";
 import type { MessageHeader } from "../core/message_header.ts";
+import { Outcome } from "../core/outcome.ts";
+import { encodeKey } from "../operations/encode_key.ts";
 import { ReceiveFilter } from "./receive_filter.ts";
 
 const filter = new ReceiveFilter({ clock: new VirtualTime(), random: new SeededRandom(1) });
@@ -40,3 +42,17 @@
         assert.equal(result._unsafeUnwrapErr().code, Code.BadRequestHeader);
     }
 });
+
+test("a malformed header on a copy of a request with a key does not claim that the request was not executed", () => {
+    const budget = { name: "connect-timeout-ms", value: "0" };
+    const outcomes = [[budget], [budget, { name: "idempotency-key", value: "k" }]].map(headers =>
+        applyHeaders(...headers)._unsafeUnwrapErr().outcome
+    );
+    assert.deepEqual(outcomes, [Outcome.NotExecuted, Outcome.Unknown]);
+});
+
+test("a key of an owner with a long identifier is accepted", () => {
+    const owner = { ownerId: "d".repeat(128), incarnation: "0123456789abcdef0123" };
+    const value = encodeKey({ ...owner, expiresAtMs: 1_700_000_000_000, nonce: "n".repeat(31) });
+    assert.ok(applyHeaders({ name: "idempotency-key", value }).isOk());
+});
--- a/src/receive/receive_filter.ts
+++ b/src/receive/receive_filter.ts
@@ -17,6 +17,7 @@
 import type { Failure } from "../core/failure.ts";
 import type { Filter } from "../core/filter.ts";
 import { findHeader } from "../core/find_header.ts";
+import { Outcome } from "../core/outcome.ts";
 import type { RandomSource } from "../core/random_source.ts";
 import { RequestHeader } from "../core/request_header.ts";
 import type { CallerRequest } from "./caller_request.ts";
@@ -24,6 +25,8 @@
 
 const MAX_BUDGET_MS = 3_600_000;
 const MAX_IDENTIFIER_LENGTH = 128;
+/** A key with an owner identifier of 128 characters takes less than 300. */
+const MAX_KEY_LENGTH = 512;
 /** Headers that this filter turns into fields; the owner writes its own values for the upstream. */
 const consumedHeaders: ReadonlySet<string> = new Set([
     RequestHeader.Timeout,
@@ -36,21 +39,27 @@
     constructor(private readonly options: { readonly clock: Clock; readonly random: RandomSource; }) {}
 
     apply(incoming: IncomingRequest): Result<CallerRequest, Failure> {
+        const idempotencyKey = findHeader(incoming.headers, RequestHeader.IdempotencyKey);
         const budget = findHeader(incoming.headers, RequestHeader.Timeout);
         const budgetMs = budget === undefined ? undefined : Number(budget);
         if (
             budgetMs !== undefined &&
             !(Number.isInteger(budgetMs) && budgetMs > 0 && budgetMs <= MAX_BUDGET_MS)
         ) {
-            return refuseHeader(`${RequestHeader.Timeout} must be an integer from 1 to ${MAX_BUDGET_MS}`);
+            return refuseHeader(
+                `${RequestHeader.Timeout} must be an integer from 1 to ${MAX_BUDGET_MS}`,
+                idempotencyKey,
+            );
         }
         const organisation = findHeader(incoming.headers, RequestHeader.Organisation) ?? "";
-        const idempotencyKey = findHeader(incoming.headers, RequestHeader.IdempotencyKey);
         if (
             organisation.length > MAX_IDENTIFIER_LENGTH ||
-            (idempotencyKey?.length ?? 0) > MAX_IDENTIFIER_LENGTH
+            (idempotencyKey?.length ?? 0) > MAX_KEY_LENGTH
         ) {
-            return refuseHeader(`identifiers are at most ${MAX_IDENTIFIER_LENGTH} characters long`);
+            return refuseHeader(
+                `identifiers are at most ${MAX_IDENTIFIER_LENGTH} characters long, keys ${MAX_KEY_LENGTH}`,
+                idempotencyKey,
+            );
         }
         return ok({
             requestId: this.createRequestId(),
@@ -77,6 +86,8 @@
     }
 }
 
-function refuseHeader(detail: string): Result<never, Failure> {
-    return err(createFailure(Code.BadRequestHeader, { detail }));
+/** An earlier copy of a request with a key may have been executed. */
+function refuseHeader(detail: string, idempotencyKey: string | undefined): Result<never, Failure> {
+    const outcome = idempotencyKey === undefined ? Outcome.NotExecuted : Outcome.Unknown;
+    return err(createFailure(Code.BadRequestHeader, { outcome, detail }));
 }
