Run the proof with the real queue, and retry refusals of leaving owners without budget

The stand-in queue of the proof is replaced by QueueFilter.

The retry budget starts empty, so that a caller whose first attempt met a leaving owner was refused although another upstream was free. Refusals that cost no upstream any work are now repeated without budget.

--- a/proof/operations/fake_daemon.ts
+++ b/proof/operations/fake_daemon.ts
@@ -19,6 +19,7 @@
 import { RegisterFilter } from "../../src/operations/register_filter.ts";
 import type { Revoker } from "../../src/operations/revoker.ts";
 import type { OwnerRequest } from "../../src/queue/owner_request.ts";
+import { QueueFilter } from "../../src/queue/queue_filter.ts";
 import type { RoutedRequest } from "../../src/route/routed_request.ts";
 import type { SelectedRequest } from "../../src/select/selected_request.ts";
 import { SettleFilter } from "../../src/settle/settle_filter.ts";
@@ -28,7 +29,6 @@
 import { FakeForwarder } from "./fake_forwarder.ts";
 import type { FakeNetwork } from "./fake_network.ts";
 import { FakeProcess } from "./fake_process.ts";
-import { FakeQueueFilter } from "./fake_queue_filter.ts";
 import { FakeSelector } from "./fake_selector.ts";
 import { FakeUpstreamClient } from "./fake_upstream_client.ts";
 import type { Variant } from "./variant.ts";
@@ -61,7 +61,9 @@
         const process = this.process = new FakeProcess(time);
         const daemonState = { getState: () => this.state };
         const evidence = { record: () => undefined, getScore: () => 0 };
-        const queue = new FakeQueueFilter();
+        const owned = upstreams.filter(({ ownerId }) => ownerId === identity.ownerId)
+            .map(({ id, service }) => ({ id, service, address: "", slots: 1 }));
+        const queue = new QueueFilter({ clock: process, timers: process, upstreams: owned, daemonState });
         const pauses = new PauseDetector({ clock: process, timers: process, turns: process });
         pauses.start();
         const attempts = variant.createAttempts();
--- a/src/forward/attempt_filter.test.ts
+++ b/src/forward/attempt_filter.test.ts
@@ -161,6 +161,12 @@
     assert.deepEqual([(await entry.apply()).code, entry.sent.length], [Code.QueueFull, 1]);
 });
 
+test("an owner that leaves costs no caller its request when the retry budget is spent", async () => {
+    const entry = new Entry([{ code: Code.OwnerLeaving }, { code: Code.Ok }]);
+    entry.retries = 0;
+    assert.equal((await entry.apply()).code, Code.Ok);
+});
+
 test("a request with a key goes to the owner of the key only, also when it is sent again", async () => {
     const entry = new Entry([{ code: Code.PeerCut }, { code: Code.Ok, keyRecorded: true }]);
     assert.equal((await entry.apply({ idempotencyKey: key })).code, Code.Ok);
--- a/src/forward/attempt_filter.ts
+++ b/src/forward/attempt_filter.ts
@@ -34,6 +34,7 @@
 import type { RetryPolicy } from "./retry_policy.ts";
 import { RevokeState } from "./revoke_state.ts";
 import { SingleRunRetryPolicy } from "./single_run_retry_policy.ts";
+import { unloadedCodes } from "./unloaded_codes.ts";
 
 interface Options {
     readonly selector: UpstreamSelector;
@@ -142,6 +143,7 @@
     private isRepeatable(selected: SelectedRequest, reply: OwnerReply, policy: RetryPolicy): boolean {
         const { clock, budget, maxAttempts = 3 } = this.options;
         return policy.isRetryable(reply) && selected.attempt < maxAttempts && !selected.signal.aborted
-            && clock.getMonotonicMs() < selected.deadlineMs && budget.take(selected.service.name);
+            && clock.getMonotonicMs() < selected.deadlineMs
+            && (unloadedCodes.has(reply.code) || budget.take(selected.service.name));
     }
 }
