Count a running exchange as slow at 1, 3 and 9 baselines, and bound the time of a raised score

Cause: an exchange five times slower counted up to three times, so that two requests raised the alarm; a raised score that had ended kept its old begin.

--- a/src/health/dispatch_watch.ts
+++ b/src/health/dispatch_watch.ts
@@ -22,10 +22,11 @@
 import type { PauseReader } from "./pause_reader.ts";
 
 /**
- * An exchange counts as slow again after each further length of its baseline, up to this number of times. Three
- * hanging requests, one in each slot, then raise the alarm, and a single one does not.
+ * An exchange counts as slow when its baseline has passed, and again at these multiples of it. Three hanging
+ * requests, one in each slot, then raise the alarm, and a single one does not. An upstream that is five times slower
+ * hardly ever reaches the second multiple, so that its answers count once.
  */
-const maxOverdue = 3;
+const overdueMultiples = [1, 3, 9];
 
 interface Options {
     readonly clock: Clock;
@@ -100,7 +101,7 @@
         const { request, startedAtMs, baselineMs } = exchange;
         const atMs = this.options.clock.getMonotonicMs();
         const pausedMs = this.options.pauses.measurePausedMs(startedAtMs, atMs);
-        const dueMs = baselineMs * (exchange.overdue + 1);
+        const dueMs = baselineMs * (overdueMultiples[exchange.overdue] ?? Number.POSITIVE_INFINITY);
         const serviceMs = atMs - startedAtMs - pausedMs;
         if (serviceMs < dueMs) {
             // At least one millisecond, because a difference in the last digit would start the timer without end.
@@ -119,8 +120,9 @@
             trial: request.trial,
             atMs,
         });
-        if (exchange.overdue < maxOverdue) {
-            this.startTimer(exchange, baselineMs);
+        const nextMultiple = overdueMultiples[exchange.overdue];
+        if (nextMultiple !== undefined) {
+            this.startTimer(exchange, baselineMs * nextMultiple - serviceMs);
         }
     }
 }
--- a/src/health/score_board.ts
+++ b/src/health/score_board.ts
@@ -30,6 +30,9 @@
 /** Observations kept; above it, those that are too old are dropped. */
 const pruneSize = 4_096;
 
+/** Two raised scores of one upstream within this time in milliseconds belong together. */
+const raisedGapMs = 1_000;
+
 /** A peak is remembered for this time in milliseconds, which bounds the time that scores need to arrive. */
 const peakLifeMs = 5_000;
 
@@ -50,21 +53,22 @@
 
     /**
      * `atMs` is the monotonic time at which the owner computed the score, or an earlier one; `raisedSinceMs` the
-     * time since which it has been raised, if it is known.
+     * time since which it has been raised, if the owner reported that.
      */
-    record(upstreamId: string, score: number, atMs: number, raisedSinceMs = atMs): void {
+    record(upstreamId: string, score: number, atMs: number, raisedSinceMs?: number): void {
         const known = this.observations.get(upstreamId);
         if (known !== undefined && known.atMs > atMs) {
             return;
         }
         const isPeak = known === undefined || score >= known.peak || atMs - known.peakAtMs > peakLifeMs;
         const isRaised = score >= raisedScore;
+        const knownSinceMs = known !== undefined && atMs - known.atMs <= raisedGapMs
+            ? known.raisedSinceMs
+            : undefined;
         this.observations.set(upstreamId, {
             score,
             atMs,
-            raisedSinceMs: isRaised
-                ? Math.min(raisedSinceMs, known?.raisedSinceMs ?? raisedSinceMs)
-                : undefined,
+            raisedSinceMs: isRaised ? raisedSinceMs ?? knownSinceMs ?? atMs : undefined,
             peak: isPeak ? score : known.peak,
             peakAtMs: isPeak ? atMs : known.peakAtMs,
         });
