--- a/src/health/ejection_table.ts
+++ b/src/health/ejection_table.ts
@@ -155,7 +155,8 @@
 
     /**
      * The reference is subtracted only from scores that reach the alarm; the others decide nothing. It is made of the
-     * recent peaks of the other upstreams, because their present scores may be older or newer than this one.
+     * recent peaks of those upstreams whose score is newer than the begin of the fault: older ones say nothing about
+     * a common cause, and present scores may be older or newer than this one.
      */
     private computeExcess(
         upstreamId: string,
@@ -169,8 +170,10 @@
         if (score < alarmScore) {
             return score;
         }
+        const raisedSinceMs = board.getRaisedSinceMs(upstreamId) ?? nowMs;
         const others = [...states].filter(([id, state]) => id !== upstreamId && !state.ejected);
-        return score - computeReferenceScore(others.map(([id]) => board.getPeak(id, nowMs)));
+        const known = others.filter(([id]) => board.getScore(id, raisedSinceMs) !== undefined);
+        return score - computeReferenceScore(others.length, known.map(([id]) => board.getPeak(id, nowMs)));
     }
 
     /** Ejects, or extends an ejection. The hold doubles unless the upstream was in rotation for the longest hold. */
