Make room at the cost of the organisation with the most queued work

Cause: while the queue sheds, an organisation without queued work was refused although another one held a backlog, and waits of the backlog, which later arrivals of others lengthen, raised the correction of all estimates. The newest entry of the largest organisation is now refused in its place, only first entries of an organisation correct the estimates, and organisationPercent limits the queue.

--- a/src/queue/fair_queue.ts
+++ b/src/queue/fair_queue.ts
@@ -64,6 +64,23 @@
         return undefined;
     }
 
+    /**
+     * Removes the newest entry of the organisation with the most queued work, provided that it has at least two
+     * entries more than the given organisation (buffer stealing: McKenney, "Stochastic Fairness Queueing", 1990).
+     */
+    takeFromLargest(organisation: string): QueueEntry | undefined {
+        let largest: OrganisationQueue | undefined;
+        for (const queue of this.active.values()) {
+            largest = largest === undefined || queue.queuedMs > largest.queuedMs ? queue : largest;
+        }
+        if (largest === undefined || largest.entries.length < this.countOrganisation(organisation) + 2) {
+            return undefined;
+        }
+        const entry = largest.entries.at(-1)!;
+        this.remove(entry);
+        return entry;
+    }
+
     /** False when the entry is not in the queue. */
     remove(entry: QueueEntry): boolean {
         const organisation = entry.request.organisation;
--- a/src/queue/queue_entry.ts
+++ b/src/queue/queue_entry.ts
@@ -12,6 +12,8 @@
     readonly costMs: number;
     /** Wait in milliseconds as estimated on arrival, before the correction by measured waits. */
     readonly estimatedWaitMs: number;
+    /** True when the organisation had no queued work, so that later arrivals of others do not change the wait much. */
+    readonly firstOfOrganisation: boolean;
     /** Ends the wait. */
     readonly resolve: (result: Result<QueuedRequest, Failure>) => void;
 }
--- a/src/queue/upstream_queue.ts
+++ b/src/queue/upstream_queue.ts
@@ -63,8 +63,17 @@
         if (code !== Code.Ok) {
             return this.refuse(code);
         }
+        const { organisation, route } = request;
+        const firstOfOrganisation = this.queues[route.workClass].countOrganisation(organisation) === 0;
         return new Promise(resolve => {
-            this.addEntry({ request, queuedAtMs: nowMs, costMs, estimatedWaitMs, resolve });
+            this.addEntry({
+                request,
+                queuedAtMs: nowMs,
+                costMs,
+                estimatedWaitMs,
+                firstOfOrganisation,
+                resolve,
+            });
         });
     }
 
@@ -110,15 +119,33 @@
         if (nowMs + waitMs + this.computeNeededMs(request, waitMs, nowMs) > request.deadlineMs) {
             return Code.WaitTooLong;
         }
+        if (this.isOverShare(request)) {
+            return Code.OrganisationOverShare;
+        }
         if (this.shed.decideArrival(nowMs, waitMs, limits.targetWaitMs)) {
-            return Code.OwnerOverloaded;
+            return this.refuseLargest(request) ? Code.Ok : Code.OwnerOverloaded;
         }
         if (this.queues.short.count() + this.queues.long.count() >= limits.queueLength) {
-            return Code.QueueFull;
+            return this.refuseLargest(request) ? Code.Ok : Code.QueueFull;
         }
         return Code.Ok;
     }
 
+    private isOverShare(request: OwnerRequest): boolean {
+        const { queueLength, organisationPercent } = request.service.limits;
+        const { short, long } = this.queues;
+        const queued = short.countOrganisation(request.organisation) +
+            long.countOrganisation(request.organisation);
+        return queued >= Math.max(1, Math.floor(queueLength * organisationPercent / 100));
+    }
+
+    /** Makes room for the request at the cost of the organisation with the most queued work of the class. */
+    private refuseLargest(request: OwnerRequest): boolean {
+        const entry = this.queues[request.route.workClass].takeFromLargest(request.organisation);
+        entry?.resolve(this.refuse(Code.OrganisationOverShare));
+        return entry !== undefined;
+    }
+
     /**
      * Time in milliseconds that the request needs with a slot. Work that waits displaces other work when it misses
      * its deadline, so it needs a margin; work that gets a free slot does not.
@@ -159,7 +186,9 @@
         for (let entry = this.takeNext(); entry !== undefined; entry = this.takeNext()) {
             const nowMs = this.options.clock.getMonotonicMs();
             const waitMs = nowMs - entry.queuedAtMs;
-            this.correction.record(entry.estimatedWaitMs, waitMs);
+            if (entry.firstOfOrganisation) {
+                this.correction.record(entry.estimatedWaitMs, waitMs);
+            }
             const code = this.checkStart(entry.request, nowMs, waitMs);
             if (code !== Code.Ok) {
                 entry.resolve(this.refuse(code));
