--- /dev/null
+++ b/src/queue/queue_filter.property.test.ts
@@ -0,0 +1,118 @@
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { buildOwnerRequest } from "../../proof/fakes/build_owner_request.ts";
+import { buildService } from "../../proof/fakes/build_service.ts";
+import { VirtualTime } from "../../proof/fakes/virtual_time.ts";
+import { Outcome } from "../core/outcome.ts";
+import { WorkClass } from "../core/work_class.ts";
+import { DaemonState } from "../lifecycle/daemon_state.ts";
+import { QueueFilter } from "./queue_filter.ts";
+import type { QueuedRequest } from "./queued_request.ts";
+
+const action = fc.oneof(
+    {
+        weight: 5,
+        arbitrary: fc.record({
+            kind: fc.constant("add" as const),
+            organisation: fc.integer({ min: 0, max: 4 }),
+            long: fc.boolean(),
+            budgetMs: fc.integer({ min: 0, max: 3_000 }),
+        }),
+    },
+    {
+        weight: 4,
+        arbitrary: fc.record({
+            kind: fc.constant("close" as const),
+            index: fc.nat(20),
+            serviceMs: fc.option(fc.integer({ min: 1, max: 500 }), { nil: undefined }),
+        }),
+    },
+    { weight: 1, arbitrary: fc.record({ kind: fc.constant("abort" as const), index: fc.nat(40) }) },
+    {
+        weight: 3,
+        arbitrary: fc.record({ kind: fc.constant("wait" as const), ms: fc.integer({ min: 1, max: 200 }) }),
+    },
+);
+
+test("no sequence of arrivals, ends, aborts and waits breaks the limits of a queue or loses a request", async () => {
+    await fc.assert(
+        fc.asyncProperty(
+            fc.array(action, { maxLength: 120 }),
+            fc.integer({ min: 1, max: 4 }),
+            fc.integer({ min: 0, max: 4 }),
+            async (actions, slots, reserveShort) => {
+                const time = new VirtualTime();
+                const service = buildService({
+                    limits: { reserveShort, queueLength: 8, organisationPercent: 50 },
+                    routes: [{}, { workClass: WorkClass.Long, serviceMs: 400 }],
+                });
+                const queue = new QueueFilter({
+                    clock: time,
+                    timers: time,
+                    upstreams: [{ id: "u1", service: "payments", address: "", slots }],
+                    daemonState: { getState: () => DaemonState.Serving },
+                });
+                const callers: AbortController[] = [];
+                const open: QueuedRequest[] = [];
+                const closed: QueuedRequest[] = [];
+                const ends = new Map<string, number>();
+                const addRequest = (organisation: number, long: boolean, budgetMs: number): void => {
+                    const caller = new AbortController();
+                    const requestId = `r${callers.push(caller)}`;
+                    const request = buildOwnerRequest({
+                        requestId,
+                        service,
+                        route: service.routes[long ? 1 : 0]!,
+                        organisation: `o${organisation}`,
+                        receivedAtMs: time.getMonotonicMs(),
+                        deadlineMs: time.getMonotonicMs() + budgetMs,
+                        signal: caller.signal,
+                    });
+                    void queue.apply(request).then(result => {
+                        ends.set(requestId, (ends.get(requestId) ?? 0) + 1);
+                        if (result.isOk()) {
+                            assert.ok(
+                                time.getMonotonicMs() < request.deadlineMs,
+                                "started after its deadline",
+                            );
+                            assert.equal(caller.signal.aborted, false);
+                            open.push(result.value);
+                        }
+                        else {
+                            assert.equal(result.error.outcome, Outcome.NotExecuted);
+                        }
+                    });
+                };
+                for (const step of actions) {
+                    if (step.kind === "add") {
+                        addRequest(step.organisation, step.long, step.budgetMs);
+                    }
+                    else if (step.kind === "abort" && callers.length > 0) {
+                        callers[step.index % callers.length]!.abort();
+                    }
+                    else if (step.kind === "close" && open.length > 0) {
+                        const lease = open.splice(step.index % open.length, 1)[0]!;
+                        lease.lease.close(step.serviceMs);
+                        closed.push(lease);
+                        closed[step.index % closed.length]!.lease.close(1);
+                    }
+                    await time.run(step.kind === "wait" ? step.ms : 0);
+                    const state = queue.getState("u1")!;
+                    const longs = open.filter(entry => entry.route.workClass === WorkClass.Long).length;
+                    assert.equal(state.running, open.length);
+                    assert.ok(open.length <= slots, "more running than slots");
+                    assert.ok(longs <= Math.max(1, slots - reserveShort), "long work in reserved slots");
+                    assert.ok(state.queuedShort + state.queuedLong <= 8, "queue longer than its limit");
+                    assert.equal(ends.size + state.queuedShort + state.queuedLong, callers.length, "lost");
+                    const idle = open.length < slots && state.queuedShort > 0;
+                    assert.equal(idle, false, "short work waits beside a free slot");
+                }
+                await time.run(5_000);
+                assert.equal(ends.size, callers.length, "a request has no end");
+                assert.ok([...ends.values()].every(count => count === 1), "a request has two ends");
+            },
+        ),
+        { seed: 20_261_204, numRuns: 300 },
+    );
+});
