Use fewer slots while the upstream sheds at its nominal slots

Cause: with fixed slots an upstream that takes two of three requests sheds each third one, although the request could have waited. A lease now reports a shed request; the limit then goes below the level at which it happened and rises again by trials that become rare while they fail. Tried and removed: one slot fewer when the service time at the lower level promised more throughput.

--- a/measure/load/build_scenarios.ts
+++ b/measure/load/build_scenarios.ts
@@ -90,6 +90,19 @@
     };
 }
 
+/** Payments at `times` the capacity of upstreams that take two of their three nominal slots. */
+function buildReduced(name: string, times: number, profile: UpstreamProfile): LoadScenario {
+    const rate = times * 2 / 3 * computeCapacity(authority, 0);
+    return {
+        ...authority,
+        ...phases,
+        name: `${name}, ${times} times capacity`,
+        profile,
+        callerTries: 1,
+        streams: [buildStream("load", 0, authority, { calmRate: 0.5 * rate, measuredRate: rate })],
+    };
+}
+
 /** All scenarios of the load measurement. */
 export function buildScenarios() {
     return {
@@ -98,6 +111,11 @@
             buildSurge("checklist, surge of 3 times capacity", safai, 3),
         ],
         waiting: [buildWaiting(2, 0.5), buildWaiting(2, 0.7), buildWaiting(1, 0.5)],
+        reduced: [0.9, 3].flatMap(times => [
+            buildReduced("sheds from the third request", times, { ...steady, shedFrom: 2 }),
+            buildReduced("shares two slots", times, { ...steady, capacity: 2, slowExponent: 1 }),
+            buildReduced("loses throughput above two", times, { ...steady, capacity: 2, slowExponent: 2 }),
+        ]),
         fairness: [buildFairness("payments", authority), buildFairness("checklist", safai)],
     };
 }
--- a/measure/load/build_systems.ts
+++ b/measure/load/build_systems.ts
@@ -3,10 +3,11 @@
 import { TokenRetryBudget } from "../../src/forward/token_retry_budget.ts";
 import { DaemonState } from "../../src/lifecycle/daemon_state.ts";
 import { QueueFilter } from "../../src/queue/queue_filter.ts";
+import type { QueueFilterOptions } from "../../src/queue/queue_filter_options.ts";
 import { ServiceTimes } from "../../src/queue/service_times.ts";
-import type { ShedPolicy } from "../../src/queue/shed_policy.ts";
 import { ControlledDelayShedPolicy } from "./controlled_delay_shed_policy.ts";
 import { FifoQueueFilter } from "./fifo_queue_filter.ts";
+import { FixedSlotLimit } from "./fixed_slot_limit.ts";
 import type { LoadSystem } from "./load_system.ts";
 import { NoShedPolicy } from "./no_shed_policy.ts";
 import { UnlimitedRetryBudget } from "./unlimited_retry_budget.ts";
@@ -21,7 +22,10 @@
     };
 }
 
-function buildSystem(name: string, createShedPolicy?: () => ShedPolicy): LoadSystem {
+function buildSystem(
+    name: string,
+    policies: Pick<QueueFilterOptions, "createShedPolicy" | "createSlotLimit"> = {},
+): LoadSystem {
     return {
         name,
         cancels: true,
@@ -31,7 +35,7 @@
                 timers: time,
                 upstreams: [upstream],
                 daemonState: { getState: () => DaemonState.Serving },
-                ...(createShedPolicy === undefined ? {} : { createShedPolicy }),
+                ...policies,
             }),
         createBudget: time => new TokenRetryBudget(time),
         createAdmit: (time, config) =>
@@ -45,13 +49,25 @@
     };
 }
 
-/** The system under measurement first, then its variants and the baselines. */
-export function buildSystems(): readonly LoadSystem[] {
-    return [
-        buildSystem("zinniaglade"),
-        buildSystem("zinniaglade, controlled delay", () => new ControlledDelayShedPolicy()),
-        buildSystem("zinniaglade, no shedding", () => new NoShedPolicy()),
-        buildBaseline("FIFO", false),
-        buildBaseline("FIFO, drops expired", true),
-    ];
+const system = buildSystem("zinniaglade");
+
+/** The system under measurement, variants of it with other policies, and the baselines. */
+export function buildSystems() {
+    return {
+        system,
+        shedVariants: [
+            system,
+            buildSystem("zinniaglade, controlled delay", {
+                createShedPolicy: () => new ControlledDelayShedPolicy(),
+            }),
+            buildSystem("zinniaglade, no shedding", { createShedPolicy: () => new NoShedPolicy() }),
+        ],
+        slotVariants: [
+            system,
+            buildSystem("zinniaglade, fixed slots", {
+                createSlotLimit: nominal => new FixedSlotLimit(nominal),
+            }),
+        ],
+        baselines: [buildBaseline("FIFO", false), buildBaseline("FIFO, drops expired", true)],
+    };
 }
--- a/measure/load/entry_path.ts
+++ b/measure/load/entry_path.ts
@@ -120,7 +120,7 @@
         }
         const timeoutMs = cancels ? queued.deadlineMs - time.getMonotonicMs() : Infinity;
         const sent = await owners.get(queued.upstreamId)!.upstream.send(demandMs, timeoutMs);
-        queued.lease.close(sent.serviceMs);
+        queued.lease.close(sent.serviceMs, sent.shed);
         if (sent.shed) {
             return err(createFailure(Code.UpstreamShed));
         }
--- a/src/queue/queue_filter_options.ts
+++ b/src/queue/queue_filter_options.ts
@@ -3,6 +3,7 @@
 import type { DaemonStateReader } from "../lifecycle/daemon_state_reader.ts";
 import type { OwnedUpstream } from "./owned_upstream.ts";
 import type { ShedPolicy } from "./shed_policy.ts";
+import type { SlotLimit } from "./slot_limit.ts";
 
 /** What a `QueueFilter` needs. */
 export interface QueueFilterOptions {
@@ -12,4 +13,6 @@
     readonly daemonState: DaemonStateReader;
     /** Creates the policy of one upstream's queue; `SustainedWaitShedPolicy` by default. */
     readonly createShedPolicy?: () => ShedPolicy;
+    /** Creates the limit of one upstream from its nominal slots; `ShedSlotLimit` by default. */
+    readonly createSlotLimit?: (nominal: number) => SlotLimit;
 }
--- /dev/null
+++ b/src/queue/shed_slot_limit.ts
@@ -0,0 +1,33 @@
+import type { SlotLimit } from "./slot_limit.ts";
+
+/** Time in milliseconds without a shed request after which one more slot is tried; doubles while the trials fail. */
+const minTrialMs = 1_000;
+const maxTrialMs = 30_000;
+
+/** Uses fewer slots while the upstream sheds requests at its nominal slots. Each trial risks one shed request. */
+export class ShedSlotLimit implements SlotLimit {
+    private slots: number;
+    private trialMs = minTrialMs;
+    private changedAtMs = -Infinity;
+
+    constructor(private readonly nominal: number) {
+        this.slots = nominal;
+    }
+
+    getSlots(nowMs: number): number {
+        if (this.slots < this.nominal && nowMs - this.changedAtMs >= this.trialMs) {
+            this.slots += 1;
+            this.changedAtMs = nowMs;
+        }
+        return this.slots;
+    }
+
+    recordEnd(nowMs: number, running: number, shed: boolean): void {
+        if (shed && running <= this.slots) {
+            const failedTrial = nowMs - this.changedAtMs < this.trialMs;
+            this.trialMs = failedTrial ? Math.min(maxTrialMs, 2 * this.trialMs) : minTrialMs;
+            this.slots = Math.max(1, running - 1);
+            this.changedAtMs = nowMs;
+        }
+    }
+}
--- a/src/queue/upstream_queue.ts
+++ b/src/queue/upstream_queue.ts
@@ -26,7 +26,9 @@
 import { RunningWork } from "./running_work.ts";
 import { ServiceTimes } from "./service_times.ts";
 import type { ShedPolicy } from "./shed_policy.ts";
+import { ShedSlotLimit } from "./shed_slot_limit.ts";
 import type { SlotLease } from "./slot_lease.ts";
+import type { SlotLimit } from "./slot_limit.ts";
 import { SustainedWaitShedPolicy } from "./sustained_wait_shed_policy.ts";
 import { WaitCorrection } from "./wait_correction.ts";
 
@@ -40,6 +42,7 @@
     private readonly serviceTimes = new ServiceTimes();
     private readonly correction = new WaitCorrection();
     private readonly shed: ShedPolicy;
+    private readonly limit: SlotLimit;
     private reserveShort = 0;
     /** True when long work is next, because short work took the last slot that both could use. */
     private longNext = false;
@@ -47,9 +50,13 @@
 
     constructor(
         private readonly upstream: OwnedUpstream,
-        private readonly options: Pick<QueueFilterOptions, "clock" | "timers" | "createShedPolicy">,
+        private readonly options: Pick<
+            QueueFilterOptions,
+            "clock" | "timers" | "createShedPolicy" | "createSlotLimit"
+        >,
     ) {
         this.shed = options.createShedPolicy?.() ?? new SustainedWaitShedPolicy();
+        this.limit = options.createSlotLimit?.(upstream.slots) ?? new ShedSlotLimit(upstream.slots);
     }
 
     /** Waits for a slot. The result is a failure with outcome not-executed when the request never got one. */
@@ -92,7 +99,7 @@
         const nowMs = this.options.clock.getMonotonicMs();
         return {
             upstreamId: this.upstream.id,
-            slots: this.upstream.slots,
+            slots: this.limit.getSlots(nowMs),
             running: this.running.count(),
             queuedShort: this.queues.short.count(),
             queuedLong: this.queues.long.count(),
@@ -211,11 +218,13 @@
 
     /** Takes the next request that may have a slot. The classes alternate on slots that both can use. */
     private takeNext(): QueueEntry | undefined {
-        if (this.running.count() >= this.upstream.slots) {
+        const slots = this.limit.getSlots(this.options.clock.getMonotonicMs());
+        if (this.running.count() >= slots) {
             return undefined;
         }
         const { short, long } = this.queues;
-        const longAllowed = long.count() > 0 && this.running.countClass(WorkClass.Long) < this.getLongSlots();
+        const longAllowed = long.count() > 0 &&
+            this.running.countClass(WorkClass.Long) < this.computeLongSlots(slots);
         const entry = longAllowed && (this.longNext || short.count() === 0) ? long.take() : short.take();
         this.longNext = longAllowed && entry?.request.route.workClass === WorkClass.Short;
         return entry;
@@ -230,19 +239,29 @@
             deviationMs: this.serviceTimes.getDeviationMs(route, nowMs),
         };
         this.running.add(running);
+        const level = this.running.count();
         return {
-            close: serviceMs => {
+            close: (serviceMs, shed = false) => {
                 if (!this.running.remove(running)) {
                     return;
                 }
                 if (serviceMs !== undefined) {
-                    this.serviceTimes.record(route, serviceMs, this.options.clock.getMonotonicMs());
+                    this.recordEnd(request, serviceMs, shed, level);
                 }
                 this.startNext();
             },
         };
     }
 
+    private recordEnd({ route }: OwnerRequest, serviceMs: number, shed: boolean, level: number): void {
+        const nowMs = this.options.clock.getMonotonicMs();
+        this.limit.recordEnd(nowMs, level, shed);
+        // The time of a shed request says nothing about the service time of its route.
+        if (!shed) {
+            this.serviceTimes.record(route, serviceMs, nowMs);
+        }
+    }
+
     private computeArrivalWaitMs(request: OwnerRequest, costMs: number, nowMs: number): number {
         const { workClass } = request.route;
         const aheadMs = this.queues[workClass].computeWorkAheadMs(request.organisation, costMs);
@@ -251,18 +270,15 @@
 
     /** Expected wait in milliseconds behind `aheadMs` of queued work and the running work. */
     private computeWaitMs(workClass: WorkClass, aheadMs: number, nowMs: number): number {
-        const freeAfterMs = this.running.listFreeAfterMs(
-            workClass,
-            this.upstream.slots,
-            this.getLongSlots(),
-            nowMs,
-        );
+        const slots = this.limit.getSlots(nowMs);
+        const longSlots = this.computeLongSlots(slots);
+        const freeAfterMs = this.running.listFreeAfterMs(workClass, slots, longSlots, nowMs);
         return computeFluidWait(freeAfterMs, aheadMs);
     }
 
     /** Slots that long work may use. At least one slot stays usable for long work so that it cannot starve. */
-    private getLongSlots(): number {
-        return Math.max(1, this.upstream.slots - this.reserveShort);
+    private computeLongSlots(slots: number): number {
+        return Math.max(1, slots - this.reserveShort);
     }
 
     private refuse(code: Code): Result<QueuedRequest, Failure> {
