Ask another peer when a fetch is not answered within a second

Cause: one fetch of a document ran at a time with a limit of 5 s, and heads of the same version did not replace the peer that was to be asked next. Over links cut in one direction a daemon could ask three unreachable peers in a row. Conclusion: up to three fetches of one document at a time, each to another peer; the digest of the whole and the version decide, so more than one answer does no harm.

--- a/src/gossip/document_fetcher.test.ts
+++ b/src/gossip/document_fetcher.test.ts
@@ -3,6 +3,7 @@
 import { test } from "node:test";
 import { FakeParser } from "../../proof/control/fakes/fake_parser.ts";
 import { RecordingSinks } from "../../proof/control/fakes/recording_sinks.ts";
+import { VirtualTime } from "../../proof/fakes/virtual_time.ts";
 import { Code } from "../core/code.ts";
 import { createFailure } from "../core/create_failure.ts";
 import type { Failure } from "../core/failure.ts";
@@ -18,13 +19,16 @@
 import type { SectionRequest } from "./section_request.ts";
 import type { SectionResponse } from "./section_response.ts";
 
-type Reply = (request: SectionRequest) => Result<SectionResponse, Failure>;
+type Reply = (
+    request: SectionRequest,
+) => Result<SectionResponse, Failure> | Promise<Result<SectionResponse, Failure>>;
 
 const peer = { id: "daemon-2", address: "10.0.0.2:7000" };
 const splitter = { split: (source: string) => source.match(/.{1,2}/g) ?? [] };
 
 async function createFixture(reply: Reply) {
     const sinks = new RecordingSinks();
+    const time = new VirtualTime();
     const store = new ConfigStore({ audit: sinks, logger: sinks, metrics: sinks });
     const pipeline = Pipeline.start(new OrderFilter(store))
         .pipe(new ParseFilter(store, new FakeParser()))
@@ -39,8 +43,8 @@
         },
     };
     const documents = [new ConfigurationDocument({ store, pipeline, splitter })];
-    const fetcher = new DocumentFetcher({ control, documents, logger: sinks, metrics: sinks });
-    return { sinks, store, requests, fetcher };
+    const fetcher = new DocumentFetcher({ control, documents, clock: time, logger: sinks, metrics: sinks });
+    return { sinks, time, store, requests, fetcher };
 }
 
 function buildHead(version: number, source: string) {
@@ -117,3 +121,13 @@
     assert.equal(store.getActive()?.version, 4);
     assert.equal(requests.length, 2);
 });
+
+test("a peer that does not answer does not hold up the fetch from another", async () => {
+    const answer = buildReply(2, "aaXXcc", "XX");
+    const replies: Reply[] = [() => new Promise(() => {}), answer];
+    const { time, store, fetcher } = await createFixture(request => replies.shift()!(request));
+    void fetcher.fetch(peer, buildHead(2, "aaXXcc"));
+    await time.run(1_000);
+    await fetcher.fetch({ id: "daemon-3", address: "10.0.0.3:7000" }, buildHead(2, "aaXXcc"));
+    assert.equal(store.getActive()?.version, 2);
+});
--- a/src/gossip/document_fetcher.ts
+++ b/src/gossip/document_fetcher.ts
@@ -3,13 +3,14 @@
  *
  * @example
  * ```ts
- * const fetcher = new DocumentFetcher({ control, documents, logger, metrics });
+ * const fetcher = new DocumentFetcher({ control, documents, clock, logger, metrics });
  * await fetcher.fetch({ id: "daemon-2", address: "10.0.0.2:7000" }, head);
  * ```
  *
  * @module
  */
 import { err, ok, type Result } from "neverthrow";
+import type { Clock } from "../core/clock.ts";
 import { Code } from "../core/code.ts";
 import { createFailure } from "../core/create_failure.ts";
 import type { Failure } from "../core/failure.ts";
@@ -30,8 +31,11 @@
 interface Options {
     readonly control: PeerControl;
     readonly documents: readonly GossipDocument[];
+    readonly clock: Clock;
     readonly logger: Logger;
     readonly metrics: Metrics;
+    /** Milliseconds after which another peer is asked as well; the default is 1 s. */
+    readonly patienceMs?: number;
     /** Time limit of one message in milliseconds; the default is 5 s. */
     readonly timeoutMs?: number;
 }
@@ -46,11 +50,23 @@
     readonly head: DocumentHead;
 }
 
+/** Fetches of one document at a time. */
+const maxRuns = 3;
 const noBase: readonly Section[] = [];
 
-/** Runs one fetch of each document at a time; of the heads that arrive meanwhile the newest is fetched next. */
+/** A fetch in progress. */
+interface Run {
+    /** Monotonic milliseconds at which its current message was sent. */
+    startMs: number;
+    done: Promise<void>;
+}
+
+/**
+ * Runs one fetch of each document at a time and, of the heads that arrive meanwhile, takes the newest next. While a
+ * peer does not answer, for example over a link that fails in one direction, up to two other peers are asked.
+ */
 export class DocumentFetcher {
-    private readonly running = new Map<DocumentName, Promise<void>>();
+    private readonly runs = new Map<DocumentName, Set<Run>>();
     private readonly wanted = new Map<DocumentName, Wanted>();
     /** The last head of each document whose content the control pipeline refused. */
     private readonly refused = new Map<DocumentName, string>();
@@ -64,21 +80,30 @@
             return Promise.resolve();
         }
         const wanted = this.wanted.get(head.name);
-        if (wanted === undefined || wanted.head.version < head.version) {
+        if (wanted === undefined || wanted.head.version <= head.version) {
             this.wanted.set(head.name, { peer, head });
         }
-        const running = this.running.get(head.name) ?? Promise.resolve().then(() => this.run(document));
-        this.running.set(head.name, running);
-        return running;
+        const runs = this.runs.get(head.name) ?? new Set();
+        this.runs.set(head.name, runs);
+        const nowMs = this.options.clock.getMonotonicMs();
+        const fresh = [...runs].find(run => nowMs - run.startMs < (this.options.patienceMs ?? 1_000));
+        if (fresh !== undefined || runs.size >= maxRuns) {
+            return (fresh ?? [...runs][0]!).done;
+        }
+        const run: Run = { startMs: nowMs, done: Promise.resolve() };
+        runs.add(run);
+        run.done = this.run(document, run, runs);
+        return run.done;
     }
 
-    private async run(document: GossipDocument): Promise<void> {
+    private async run(document: GossipDocument, run: Run, runs: Set<Run>): Promise<void> {
         const { name } = document;
         for (let wanted = this.wanted.get(name); wanted !== undefined; wanted = this.wanted.get(name)) {
             this.wanted.delete(name);
             if (compareHeads(document.getHead(), wanted.head) !== HeadOrder.Newer) {
                 continue;
             }
+            run.startMs = this.options.clock.getMonotonicMs();
             const result = await this.fetchOnce(document, wanted);
             if (result.isErr()) {
                 const { code, detail } = result.error;
@@ -87,7 +112,8 @@
                 this.options.metrics.addCount("gossip.fetch_failed", { document: name, code: `${code}` });
             }
         }
-        this.running.delete(name);
+        // In the same step as the last look at `wanted`, so that no head that arrives later is left without a run.
+        runs.delete(run);
     }
 
     private async fetchOnce(document: GossipDocument, wanted: Wanted): Promise<Result<void, Failure>> {
