Mark the own upstreams as leaving when a daemon drains

Cause: notices go to other daemons only, so the entry of a draining daemon still selected its own upstreams until the owner refused them. Conclusion: the drain sets the mark in the own table too.

--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -71,7 +71,8 @@
 
     /** Tells at once one daemon of each failure domain and several of the own one. */
     sendLeaving(): void {
-        const { daemonId, incarnation, selector } = this.options;
+        const { daemonId, incarnation, selector, membership } = this.options;
+        membership.setDaemonLeaving(daemonId, incarnation, "drain");
         this.notices.setOwn({ daemonId, incarnation });
         for (const peer of selector.selectWide(8)) {
             void this.sendHeads(peer);
