--- /dev/null
+++ b/proof/control/fakes/work_daemon.ts
@@ -0,0 +1,164 @@
+import { Code } from "../../../src/core/code.ts";
+import type { Upstream } from "../../../src/core/upstream.ts";
+import { DaemonState } from "../../../src/lifecycle/daemon_state.ts";
+import type { DrainableListener } from "../../../src/lifecycle/drainable_listener.ts";
+import { Lifecycle } from "../../../src/lifecycle/lifecycle.ts";
+import type { QueuedWorkReleaser } from "../../../src/lifecycle/queued_work_releaser.ts";
+import { EventKind } from "../../event_kind.ts";
+import type { VirtualTime } from "../../fakes/virtual_time.ts";
+import type { HistoryRecorder } from "../../history_recorder.ts";
+import type { FakeDaemon } from "./fake_daemon.ts";
+import type { WorkMutation } from "./work_mutation.ts";
+
+interface Options {
+    readonly control: FakeDaemon;
+    readonly upstream: Upstream;
+    readonly time: VirtualTime;
+    readonly history: HistoryRecorder;
+    readonly mutation: WorkMutation;
+    readonly find: (daemonId: string) => WorkDaemon | undefined;
+    readonly takeServiceMs: () => number;
+}
+
+interface Work {
+    readonly closeWork: (code: Code) => void;
+}
+
+const slots = 2;
+
+/** Entry and owner of one daemon, reduced to what matters for leaving and for a graceful stop. */
+export class WorkDaemon implements DrainableListener, QueuedWorkReleaser {
+    readonly lifecycle: Lifecycle;
+    accepting = true;
+    private running = 0;
+    private readonly queue: Work[] = [];
+    /** Ends each request that is in flight at this daemon as cut. */
+    private readonly open = new Set<(code: Code) => void>();
+
+    constructor(private readonly options: Options) {
+        const { control, time, mutation } = options;
+        const { timers, sinks, gossip } = control;
+        this.lifecycle = (mutation.createLifecycle ?? (settings => new Lifecycle(settings)))({
+            clock: time,
+            timers,
+            audit: sinks,
+            logger: sinks,
+            metrics: sinks,
+            queue: this,
+            announcer: gossip,
+            getListeners: () => [this],
+            graceMs: 5_000,
+            limitMs: 60_000,
+        });
+        this.lifecycle.setServing();
+    }
+
+    stop(): void {
+        this.accepting = false;
+    }
+
+    async close(): Promise<void> {
+        for (const cut of this.open) {
+            cut(Code.PeerCut);
+        }
+        this.options.control.close();
+    }
+
+    releaseQueued(): number {
+        const queued = this.queue.splice(0);
+        for (const work of this.options.mutation.dropsQueue ? [] : queued) {
+            work.closeWork(Code.OwnerLeaving);
+        }
+        return queued.length;
+    }
+
+    /** Handles a caller's request until it is answered. */
+    async handleCaller(requestId: string): Promise<void> {
+        const code = await this.runOpen(() => this.runAttempts());
+        const { time, history } = this.options;
+        history.record({
+            kind: EventKind.CallerAnswered,
+            atMs: time.getMonotonicMs(),
+            actor: "caller",
+            requestId,
+            code,
+        });
+    }
+
+    /** Handles a request for the own upstream. */
+    handleOwner(): Promise<Code> {
+        const { control, upstream, mutation } = this.options;
+        return this.runOpen(async () => {
+            const isLeaving = this.lifecycle.getState() !== DaemonState.Serving
+                || control.membership.isLeaving(upstream.id);
+            if (isLeaving && !mutation.acceptsWhileLeaving) {
+                return Code.OwnerLeaving;
+            }
+            return new Promise<Code>(closeWork => {
+                this.queue.push({ closeWork });
+                this.runNext();
+            });
+        });
+    }
+
+    private async runAttempts(): Promise<Code> {
+        const { control, find } = this.options;
+        for (let attempt = 0; attempt < 10; attempt++) {
+            const live = control.membership.list("payments");
+            const upstream = live[Math.floor(this.options.takeServiceMs() * 7) % live.length];
+            const owner = upstream === undefined ? undefined : find(upstream.ownerId);
+            if (upstream === undefined || owner === undefined) {
+                continue;
+            }
+            await this.waitMs(1);
+            const code = await owner.handleOwner();
+            await this.waitMs(1);
+            if (code !== Code.OwnerLeaving) {
+                return code;
+            }
+            control.membership.setLeaving(upstream.id, "reply");
+        }
+        return Code.NoUpstream;
+    }
+
+    private async runOpen(handle: () => Promise<Code>): Promise<Code> {
+        const lease = this.lifecycle.registerRequest();
+        if (lease === undefined) {
+            return Code.OwnerLeaving;
+        }
+        return new Promise<Code>(resolve => {
+            const closeWork = (code: Code) => {
+                this.open.delete(closeWork);
+                lease.close();
+                resolve(code);
+            };
+            this.open.add(closeWork);
+            void handle().then(closeWork);
+        });
+    }
+
+    private runNext(): void {
+        const { upstream, time, history, takeServiceMs } = this.options;
+        const work = this.running < slots ? this.queue.shift() : undefined;
+        if (work === undefined) {
+            return;
+        }
+        this.running += 1;
+        const upstreamId = upstream.id;
+        history.record({
+            kind: EventKind.UpstreamStarted,
+            atMs: time.getMonotonicMs(),
+            actor: upstreamId,
+            upstreamId,
+        });
+        time.start(takeServiceMs(), () => {
+            this.running -= 1;
+            work.closeWork(Code.Ok);
+            this.runNext();
+        });
+    }
+
+    private waitMs(durationMs: number): Promise<void> {
+        return new Promise(resolve => void this.options.time.start(durationMs, resolve));
+    }
+}
--- /dev/null
+++ b/proof/control/fakes/work_fleet.ts
@@ -0,0 +1,153 @@
+/**
+ * A small fleet with work, in which upstreams leave and daemons stop gracefully.
+ *
+ * @example
+ * ```ts
+ * const history = await new WorkFleet({ seed: 1 }).run(60_000);
+ * ```
+ *
+ * @module
+ */
+import { EventKind } from "../../event_kind.ts";
+import { SeededRandom } from "../../fakes/seeded_random.ts";
+import type { HistoryEvent } from "../../history_event.ts";
+import { ConfigFleet } from "./config_fleet.ts";
+import { WorkDaemon } from "./work_daemon.ts";
+import type { WorkMutation } from "./work_mutation.ts";
+
+interface Options {
+    readonly seed: number;
+    readonly mutation?: WorkMutation;
+    /** One link in ten is cut in each direction during the run. */
+    readonly cuts?: boolean;
+}
+
+const size = 12;
+
+/** Entry, owner and control pipelines of twelve daemons, with callers. */
+export class WorkFleet {
+    private readonly fleet: ConfigFleet;
+    private readonly random: SeededRandom;
+    private readonly workers: WorkDaemon[] = [];
+    private readonly leavingInList = new Set<number>();
+    private requests = 0;
+    private stopped = false;
+
+    constructor(private readonly options: Options) {
+        this.random = new SeededRandom(options.seed);
+        const { dropsNotices = false } = options.mutation ?? {};
+        this.fleet = new ConfigFleet({
+            seed: options.seed,
+            daemons: size,
+            createControl: control => ({
+                sendHeads: (address, message, timeoutMs) =>
+                    control.sendHeads(
+                        address,
+                        dropsNotices ? { ...message, leaving: [] } : message,
+                        timeoutMs,
+                    )
+                        .then(result =>
+                            result.map(reply => dropsNotices ? { ...reply, leaving: [] } : reply)
+                        ),
+                fetchSections: (address, request, timeoutMs) =>
+                    control.fetchSections(address, request, timeoutMs),
+            }),
+        });
+    }
+
+    /** Callers send 100 requests per second; one daemon after another stops, or one upstream leaves in the list. */
+    async run(durationMs: number): Promise<readonly HistoryEvent[]> {
+        const { fleet } = this;
+        await fleet.start();
+        for (let index = 0; index < size; index++) {
+            this.startWorker(index);
+        }
+        this.setCuts();
+        this.sendRequests();
+        const endMs = fleet.time.getMonotonicMs() + durationMs;
+        while (fleet.time.getMonotonicMs() < endMs) {
+            const index = Math.floor(this.random.take() * size);
+            await (this.random.take() < 0.6 ? this.runStop(index) : this.runLeaving(index));
+        }
+        this.stopped = true;
+        await fleet.time.run(10_000);
+        fleet.close();
+        return fleet.history.list();
+    }
+
+    private setCuts(): void {
+        const cuts = new Set<string>();
+        for (const from of this.options.cuts ? this.fleet.upstreams : []) {
+            for (const to of this.fleet.upstreams.filter(() => this.random.take() < 0.1)) {
+                cuts.add(`${from.ownerAddress} ${to.ownerAddress}`);
+            }
+        }
+        this.fleet.network.setCuts((from, to) => cuts.has(`${from} ${to}`));
+    }
+
+    private startWorker(index: number): void {
+        this.workers[index] = new WorkDaemon({
+            control: this.fleet.daemons[index]!,
+            upstream: this.fleet.upstreams[index]!,
+            time: this.fleet.time,
+            history: this.fleet.history,
+            mutation: this.options.mutation ?? {},
+            find: daemonId =>
+                this.workers[this.fleet.upstreams.findIndex(({ ownerId }) => ownerId === daemonId)],
+            takeServiceMs: () => 50 + this.random.take() * 250,
+        });
+    }
+
+    /** A graceful stop of one daemon, and its restart as another process. */
+    private async runStop(index: number): Promise<void> {
+        this.record(EventKind.UpstreamLeaving, index);
+        void this.workers[index]!.lifecycle.drain("operator");
+        await this.fleet.time.run(12_000);
+        this.fleet.startDaemon(index);
+        await this.fleet.time.run(3_000);
+        this.record(EventKind.Returned, index);
+        this.startWorker(index);
+    }
+
+    /** The instance list says for a while that an upstream leaves. */
+    private async runLeaving(index: number): Promise<void> {
+        this.leavingInList.add(index);
+        this.record(EventKind.UpstreamLeaving, index);
+        this.updateList();
+        await this.fleet.time.run(12_000);
+        this.leavingInList.delete(index);
+        this.record(EventKind.Returned, index);
+        this.updateList();
+    }
+
+    private updateList(): void {
+        const { upstreams, platform } = this.fleet;
+        platform.setInstances(
+            upstreams.map((upstream, index) => ({ ...upstream, leaving: this.leavingInList.has(index) })),
+        );
+    }
+
+    private sendRequests(): void {
+        const accepting = this.workers.filter(worker => worker.accepting);
+        const entry = accepting[Math.floor(this.random.take() * accepting.length)];
+        if (entry !== undefined) {
+            const requestId = `request-${this.requests++}`;
+            const atMs = this.fleet.time.getMonotonicMs();
+            this.fleet.history.record({ kind: EventKind.CallerSent, atMs, actor: "caller", requestId });
+            void entry.handleCaller(requestId);
+        }
+        if (!this.stopped) {
+            this.fleet.time.start(this.random.take() * 20, () => this.sendRequests());
+        }
+    }
+
+    private record(kind: EventKind, index: number): void {
+        const { id: upstreamId } = this.fleet.upstreams[index]!;
+        this.fleet.history.record({
+            kind,
+            atMs: this.fleet.time.getMonotonicMs(),
+            actor: upstreamId,
+            upstreamId,
+        });
+    }
+}
--- /dev/null
+++ b/proof/predicates/leaving_predicate.ts
@@ -0,0 +1,39 @@
+import { EventKind } from "../event_kind.ts";
+import type { HistoryEvent } from "../history_event.ts";
+import type { Predicate } from "../predicate.ts";
+import type { Violation } from "../violation.ts";
+
+/**
+ * Requirement 5: no work starts at an upstream more than `boundMs` milliseconds after it began to leave, until it
+ * returns.
+ */
+export class LeavingPredicate implements Predicate {
+    readonly name = "leaving";
+
+    constructor(private readonly boundMs: number) {}
+
+    check(history: readonly HistoryEvent[]): readonly Violation[] {
+        const leaving = new Map<string, HistoryEvent>();
+        const violations: Violation[] = [];
+        for (const event of history) {
+            const { kind, upstreamId = "" } = event;
+            if (kind === EventKind.UpstreamLeaving && !leaving.has(upstreamId)) {
+                leaving.set(upstreamId, event);
+            }
+            else if (kind === EventKind.Returned) {
+                leaving.delete(upstreamId);
+            }
+            const left = leaving.get(upstreamId);
+            if (
+                kind === EventKind.UpstreamStarted && left !== undefined &&
+                event.atMs > left.atMs + this.boundMs
+            ) {
+                const message = `${upstreamId} received work ${
+                    event.atMs - left.atMs
+                } ms after it began to leave`;
+                violations.push({ predicate: this.name, message, events: [left, event] });
+            }
+        }
+        return violations;
+    }
+}
