--- /dev/null
+++ b/features/steps/failure_steps.ts
@@ -0,0 +1,152 @@
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { readFileSync } from "node:fs";
+import { checkHistory } from "../../proof/check_history.ts";
+import { EventKind } from "../../proof/event_kind.ts";
+import type { HistoryEvent } from "../../proof/history_event.ts";
+import { AtMostOncePredicate } from "../../proof/predicates/at_most_once_predicate.ts";
+import { OwnAnswerPredicate } from "../../proof/predicates/own_answer_predicate.ts";
+import { TruthfulOutcomePredicate } from "../../proof/predicates/truthful_outcome_predicate.ts";
+import { LinkMode } from "../../standin/link_mode.ts";
+import { waitUntil } from "../../standin/wait_until.ts";
+import { fleetWorld } from "../support/fleet_world.ts";
+import { PaymentLoad } from "../support/payment_load.ts";
+
+const CALLERS = 6;
+const LEAD_MS = 800;
+const TAIL_MS = 1_500;
+const FAULT_MS = 2_000;
+
+interface RotationStatus {
+    readonly configuration: { readonly version: number; };
+    readonly services: readonly {
+        readonly name: string;
+        readonly upstreams: readonly { readonly id: string; readonly ejected: boolean; }[];
+    }[];
+}
+
+let history: readonly HistoryEvent[] = [];
+let reading = false;
+let readers: Promise<void>[] = [];
+
+function waitMs(durationMs: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, durationMs));
+}
+
+async function setLinkFor(mode: LinkMode): Promise<void> {
+    const { link } = fleetWorld.get().daemons[1]!;
+    link!.setMode(mode);
+    await waitMs(FAULT_MS);
+    link!.setMode(LinkMode.Open);
+}
+
+async function sendSignals(first: NodeJS.Signals, second: NodeJS.Signals): Promise<void> {
+    const { process } = fleetWorld.get().daemons[1]!;
+    process.send(first);
+    await waitMs(FAULT_MS);
+    process.send(second);
+}
+
+const faults: Readonly<Record<string, () => Promise<void>>> = {
+    "an owner is killed and started again": async () => {
+        const fleet = fleetWorld.get();
+        await fleet.daemons[1]!.process.close();
+        await waitMs(LEAD_MS);
+        await fleet.startDaemon(1);
+    },
+    "an owner is stopped for 2 s and resumed": () => sendSignals("SIGSTOP", "SIGCONT"),
+    "the replies of an owner are lost for 2 s": () => setLinkFor(LinkMode.DropReplies),
+    "the requests to an owner are lost for 2 s": () => setLinkFor(LinkMode.DropRequests),
+    // The history of a stopped upstream is fetched at the end, so the process is stopped and resumed at last.
+    "an upstream is killed": () => fleetWorld.get().setBehaviour("payments-2", { fault: "cut-before" }),
+    "an upstream cuts half of its answers": () =>
+        fleetWorld.get().setBehaviour("payments-2", { fault: "cut", faultShare: 0.5 }),
+};
+
+When(/^callers send payments (with|without) a key while (.*)$/, async (having: string, fault: string) => {
+    const load = new PaymentLoad(fleetWorld.get(), CALLERS, having === "with");
+    await waitMs(LEAD_MS);
+    await faults[fault]!();
+    await waitMs(TAIL_MS);
+    history = await load.close();
+});
+
+Then("the history holds for at-most-once, truthful-outcome and own-answer", () => {
+    const predicates = [new AtMostOncePredicate(), new TruthfulOutcomePredicate(), new OwnAnswerPredicate()];
+    assert.deepEqual(checkHistory(history, predicates), []);
+});
+
+Then("at least {int} payments were executed", (count: number) => {
+    const executed = history.filter(event => event.kind === EventKind.UpstreamExecuted);
+    assert.ok(executed.length >= count, `${executed.length} were executed`);
+});
+
+Given("the platform is absent", () => fleetWorld.get().setPlatformMode("absent"));
+
+When(
+    "daemon {int} is killed and started again with daemon {int} as its peer",
+    async (number: number, peer: number) => {
+        const fleet = fleetWorld.get();
+        const daemon = fleet.daemons[number - 1]!;
+        await daemon.process.close();
+        await fleet.startDaemon(number - 1, [`--peers=${fleet.daemons[peer - 1]!.peerAddress}`]);
+    },
+);
+
+When("{int} operators publish configurations at the same time", async (count: number) => {
+    const source = readFileSync("demo/authority.yaml", "utf8");
+    const run = (_: unknown, index: number) =>
+        fleetWorld.get().setValue("head", source.replace(/^team: .*$/m, `team: operator ${index}`));
+    await Promise.all(Array.from({ length: count }, run));
+});
+
+async function fetchStatuses(): Promise<readonly RotationStatus[]> {
+    return Promise.all(
+        fleetWorld.get().daemons.map(async daemon => {
+            const response = await fetch(`http://${daemon.adminAddress}/v1/status`);
+            return await response.json() as RotationStatus;
+        }),
+    );
+}
+
+Then("every daemon has the last version in force within {int} s", async (seconds: number) => {
+    const response = await fetch(`${fleetWorld.get().platformUrl}/v1/values/head?after=0&waitMs=0`);
+    const { version } = await response.json() as { version: number; };
+    await waitUntil(
+        `version ${version} in force`,
+        seconds * 1_000,
+        async () => (await fetchStatuses()).every(status => status.configuration.version === version),
+    );
+});
+
+When("upstream {string} becomes slow while callers read", async (upstreamId: string) => {
+    const { daemons } = fleetWorld.get();
+    reading = true;
+    readers = Array.from({ length: 6 }, async (_, index) => {
+        while (reading) {
+            await fetch(`${daemons[index % daemons.length]!.callerUrl}/accounts/${index}/balance`);
+            await waitMs(10);
+        }
+    });
+    await waitMs(FAULT_MS);
+    await fleetWorld.get().setBehaviour(upstreamId, { fault: "slow", slowFactor: 40 });
+});
+
+Then(
+    "every daemon has upstream {string} out of rotation within {int} s",
+    async (upstreamId: string, seconds: number) => {
+        await waitUntil(`${upstreamId} out of rotation`, seconds * 1_000, async () => {
+            const statuses = await fetchStatuses();
+            return statuses.every(({ services }) =>
+                services.flatMap(service => service.upstreams).find(({ id }) => id === upstreamId)
+                    ?.ejected === true
+            );
+        });
+    },
+);
+
+After(async () => {
+    reading = false;
+    await Promise.all(readers);
+    readers = [];
+});
--- a/features/steps/path_steps.ts
+++ b/features/steps/path_steps.ts
@@ -3,9 +3,10 @@
 import { execFile } from "node:child_process";
 import { readFileSync } from "node:fs";
 import { promisify } from "node:util";
-import { Fleet } from "../../standin/fleet.ts";
+import type { Fleet } from "../../standin/fleet.ts";
 import type { FleetDaemon } from "../../standin/fleet_daemon.ts";
 import { waitUntil } from "../../standin/wait_until.ts";
+import { fleetWorld } from "../support/fleet_world.ts";
 
 interface CallerAnswer {
     readonly path: string;
@@ -27,14 +28,12 @@
 setDefaultTimeout(60_000);
 const configuration = readFileSync("demo/authority.yaml", "utf8");
 const payment = JSON.stringify({ account: 7, amount: "42.00" });
-let fleet: Fleet | undefined;
 let answers: CallerAnswer[] = [];
 let cut: string[] = [];
 let drainOutput = "";
 
 function getFleet(): Fleet {
-    assert.ok(fleet);
-    return fleet;
+    return fleetWorld.get();
 }
 
 async function sendRequest(daemon: FleetDaemon, path: string, init: RequestInit = {}): Promise<CallerAnswer> {
@@ -66,20 +65,18 @@
 Given("a fleet of {int} daemons for the Authority", async (daemons: number) => {
     answers = [];
     cut = [];
-    fleet = await Fleet.start({
+    await fleetWorld.start({
         configuration,
         services: ["accounts", "payments", "supply"],
         daemons,
         slots: 3,
         failureDomains: ["zone-a", "zone-b", "zone-c"],
+        links: true,
         flags: ["--drain-grace-ms=1000", "--gossip-interval-ms=200"],
     });
 });
 
-After(async () => {
-    await fleet?.close();
-    fleet = undefined;
-});
+After(() => fleetWorld.close());
 
 When("a caller sends {int} reads spread over all daemons", async (count: number) => {
     const { daemons } = getFleet();
--- a/standin/fleet.ts
+++ b/standin/fleet.ts
@@ -10,9 +10,11 @@
  *
  * @module
  */
+import type { ExecutionRecord } from "./execution_record.ts";
 import { findFreePorts } from "./find_free_ports.ts";
 import type { FleetDaemon } from "./fleet_daemon.ts";
 import type { FleetOptions } from "./fleet_options.ts";
+import { Link } from "./link.ts";
 import { ProcessHandle } from "./process_handle.ts";
 import { waitUntil } from "./wait_until.ts";
 
@@ -56,6 +58,11 @@
             () => fleet.upstreams.every(upstream => upstream.process.output.length > 0),
         );
         fleet.addDaemons(ports);
+        if (options.links === true) {
+            for (const daemon of fleet.daemons) {
+                daemon.link = await Link.open(daemon.peerAddress);
+            }
+        }
         await fleet.setValue("head", options.configuration);
         await fleet.setInstances(new Set());
         await Promise.all(fleet.daemons.map((_, index) => fleet.startDaemon(index)));
@@ -78,7 +85,7 @@
                 failureDomain: daemon.failureDomain,
                 region: "local",
                 ownerId: daemon.id,
-                ownerAddress: daemon.peerAddress,
+                ownerAddress: daemon.link?.getAddress() ?? daemon.peerAddress,
                 leaving: leaving.has(upstream.id),
             };
         });
@@ -99,27 +106,20 @@
         });
     }
 
-    /** What all upstreams recorded. */
-    async fetchHistory(): Promise<
-        readonly { requestId: string; key: string; body: string; phase: string; path: string; }[]
-    > {
-        const histories = await Promise.all(this.upstreams.map(async ({ address }) => {
+    /** What all upstreams recorded, each record with its upstream. */
+    async fetchHistory(): Promise<readonly (ExecutionRecord & { readonly upstreamId: string; })[]> {
+        const histories = await Promise.all(this.upstreams.map(async ({ address, id }) => {
             const response = await fetch(`http://${address}/control/history`);
-            return await response.json() as {
-                requestId: string;
-                key: string;
-                body: string;
-                phase: string;
-                path: string;
-            }[];
+            const records = await response.json() as ExecutionRecord[];
+            return records.map(record => ({ ...record, upstreamId: id }));
         }));
         return histories.flat();
     }
 
     /** Starts a daemon again after it has ended; it is another incarnation. */
-    async startDaemon(index: number): Promise<void> {
+    async startDaemon(index: number, flags: readonly string[] = []): Promise<void> {
         const daemon = this.daemons[index]!;
-        daemon.process = new ProcessHandle(daemonProgram, ["serve", ...daemon.flags]);
+        daemon.process = new ProcessHandle(daemonProgram, ["serve", ...daemon.flags, ...flags]);
         await waitUntil(`${daemon.id} serves`, START_LIMIT_MS, async () => {
             const response = await fetch(`http://${daemon.adminAddress}/v1/status`);
             const status = await response.json() as { state: string; };
@@ -130,6 +130,7 @@
     async close(): Promise<void> {
         const processes = [...this.daemons, ...this.upstreams].map(part => part.process);
         await Promise.all([...processes, this.platform].map(child => child.close()));
+        await Promise.all(this.daemons.map(async daemon => daemon.link?.close()));
     }
 
     private startUpstreams(ports: readonly number[]): void {
@@ -184,6 +185,7 @@
                     `--upstreams=${owned.join(",")}`,
                     ...flags,
                 ],
+                link: undefined,
                 process: undefined!,
             });
         }
--- a/standin/fleet_daemon.ts
+++ b/standin/fleet_daemon.ts
@@ -1,3 +1,4 @@
+import type { Link } from "./link.ts";
 import type { ProcessHandle } from "./process_handle.ts";
 
 /** One daemon of a fleet. */
@@ -8,5 +9,7 @@
     readonly adminAddress: string;
     readonly failureDomain: string;
     readonly flags: readonly string[];
+    /** Present when the fleet has links. */
+    link: Link | undefined;
     process: ProcessHandle;
 }
--- a/standin/fleet_options.ts
+++ b/standin/fleet_options.ts
@@ -9,6 +9,8 @@
     readonly slots: number;
     readonly failureDomains: readonly string[];
     readonly behaviour?: Partial<UpstreamBehaviour>;
+    /** Puts a link before each daemon's interface for other daemons. */
+    readonly links?: boolean;
     /** Further flags of each daemon, for example `--drain-grace-ms=100`. */
     readonly flags?: readonly string[];
 }
