Reject a text with a syntax fault without reading all of it in the library

The faults that the library finds in one entry now suffice. The whole text is still read when a fault might come from reading the entry alone, or when the text has tabs or control characters.

--- a/measure/config_load.ts
+++ b/measure/config_load.ts
@@ -57,6 +57,12 @@
 });
 const changed = parseWithSections(changedText)._unsafeUnwrap();
 const { length } = compareSections(parsed.sections, changed.sections).changed;
+const faultyText = text.replace("description: Service 999 ", "description: x: Service 999 ");
+measure("reject a syntax fault", () => parser.parse(faultyText)._unsafeUnwrapErr());
+measure(
+    "reject a wrong value",
+    () => parser.parse(text.replace("members: ", "members: -"))._unsafeUnwrapErr(),
+);
 measure(`merge ${length} changed section`, () => mergeSections(changed.sections, parsed)._unsafeUnwrap());
 measure("digest of sections", () => computeSectionsDigest(parsed.sections));
 const table = new RouteTable(parsed.configuration);
--- a/src/config/problem_list.ts
+++ b/src/config/problem_list.ts
@@ -17,6 +17,11 @@
         this.problems.push({ code, source: this.source, line, column, field, message });
     }
 
+    /** Takes over problems that were found in a part of the text. */
+    merge(problems: readonly Problem[]): void {
+        this.problems.push(...problems.map(problem => ({ ...problem, source: this.source })));
+    }
+
     /** The problems in the order of the text. */
     list(): readonly Problem[] {
         return this.problems.toSorted((left, right) => left.line - right.line || left.column - right.column);
--- a/src/config/sections/config_parser.ts
+++ b/src/config/sections/config_parser.ts
@@ -12,7 +12,8 @@
 
 /**
  * Parses successive versions of the configuration with the results of `parseWithSections`, but reads and checks
- * only the services whose lines changed since the last valid version.
+ * only the services whose lines changed since the last valid version. Of a text that is not YAML, it reports the
+ * first faulty entry only.
  */
 export class ConfigParser {
     private blocks: ReadonlyMap<string, SourceBlock> = new Map();
@@ -25,11 +26,13 @@
     parse(source: string, options: ParseOptions = {}): Result<ParsedConfig, readonly Problem[]> {
         const reader = new ChangedDocumentReader(this.blocks);
         const result = parseDocuments(source, options, reader);
-        if (result.isErr()) {
+        if (result.isErr() && !reader.hasPositions()) {
             // The second parse finds the lines and columns of the problems.
             return parseWithSections(source, options);
         }
-        this.blocks = reader.getBlocks();
+        if (result.isOk()) {
+            this.blocks = reader.getBlocks();
+        }
         return result.map(({ configuration, documents }) => ({
             configuration,
             sections: splitIntoSections(documents),
--- a/src/config/yaml/block_reader.ts
+++ b/src/config/yaml/block_reader.ts
@@ -13,6 +13,7 @@
  *
  * @module
  */
+import type { Problem } from "../problem.ts";
 import { ProblemList } from "../problem_list.ts";
 import { hasUnusualText } from "./has_unusual_text.ts";
 import { InlineReader } from "./inline_reader.ts";
@@ -32,6 +33,9 @@
     /** -1 at the end of the text. */
     private indent = -1;
     private failed = false;
+    /** Keys that lead to the current map. */
+    private readonly path: string[] = [];
+    private faults: readonly Problem[] = [];
 
     constructor(private readonly text: string) {
         this.inline = new InlineReader(text);
@@ -47,6 +51,14 @@
         return this.failed || this.indent >= 0 ? undefined : root;
     }
 
+    /**
+     * The faults that the library found in one entry and that the whole text has for certain; empty when there
+     * are none or a fault may come from reading the entry on its own. Other entries may have faults too.
+     */
+    getFaults(): readonly Problem[] {
+        return this.faults;
+    }
+
     private readMap(indent: number): SourceNode | undefined {
         const { offset } = this;
         const entries = new Map<string, SourceNode>();
@@ -58,7 +70,9 @@
                 return undefined;
             }
             const lineStart = this.lineStart;
+            this.path.push(key);
             const known = this.readValue(keyPattern.lastIndex, indent);
+            this.path.pop();
             const value = known !== undefined && this.indent <= indent
                 ? known
                 : this.readEntry(lineStart, indent);
@@ -112,12 +126,22 @@
         const entries = readLibraryYaml(text, problems)?.value;
         this.failed = !problems.isEmpty() || !(entries instanceof Map) || entries.size !== 1;
         if (this.failed) {
+            // The library accepts the end of a flow collection on a line that is not part of the entry.
+            const isCertain = this.text[this.offset] !== "]" && this.text[this.offset] !== "}";
+            this.faults = isCertain ? problems.list().map(problem => this.addPlace(problem, lineStart)) : [];
             return undefined;
         }
         const [value] = (entries as ReadonlyMap<string, SourceNode>).values();
         return addOffset(value!, lineStart);
     }
 
+    /** Turns the place in an entry that begins at `lineStart` into the place in the text. */
+    private addPlace(problem: Problem, lineStart: number): Problem {
+        const line = problem.line + this.text.slice(0, lineStart).split("\n").length - 1;
+        const field = problem.field === "" ? "" : [...this.path, problem.field].join(".");
+        return { ...problem, line, field };
+    }
+
     /** Goes to the first line at or after `lineStart` with more than a comment. */
     private setLine(lineStart: number): void {
         indentPattern.lastIndex = lineStart;
--- a/src/config/yaml/changed_document_reader.ts
+++ b/src/config/yaml/changed_document_reader.ts
@@ -2,7 +2,7 @@
 import { BlockReader } from "./block_reader.ts";
 import type { DocumentReader } from "./document_reader.ts";
 import { hasUnusualText } from "./has_unusual_text.ts";
-import { readYaml } from "./read_yaml.ts";
+import { readLibraryYaml } from "./read_library_yaml.ts";
 import type { SourceBlock } from "./source_block.ts";
 import type { SourceDocument } from "./source_document.ts";
 import type { SourceNode } from "./source_node.ts";
@@ -11,18 +11,26 @@
 
 /**
  * Reads one version of the texts of a configuration. Entries of the root and of `services` with the same lines
- * as in the version before keep their nodes, so that one of 9,000 changes a day costs little. Positions are not
- * those of the whole text: texts with problems must be read again by `FullDocumentReader`.
+ * as in the version before keep their nodes, so that one of 9,000 changes a day costs little. Unless
+ * `hasPositions`, texts with problems must be read again by `FullDocumentReader`.
  */
 export class ChangedDocumentReader implements DocumentReader {
     private readonly blocks = new Map<string, SourceBlock>();
+    private exact = true;
 
     /** `known` are the blocks of the version before, by their text. */
     constructor(private readonly known: ReadonlyMap<string, SourceBlock>) {}
 
     read(name: string, text: string): SourceDocument {
         const problems = new ProblemList(name, text);
-        return { root: this.readBlocks(text) ?? readYaml(text, problems), problems };
+        const root = this.readBlocks(text);
+        this.exact &&= root === undefined;
+        return { root: root ?? readWhole(text, problems), problems };
+    }
+
+    /** True when every text was read as a whole, so that the positions are those of the text. */
+    hasPositions(): boolean {
+        return this.exact;
     }
 
     /** The blocks of this version. */
@@ -70,6 +78,17 @@
     }
 }
 
+/**
+ * Reads the text with the positions of all values. A text with a fault has the problems of the first faulty
+ * entry only: the library takes about 2 s to find all of them, which would stop the daemon's event loop.
+ */
+function readWhole(text: string, problems: ProblemList): SourceNode | undefined {
+    const reader = new BlockReader(text);
+    const root = reader.read();
+    problems.merge(reader.getFaults());
+    return root ?? (problems.isEmpty() ? readLibraryYaml(text, problems) : undefined);
+}
+
 function readBlock(lines: string): SourceBlock | undefined {
     const text = Buffer.from(lines).toString();
     const value = new BlockReader(text).read()?.value;
