Keep messages about YAML faults short

The library quotes whole values in its messages, so that a file of another kind printed its full text. Messages now have at most 160 characters.

--- a/src/config/parse_configuration.test.ts
+++ b/src/config/parse_configuration.test.ts
@@ -165,6 +165,11 @@
     }
 });
 
+test("a message stays short, so that a file of another kind does not fill the log", () => {
+    const problems = parseConfiguration(`team: t\n${"word ".repeat(1_000)}`)._unsafeUnwrapErr();
+    assert.ok(problems.every(({ message }) => message.length <= 160));
+});
+
 test("parts complete the configuration, and a part of another version is never mixed in", () => {
     const part = `services:\n  rates: { members: 1, floor: 1 }\n`;
     const source = `${valid}parts:\n  - { name: config.2, digest: ${computeSha256(part)} }\n`;
--- a/src/config/yaml/block_reader.ts
+++ b/src/config/yaml/block_reader.ts
@@ -4,7 +4,7 @@
  * The library's document mode took 2,100 ms for 1,000 services and 5,000 routes, its lexer alone 310 ms. At
  * 9,000 changes a day a daemon that reads each of them may spend 182 ms on one, to stay within 1.9% of a core.
  * Values that this reader does not know are read by the library one entry at a time. When the library finds
- * a fault there, the reader gives up, and the caller lets the library read the whole text.
+ * a fault there, the reader gives up, and the caller uses `getFaults` or lets the library read the whole text.
  *
  * @example
  * ```ts
--- a/src/config/yaml/read_library_yaml.ts
+++ b/src/config/yaml/read_library_yaml.ts
@@ -12,7 +12,9 @@
     const faults = [...document.errors, ...document.warnings];
     for (const fault of faults) {
         const message = fault.message.split("\n")[0]!.replace(/ at line \d+, column \d+:?$/, "");
-        problems.add(Code.ConfigSyntax, fault.pos[0], "", message);
+        // The library quotes whole values, which may be as long as the text.
+        const short = message.length > 160 ? `${message.slice(0, 157)}...` : message;
+        problems.add(Code.ConfigSyntax, fault.pos[0], "", short);
     }
     if (document.directives?.yaml.explicit === true) {
         problems.add(Code.ConfigSyntax, 0, "", "directives are not supported");
