Close only the listening socket when a drain stops accepting

Cause: the feature of the drain saw one ECONNRESET in a run on a busy machine. http.Server.close also closes connections without a request being read, and the kernel resets connections that wait to be accepted. Now only the listening socket closes, right after the loop has polled; other connections stay open until the last request has been answered. Ruled out: the owner's side, since no 5xx was recorded.

The features of a gray upstream now set a floor that leaves room for an ejection; with the floor above the live upstreams it stayed in rotation, as it must.

--- a/features/failure.feature
+++ b/features/failure.feature
@@ -31,5 +31,11 @@
         Then every daemon has the last version in force within 16 s
 
     Scenario: a gray upstream leaves the rotation while callers read
+        Given the service accounts has a floor of 2
         When upstream "accounts-2" becomes slow while callers read
         Then every daemon has upstream "accounts-2" out of rotation within 10 s
+
+    Scenario: the floor keeps a gray upstream in rotation when too few upstreams are live
+        Given the service accounts has a floor of 3
+        When upstream "accounts-2" becomes slow while callers read
+        Then every daemon keeps upstream "accounts-2" in rotation for 4 s
--- a/features/steps/failure_steps.ts
+++ b/features/steps/failure_steps.ts
@@ -1,4 +1,4 @@
-import { After, Given, Then, When } from "@cucumber/cucumber";
+import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { readFileSync } from "node:fs";
 import { checkHistory } from "../../proof/check_history.ts";
@@ -11,6 +11,7 @@
 import { waitUntil } from "../../standin/wait_until.ts";
 import { fleetWorld } from "../support/fleet_world.ts";
 import { PaymentLoad } from "../support/payment_load.ts";
+import { ReadLoad } from "../support/read_load.ts";
 
 const CALLERS = 6;
 const LEAD_MS = 800;
@@ -26,8 +27,6 @@
 }
 
 let history: readonly HistoryEvent[] = [];
-let reading = false;
-let readers: Promise<void>[] = [];
 
 function waitMs(durationMs: number): Promise<void> {
     return new Promise(resolve => setTimeout(resolve, durationMs));
@@ -120,18 +119,21 @@
 });
 
 When("upstream {string} becomes slow while callers read", async (upstreamId: string) => {
-    const { daemons } = fleetWorld.get();
-    reading = true;
-    readers = Array.from({ length: 6 }, async (_, index) => {
-        while (reading) {
-            await fetch(`${daemons[index % daemons.length]!.callerUrl}/accounts/${index}/balance`);
-            await waitMs(10);
-        }
-    });
+    const fleet = fleetWorld.get();
+    fleetWorld.add(new ReadLoad(fleet, CALLERS));
     await waitMs(FAULT_MS);
-    await fleetWorld.get().setBehaviour(upstreamId, { fault: "slow", slowFactor: 40 });
+    await fleet.setBehaviour(upstreamId, { fault: "slow", slowFactor: 40 });
 });
 
+Given(
+    "the service accounts has a floor of {int}",
+    (floor: number) =>
+        fleetWorld.get().setValue(
+            "head",
+            readFileSync("demo/authority.yaml", "utf8").replace("floor: 4", `floor: ${floor}`),
+        ),
+);
+
 Then(
     "every daemon has upstream {string} out of rotation within {int} s",
     async (upstreamId: string, seconds: number) => {
@@ -145,8 +147,18 @@
     },
 );
 
-After(async () => {
-    reading = false;
-    await Promise.all(readers);
-    readers = [];
-});
+Then(
+    "every daemon keeps upstream {string} in rotation for {int} s",
+    async (upstreamId: string, seconds: number) => {
+        const endMs = Date.now() + seconds * 1_000;
+        while (Date.now() < endMs) {
+            for (const { services } of await fetchStatuses()) {
+                const upstream = services.flatMap(service => service.upstreams).find(({ id }) =>
+                    id === upstreamId
+                );
+                assert.equal(upstream?.ejected, false);
+            }
+            await waitMs(100);
+        }
+    },
+);
--- a/src/build_daemon.ts
+++ b/src/build_daemon.ts
@@ -108,7 +108,7 @@
     const control = buildControl(settings, base);
     const owner = buildOwner(settings, base, control);
     const entry = buildEntry(settings, base, control, owner);
-    const status = new StatusBuilder({ ...settings, ...base, ...control, ...owner });
+    const status = new StatusBuilder({ ...settings, ...base, ...control, ...owner, health: entry.selector });
     const servers: DaemonServers = new DaemonServers({
         settings,
         incarnation: base.identity.incarnation,
@@ -292,5 +292,5 @@
         }),
         metrics,
     });
-    return { handler, remote };
+    return { handler, remote, selector };
 }
--- a/src/edge/http/http_listener.ts
+++ b/src/edge/http/http_listener.ts
@@ -1,6 +1,6 @@
 import { err, ok, type Result } from "neverthrow";
 import { createServer, type RequestListener, type Server } from "node:http";
-import type { AddressInfo } from "node:net";
+import { type AddressInfo, Server as NetServer } from "node:net";
 import { Code } from "../../core/code.ts";
 import { createFailure } from "../../core/create_failure.ts";
 import type { Failure } from "../../core/failure.ts";
@@ -18,6 +18,7 @@
 /** An HTTP/1.1 server on one address. */
 export class HttpListener implements DrainableListener {
     private readonly ended: Promise<void>;
+    private stopped = false;
 
     private constructor(private readonly server: Server) {
         this.ended = new Promise(resolve => {
@@ -43,16 +44,22 @@
         return (this.server.address() as AddressInfo).port;
     }
 
+    /**
+     * Closes only the listening socket: `http.Server.close` would also close connections whose first request has
+     * not been read yet. It runs right after the loop has polled, when the queue of new connections is empty,
+     * because the kernel resets those that wait there.
+     */
     stop(): void {
-        this.server.close();
-        this.server.closeIdleConnections();
+        if (!this.stopped) {
+            this.stopped = true;
+            setImmediate(() => void NetServer.prototype.close.call(this.server));
+        }
     }
 
     /** Lets the responses that are being sent finish, for a bounded time. */
     async close(): Promise<void> {
-        if (this.server.listening) {
-            this.stop();
-        }
+        this.stop();
+        this.server.closeIdleConnections();
         const timer = setTimeout(() => this.server.closeAllConnections(), CLOSE_LIMIT_MS);
         await this.ended;
         clearTimeout(timer);
--- a/src/status/status_builder.ts
+++ b/src/status/status_builder.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { ServiceConfig } from "../config/service_config.ts";
+import type { UpstreamStatusReader } from "../health/upstream_status_reader.ts";
 import type { Lifecycle } from "../lifecycle/lifecycle.ts";
 import type { MembershipTable } from "../membership/membership_table.ts";
 import type { OwnerIdentity } from "../operations/owner_identity.ts";
@@ -22,6 +23,7 @@
     readonly store: ConfigStore;
     readonly membership: MembershipTable;
     readonly states: UpstreamStateBuilder;
+    readonly health: UpstreamStatusReader;
 }
 
 /** Reads the parts of the daemon; changes nothing. */
@@ -53,7 +55,8 @@
     }
 
     private buildService(service: ServiceConfig): ServiceStatus {
-        const { membership } = this.options;
+        const { health, membership } = this.options;
+        const statuses = new Map(health.listStatus(service).map(status => [status.upstreamId, status]));
         const { upstreams } = membership.getList().list;
         return {
             name: service.name,
@@ -64,6 +67,8 @@
                 ownerId: upstream.ownerId,
                 failureDomain: upstream.failureDomain,
                 leaving: membership.isLeaving(upstream.id),
+                ejected: statuses.get(upstream.id)?.ejected ?? false,
+                health: statuses.get(upstream.id),
             })),
         };
     }
