Refuse responses without a declared end, and survive responses above the limit

The new tests write raw bytes on a loopback socket. Before the change, a response whose end is marked only by the end of the connection was answered as complete after half of it (kind answered, text half), and a response above the limit ended the process: destroying a body of undici emits an error event that had no listener.

--- a/src/edge/peer_http/undici_forwarder.ts
+++ b/src/edge/peer_http/undici_forwarder.ts
@@ -13,6 +13,7 @@
 import type { RevokeState } from "../../forward/revoke_state.ts";
 import type { RevokeTarget } from "../../operations/revoke_target.ts";
 import type { SelectedRequest } from "../../select/selected_request.ts";
+import { closeBody } from "../http/close_body.ts";
 import { isConnectError } from "../http/is_connect_error.ts";
 import { readBody } from "../http/read_body.ts";
 import { decodeReply } from "./decode_reply.ts";
@@ -57,7 +58,7 @@
             const body = await readBody(response.body, request.route.maxAnswerBytes, declaredLength);
             const encoded = response.headers[PeerHeader.Reply];
             if (body.isErr() || typeof encoded !== "string") {
-                response.body.destroy();
+                closeBody(response.body);
                 const detail = `unusable reply with status ${response.statusCode}`;
                 return createHopReply(request, createFailure(Code.PeerProtocol, { detail }));
             }
--- /dev/null
+++ b/src/edge/upstream_http/undici_upstream_client.test.ts
@@ -0,0 +1,97 @@
+import assert from "node:assert/strict";
+import { Buffer } from "node:buffer";
+import { createServer, type Server, type Socket } from "node:net";
+import { after, test } from "node:test";
+import { buildOwnerRequest } from "../../../proof/operations/build_owner_request.ts";
+import { UpstreamResultKind } from "../../dispatch/upstream_result_kind.ts";
+import { UndiciUpstreamClient } from "./undici_upstream_client.ts";
+
+interface Upstream {
+    readonly client: UndiciUpstreamClient;
+    /** Requests that reached the upstream. */
+    readonly received: string[];
+    send(): Promise<{ kind: string; text: string | undefined; }>;
+}
+
+const closers: (() => Promise<void>)[] = [];
+
+after(() => Promise.all(closers.map(close => close())));
+
+/** An upstream that writes `responses` in turn as raw bytes; `undefined` closes the connection without one. */
+async function startUpstream(responses: readonly (string | undefined)[], end = true): Promise<Upstream> {
+    const received: string[] = [];
+    const server: Server = createServer((socket: Socket) => {
+        socket.on("error", () => undefined);
+        socket.on("data", data => {
+            const response = responses[received.push(data.toString()) - 1];
+            if (response !== undefined) {
+                socket.write(response);
+            }
+            if (end || response === undefined) {
+                socket.end();
+            }
+        });
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as { port: number; };
+    const upstream = { id: "u1", service: "payments", address: `127.0.0.1:${port}`, slots: 1 };
+    const client = new UndiciUpstreamClient([upstream]);
+    closers.push(async () => {
+        await client.close();
+        server.close();
+    });
+    const send = async () => {
+        const result = await client.send(buildOwnerRequest(), 5_000, new AbortController().signal);
+        const body = result.answer?.body;
+        return { kind: result.kind, text: body === undefined ? undefined : Buffer.from(body).toString() };
+    };
+    return { client, received, send };
+}
+
+const { Answered, Cut, AnswerTooLarge } = UpstreamResultKind;
+const ok = "HTTP/1.1 200 OK\r\n";
+
+test("a truncated response is not taken for a complete one, whatever marks its end", async () => {
+    const responses = [
+        `${ok}content-length: 10\r\n\r\nhalf`,
+        `${ok}transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n`,
+        // Without length and chunks, the end of the connection does not tell a whole response from a part.
+        `${ok}\r\nhalf`,
+        `${ok}content-le`,
+        undefined,
+    ];
+    for (const response of responses) {
+        const upstream = await startUpstream([response]);
+        assert.deepEqual(await upstream.send(), { kind: Cut, text: undefined }, response);
+        assert.equal(upstream.received.length, 1, "a request is written once");
+    }
+});
+
+test("complete responses are answered, also those that have no body by definition", async () => {
+    for (
+        const [response, text] of [
+            [`${ok}content-length: 2\r\n\r\nok`, "ok"],
+            [`${ok}transfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n`, "ok"],
+            ["HTTP/1.1 204 No Content\r\n\r\n", ""],
+        ] as const
+    ) {
+        const upstream = await startUpstream([response], false);
+        assert.deepEqual(await upstream.send(), { kind: Answered, text });
+    }
+});
+
+test("bytes after a response do not become the response to the next request", async () => {
+    const forged = `${ok}content-length: 6\r\n\r\nforged`;
+    const own = `${ok}content-length: 3\r\n\r\nown`;
+    const upstream = await startUpstream([`${ok}content-length: 2\r\n\r\nok${forged}`, own, own], false);
+    const texts = [await upstream.send(), await upstream.send()].map(({ text }) => text);
+    assert.ok(texts.every(text => text !== "forged"), texts.join());
+    assert.equal((await upstream.send()).text, "own");
+});
+
+test("an answer above the limit ends its connection, so that the rest is not read as the next response", async () => {
+    const large = `${ok}content-length: 1001\r\n\r\n${"x".repeat(1_001)}`;
+    const upstream = await startUpstream([large, `${ok}content-length: 3\r\n\r\nown`], false);
+    assert.equal((await upstream.send()).kind, AnswerTooLarge);
+    assert.equal((await upstream.send()).text, "own");
+});
--- a/src/edge/upstream_http/undici_upstream_client.ts
+++ b/src/edge/upstream_http/undici_upstream_client.ts
@@ -10,7 +10,9 @@
 import { UpstreamResultKind } from "../../dispatch/upstream_result_kind.ts";
 import type { OwnedUpstream } from "../../queue/owned_upstream.ts";
 import type { OwnerRequest } from "../../queue/owner_request.ts";
+import { closeBody } from "../http/close_body.ts";
 import { formatEndToEndHeaders } from "../http/format_end_to_end_headers.ts";
+import { hasDeclaredEnd } from "../http/has_declared_end.ts";
 import { isConnectError } from "../http/is_connect_error.ts";
 import { readBody } from "../http/read_body.ts";
 
@@ -51,11 +53,18 @@
                 body: request.body.length === 0 ? undefined : request.body,
                 signal: AbortSignal.any([signal, timeout]),
             });
+            if (!hasDeclaredEnd(request.method, response.statusCode, response.headers)) {
+                closeBody(response.body);
+                return createResult(
+                    UpstreamResultKind.Cut,
+                    "the response declares neither its length nor chunks",
+                );
+            }
             const declaredLength = response.headers["content-length"];
             const bodyLength = request.method === "HEAD" ? undefined : declaredLength;
             const body = await readBody(response.body, request.route.maxAnswerBytes, bodyLength?.toString());
             if (body.isErr()) {
-                response.body.destroy();
+                closeBody(response.body);
                 return createResult(
                     UpstreamResultKind.AnswerTooLarge,
                     `more than ${request.route.maxAnswerBytes} bytes`,
