--- a/src/edge/peer_http/undici_forwarder.ts
+++ b/src/edge/peer_http/undici_forwarder.ts
@@ -14,6 +14,7 @@
 import type { RevokeTarget } from "../../operations/revoke_target.ts";
 import type { SelectedRequest } from "../../select/selected_request.ts";
 import { closeBody } from "../http/close_body.ts";
+import { hasDeclaredEnd } from "../http/has_declared_end.ts";
 import { isConnectError } from "../http/is_connect_error.ts";
 import { readBody } from "../http/read_body.ts";
 import { decodeReply } from "./decode_reply.ts";
@@ -57,7 +58,8 @@
             const declaredLength = response.headers["content-length"]?.toString();
             const body = await readBody(response.body, request.route.maxAnswerBytes, declaredLength);
             const encoded = response.headers[PeerHeader.Reply];
-            if (body.isErr() || typeof encoded !== "string") {
+            const whole = hasDeclaredEnd("POST", response.statusCode, response.headers);
+            if (body.isErr() || !whole || typeof encoded !== "string") {
                 closeBody(response.body);
                 const detail = `unusable reply with status ${response.statusCode}`;
                 return createHopReply(request, createFailure(Code.PeerProtocol, { detail }));
