Issue keys of owners that were heard recently

A daemon that has not heard of an owner's restart issued keys of its past incarnation, which end as unknown although nothing was executed. Owners that were silent for more than 10 s are now used only if there is no other.

--- a/proof/operations/fake_daemon.ts
+++ b/proof/operations/fake_daemon.ts
@@ -79,7 +79,12 @@
 
         const selector = this.selector = new FakeSelector(upstreams, random);
         const membership = { list: () => upstreams, getFirstSeenMs: () => 0, getVersion: () => 1 };
-        const owners = this.owners = new KnownOwnerTable({ membership, preference: selector });
+        const owners = this.owners = new KnownOwnerTable({
+            identity,
+            clock: process,
+            membership,
+            preference: selector,
+        });
         this.issuer = new KeyIssuer({ owners, clock: process, random, validMs: 2_000 });
         const baselines = { getBaselineMs: () => 0 };
         const keyedSelector = new KeyedSelector({
--- a/proof/operations/run_operations.ts
+++ b/proof/operations/run_operations.ts
@@ -79,7 +79,6 @@
             variant,
             find,
         });
-        daemon.owners.setIncarnation(identity);
         this.daemons.set(ownerId, daemon);
         return identity;
     }
--- a/src/build_daemon.ts
+++ b/src/build_daemon.ts
@@ -247,8 +247,7 @@
     const local = new LocalForwarder({ owner: owner.register, revoker: owner.revoker });
     const forwarder = new OwnerForwarder({ daemonId: identity.ownerId, local, remote });
     const preference = { isPreferred: () => true };
-    const owners = new KnownOwnerTable({ membership, preference });
-    owners.setIncarnation(identity);
+    const owners = new KnownOwnerTable({ ...base, membership, preference });
     const inFlight = new InFlightTable();
     const saturation = new SaturationTable(clock, membership);
     const serviceTimes = new ServiceTimes();
--- a/src/forward/attempt_filter.test.ts
+++ b/src/forward/attempt_filter.test.ts
@@ -38,9 +38,10 @@
     readonly filter: AttemptFilter;
 
     constructor(private readonly replies: readonly Reply[]) {
+        const identity = { ownerId: "d-0", incarnation: "i0" };
         const preference = { isPreferred: (upstream: Upstream) => !this.ejected.has(upstream.id) };
         const membership = { list: () => upstreams, getFirstSeenMs: () => 0, getVersion: () => 1 };
-        const owners = new KnownOwnerTable({ membership, preference });
+        const owners = new KnownOwnerTable({ identity, clock: this.time, membership, preference });
         const exchanger = new AttemptExchanger({
             forwarder: {
                 forward: selected => this.forward(selected),
--- a/src/operations/key_issuer.test.ts
+++ b/src/operations/key_issuer.test.ts
@@ -14,14 +14,15 @@
 });
 
 function createIssuer(ejected: readonly string[] = []) {
+    const time = new VirtualTime();
     const owners = new KnownOwnerTable({
+        identity: { ownerId: "d-0", incarnation: "i0" },
+        clock: time,
         membership: { list: () => upstreams, getFirstSeenMs: () => 0, getVersion: () => 1 },
         preference: { isPreferred: upstream => !ejected.includes(upstream.id) },
     });
-    return {
-        owners,
-        issuer: new KeyIssuer({ owners, clock: new VirtualTime(), random: new SeededRandom(1) }),
-    };
+    const issuer = new KeyIssuer({ owners, clock: time, random: new SeededRandom(1) });
+    return { time, owners, issuer };
 }
 
 function listOwners(issuer: KeyIssuer): Set<string> {
@@ -47,3 +48,12 @@
         assert.deepEqual(listOwners(issuer), new Set(expected));
     }
 });
+
+test("keys avoid owners that were silent, because a restarted owner ends a key of its past as unknown", () => {
+    const { time, owners, issuer } = createIssuer();
+    owners.setIncarnation({ ownerId: "d-a", incarnation: "i1" });
+    time.addPause(10_001);
+    assert.deepEqual(listOwners(issuer), new Set(["d-a"]));
+    owners.setIncarnation({ ownerId: "d-b", incarnation: "i2" });
+    assert.deepEqual(listOwners(issuer), new Set(["d-b"]));
+});
--- a/src/operations/known_owner_table.ts
+++ b/src/operations/known_owner_table.ts
@@ -1,3 +1,4 @@
+import type { Clock } from "../core/clock.ts";
 import type { MembershipReader } from "../membership/membership_reader.ts";
 import type { KeyOwnerReader } from "./key_owner_reader.ts";
 import type { KeyOwnerRecorder } from "./key_owner_recorder.ts";
@@ -5,40 +6,66 @@
 import type { UpstreamPreference } from "./upstream_preference.ts";
 
 interface Options {
+    /** This daemon, which knows its own incarnation. */
+    readonly identity: OwnerIdentity;
+    readonly clock: Clock;
     readonly membership: MembershipReader;
     readonly preference: UpstreamPreference;
 }
 
+interface KnownOwner extends OwnerIdentity {
+    /** Monotonic milliseconds. */
+    readonly heardAtMs: number;
+}
+
+/** An owner that was silent for longer may have restarted; a key of its old incarnation would end as unknown. */
+const freshMs = 10_000;
+
 /** Incarnations learnt from head exchanges and replies. */
 export class KnownOwnerTable implements KeyOwnerReader, KeyOwnerRecorder {
-    private readonly incarnations = new Map<string, string>();
+    private readonly owners = new Map<string, KnownOwner>();
 
-    constructor(private readonly options: Options) {}
+    constructor(private readonly options: Options) {
+        this.setIncarnation(options.identity);
+    }
 
     /** Call for each head exchange and each reply that an owner itself made. */
-    setIncarnation(identity: OwnerIdentity): void {
-        this.incarnations.set(identity.ownerId, identity.incarnation);
+    setIncarnation({ ownerId, incarnation }: OwnerIdentity): void {
+        this.owners.set(ownerId, {
+            ownerId,
+            incarnation,
+            heardAtMs: this.options.clock.getMonotonicMs(),
+        });
     }
 
-    /** Call when the daemon is no longer in the instance list. */
+    /** Call when the daemon is no longer in the instance list, or is this one and leaves. */
     remove(ownerId: string): void {
-        this.incarnations.delete(ownerId);
+        this.owners.delete(ownerId);
     }
 
     getIncarnation(ownerId: string): string | undefined {
-        return this.incarnations.get(ownerId);
+        return this.owners.get(ownerId)?.incarnation;
     }
 
+    /** Owners of preferred upstreams, of those the ones that were heard recently; each only if there is any. */
     list(service: string): readonly OwnerIdentity[] {
-        const { membership, preference } = this.options;
-        const upstreams = membership.list(service);
-        const preferred = upstreams.filter(upstream => preference.isPreferred(upstream));
-        const ownerIds = new Set(
-            (preferred.length > 0 ? preferred : upstreams).map(({ ownerId }) => ownerId),
+        const upstreams = this.options.membership.list(service).filter(({ ownerId }) =>
+            this.owners.has(ownerId)
         );
-        return [...ownerIds].flatMap(ownerId => {
-            const incarnation = this.incarnations.get(ownerId);
-            return incarnation === undefined ? [] : [{ ownerId, incarnation }];
-        });
+        const preferred = selectIfAny(upstreams, upstream => this.options.preference.isPreferred(upstream));
+        const ownerIds = new Set(preferred.map(({ ownerId }) => ownerId));
+        const owners = [...ownerIds].map(ownerId => this.owners.get(ownerId)!);
+        return selectIfAny(owners, owner => this.isFresh(owner))
+            .map(({ ownerId, incarnation }) => ({ ownerId, incarnation }));
+    }
+
+    private isFresh({ ownerId, heardAtMs }: KnownOwner): boolean {
+        const { clock, identity } = this.options;
+        return ownerId === identity.ownerId || clock.getMonotonicMs() - heardAtMs <= freshMs;
     }
 }
+
+function selectIfAny<Item>(items: readonly Item[], isWanted: (item: Item) => boolean): readonly Item[] {
+    const wanted = items.filter(isWanted);
+    return wanted.length > 0 ? wanted : items;
+}
