--- a/scripts/build.sh
+++ b/scripts/build.sh
@@ -6,6 +6,8 @@
 npx --no-install esbuild src/main.ts --bundle --platform=node --target=node20 --format=cjs --minify-syntax \
     --external:unix-dgram --log-level=warning --outfile=dist/zinniaglade.cjs
 printf '{"main":"dist/zinniaglade.cjs","output":"dist/zinniaglade.blob","disableExperimentalSEAWarning":true}' > dist/sea.json
+npx --no-install esbuild standin/main.ts --bundle --platform=node --target=node20 --format=cjs \
+    --log-level=warning --outfile=dist/standin.cjs
 node --experimental-sea-config dist/sea.json > /dev/null
 cp "$(node -p process.execPath)" dist/zinniaglade.new
 chmod u+w dist/zinniaglade.new
--- a/src/config/yaml/block_reader.ts
+++ b/src/config/yaml/block_reader.ts
@@ -4,7 +4,7 @@
  * The library's document mode took 2,100 ms for 1,000 services and 5,000 routes, its lexer alone 310 ms. At
  * 9,000 changes a day a daemon that reads each of them may spend 182 ms on one, to stay within 1.9% of a core.
  * Values that this reader does not know are read by the library one entry at a time. When the library finds
- * a fault there, the reader gives up, and the caller lets the library read the whole text.
+ * a fault there, the reader gives up, and the caller uses `getFaults` or lets the library read the whole text.
  *
  * @example
  * ```ts
@@ -13,14 +13,13 @@
  *
  * @module
  */
+import type { Problem } from "../problem.ts";
 import { ProblemList } from "../problem_list.ts";
+import { hasUnusualText } from "./has_unusual_text.ts";
 import { InlineReader } from "./inline_reader.ts";
 import { readLibraryYaml } from "./read_library_yaml.ts";
 import type { SourceNode } from "./source_node.ts";
 
-// Control characters, tabs, unusual spaces and line separators, byte order marks and surrogates.
-const unusualPattern =
-    /[\u0000-\u0009\u000b-\u001f\u007f-\u00a0\u1680\u2000-\u200f\u2028-\u202f\u205f-\u206f\u3000\ud800-\udfff\ufeff]/;
 const indentPattern = /(?: *(?:#[^\n]*)?\n)*( *)/y;
 const keyPattern = /([A-Za-z][A-Za-z0-9_-]*):(?=[ \n]|$) */y;
 
@@ -34,6 +33,9 @@
     /** -1 at the end of the text. */
     private indent = -1;
     private failed = false;
+    /** Keys that lead to the current map. */
+    private readonly path: string[] = [];
+    private faults: readonly Problem[] = [];
 
     constructor(private readonly text: string) {
         this.inline = new InlineReader(text);
@@ -41,14 +43,22 @@
 
     /** Undefined when the text must be read by the library, because it is unusual or has a fault. */
     read(): SourceNode | undefined {
-        if (unusualPattern.test(this.text)) {
+        if (hasUnusualText(this.text)) {
             return undefined;
         }
         this.setLine(0);
-        const root = this.readMap(0);
+        const root = this.indent < 0 ? undefined : this.readMap(this.indent);
         return this.failed || this.indent >= 0 ? undefined : root;
     }
 
+    /**
+     * The faults that the library found in one entry and that the whole text has for certain; empty when there
+     * are none or a fault may come from reading the entry on its own. Other entries may have faults too.
+     */
+    getFaults(): readonly Problem[] {
+        return this.faults;
+    }
+
     private readMap(indent: number): SourceNode | undefined {
         const { offset } = this;
         const entries = new Map<string, SourceNode>();
@@ -60,7 +70,9 @@
                 return undefined;
             }
             const lineStart = this.lineStart;
+            this.path.push(key);
             const known = this.readValue(keyPattern.lastIndex, indent);
+            this.path.pop();
             const value = known !== undefined && this.indent <= indent
                 ? known
                 : this.readEntry(lineStart, indent);
@@ -114,12 +126,22 @@
         const entries = readLibraryYaml(text, problems)?.value;
         this.failed = !problems.isEmpty() || !(entries instanceof Map) || entries.size !== 1;
         if (this.failed) {
+            // The library accepts the end of a flow collection on a line that is not part of the entry.
+            const isCertain = this.text[this.offset] !== "]" && this.text[this.offset] !== "}";
+            this.faults = isCertain ? problems.list().map(problem => this.addPlace(problem, lineStart)) : [];
             return undefined;
         }
         const [value] = (entries as ReadonlyMap<string, SourceNode>).values();
         return addOffset(value!, lineStart);
     }
 
+    /** Turns the place in an entry that begins at `lineStart` into the place in the text. */
+    private addPlace(problem: Problem, lineStart: number): Problem {
+        const line = problem.line + this.text.slice(0, lineStart).split("\n").length - 1;
+        const field = problem.field === "" ? "" : [...this.path, problem.field].join(".");
+        return { ...problem, line, field };
+    }
+
     /** Goes to the first line at or after `lineStart` with more than a comment. */
     private setLine(lineStart: number): void {
         indentPattern.lastIndex = lineStart;
--- /dev/null
+++ b/standin/find_free_ports.ts
@@ -0,0 +1,16 @@
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+
+/** Ports on loopback that were free a moment ago. */
+export async function findFreePorts(count: number): Promise<readonly number[]> {
+    const servers = await Promise.all(
+        Array.from({ length: count }, () =>
+            new Promise<ReturnType<typeof createServer>>(resolve => {
+                const server = createServer();
+                server.listen(0, "127.0.0.1", () => resolve(server));
+            })),
+    );
+    const ports = servers.map(server => (server.address() as AddressInfo).port);
+    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
+    return ports;
+}
