Report each exchange with an upstream to the dispatch watch

The dispatch and settle filters call ExchangeWatch, which DispatchWatch of the health module implements: an upstream that hangs is evidence before its requests reach their deadline. Time in which the process was paused is subtracted there, so that DispatchFilter no longer does. The slot is released with the mark of a shed request.

--- a/proof/operations/fake_daemon.ts
+++ b/proof/operations/fake_daemon.ts
@@ -66,13 +66,14 @@
         const queue = new QueueFilter({ clock: process, timers: process, upstreams: owned, daemonState });
         const pauses = new PauseDetector({ clock: process, timers: process, turns: process });
         pauses.start();
+        const watch = { start: () => undefined, record: () => undefined };
         const attempts = variant.createAttempts();
         const operations = variant.createOperations(process);
         const states = new UpstreamStateBuilder({ queues: queue, evidence, daemonState });
         const client = new FakeUpstreamClient({ time, process, random, history });
         const inner = Pipeline.start(queue)
-            .pipe(new DispatchFilter({ client, clock: process, daemonState, gate: attempts, pauses }))
-            .pipe(new SettleFilter({ identity, clock: process, evidence, states }));
+            .pipe(new DispatchFilter({ client, clock: process, daemonState, gate: attempts, pauses, watch }))
+            .pipe(new SettleFilter({ identity, watch, states }));
         const register = new RegisterFilter({ identity, attempts, operations, states, daemonState, inner });
         this.register = variant.createRegister(register, identity);
         this.revoker = variant.createRevoker(new OwnerRevoker({ identity, attempts, operations }), identity);
--- a/src/build_daemon.ts
+++ b/src/build_daemon.ts
@@ -49,7 +49,9 @@
 import { ReaderElection } from "./gossip/reader_election.ts";
 import { ServiceSectionSplitter } from "./gossip/service_section_splitter.ts";
 import { StartupQuery } from "./gossip/startup_query.ts";
+import { DispatchWatch } from "./health/dispatch_watch.ts";
 import { HealthReportFilter } from "./health/health_report_filter.ts";
+import { PauseMeter } from "./health/pause_meter.ts";
 import { ScoreBoard } from "./health/score_board.ts";
 import { SequentialEvidenceRecorder } from "./health/sequential_evidence_recorder.ts";
 import type { DrainableListener } from "./lifecycle/drainable_listener.ts";
@@ -123,7 +125,7 @@
     owner.setListeners(() => servers.getDrainable());
     const closers = [
         entry.remote,
-        owner.client,
+        ...owner.closers,
         control.transports,
         control.platform,
         ...base.statsd ? [base.statsd] : [],
@@ -219,10 +221,11 @@
     const operations = new OperationTable({ clock });
     const pauses = new PauseDetector({ ...base, turns: new ImmediateLoopTurns() });
     const client = new UndiciUpstreamClient(upstreams);
-    const dispatch = new DispatchFilter({ client, clock, daemonState: lifecycle, gate: attempts, pauses });
-    const inner = Pipeline.start(queue).pipe(dispatch).pipe(
-        new SettleFilter({ identity, clock, evidence, states }),
-    );
+    const meter = new PauseMeter(base);
+    const watch = new DispatchWatch({ ...base, evidence, pauses: meter });
+    const checks = { daemonState: lifecycle, gate: attempts, pauses };
+    const dispatch = new DispatchFilter({ ...checks, client, clock, watch });
+    const inner = Pipeline.start(queue).pipe(dispatch).pipe(new SettleFilter({ identity, watch, states }));
     const register = new RegisterFilter({
         identity,
         attempts,
@@ -238,7 +241,8 @@
     const setListeners = (get: () => readonly DrainableListener[]) => {
         getListeners = get;
     };
-    return { lifecycle, setListeners, board, states, pauses, client, register, incoming, revoker };
+    const closers = [client, meter, watch];
+    return { closers, lifecycle, setListeners, board, states, pauses, register, incoming, revoker };
 }
 
 /** The entry's side: from a caller's request to its answer. */
--- a/src/dispatch/dispatch_filter.test.ts
+++ b/src/dispatch/dispatch_filter.test.ts
@@ -18,12 +18,12 @@
 class Owner {
     readonly time = new VirtualTime();
     readonly sent: AbortSignal[] = [];
+    readonly watched: OwnerRequest[] = [];
     state: DaemonState = DaemonState.Serving;
     refusal: Failure | undefined;
     pauses: PauseGuard = {
         isResuming: () => false,
         wait: () => Promise.resolve(),
-        getPausedMs: () => 0,
     };
 
     async apply(fields: Partial<OwnerRequest> = {}): Promise<DispatchedRequest> {
@@ -43,6 +43,7 @@
             daemonState: { getState: () => this.state },
             gate: { recordDispatch: () => this.refusal === undefined ? ok(undefined) : err(this.refusal) },
             pauses: this.pauses,
+            watch: { start: request => void this.watched.push(request), record: () => undefined },
         });
         const request = { ...buildOwnerRequest(fields), lease: { close: () => undefined }, waitMs: 0 };
         return (await filter.apply(request))._unsafeUnwrap();
@@ -59,6 +60,7 @@
     for (const owner of [revoked, leaving, late]) {
         const { result, refusal } = await owner.apply();
         assert.deepEqual([result, refusal?.outcome, owner.sent.length], [undefined, Outcome.NotExecuted, 0]);
+        assert.equal(owner.watched.length, 0, "what was not sent is no evidence");
     }
 });
 
@@ -72,7 +74,6 @@
             owner.refusal = createFailure(Code.Revoked);
             return Promise.resolve();
         },
-        getPausedMs: () => 0,
     };
     assert.equal((await owner.apply()).refusal?.code, Code.Revoked);
     assert.equal(owner.sent.length, 0);
--- a/src/dispatch/dispatch_filter.ts
+++ b/src/dispatch/dispatch_filter.ts
@@ -21,6 +21,7 @@
 import type { DispatchGate } from "../operations/dispatch_gate.ts";
 import type { QueuedRequest } from "../queue/queued_request.ts";
 import type { DispatchedRequest } from "./dispatched_request.ts";
+import type { ExchangeWatch } from "./exchange_watch.ts";
 import type { PauseGuard } from "./pause_guard.ts";
 import type { UpstreamClient } from "./upstream_client.ts";
 
@@ -30,6 +31,7 @@
     readonly daemonState: DaemonStateReader;
     readonly gate: DispatchGate;
     readonly pauses: PauseGuard;
+    readonly watch: ExchangeWatch;
 }
 
 /** Dispatches an attempt at most once. */
@@ -37,7 +39,7 @@
     constructor(private readonly options: Options) {}
 
     async apply(request: QueuedRequest): Promise<Result<DispatchedRequest, Failure>> {
-        const { client, clock, pauses } = this.options;
+        const { client, clock, pauses, watch } = this.options;
         // Timers run before sockets are read after a pause, so a revocation may still be waiting in a socket.
         while (pauses.isResuming()) {
             await pauses.wait();
@@ -47,12 +49,11 @@
             return ok({ ...request, result: undefined, refusal, serviceMs: 0 });
         }
         const startMs = clock.getMonotonicMs();
-        const pausedMs = pauses.getPausedMs();
         // Cancelling non-idempotent work at the upstream would leave its outcome unknown.
         const signal = request.route.idempotent ? request.signal : new AbortController().signal;
+        watch.start(request);
         const result = await client.send(request, request.deadlineMs - startMs, signal);
-        const elapsedMs = clock.getMonotonicMs() - startMs - (pauses.getPausedMs() - pausedMs);
-        return ok({ ...request, result, refusal: undefined, serviceMs: Math.max(0, elapsedMs) });
+        return ok({ ...request, result, refusal: undefined, serviceMs: clock.getMonotonicMs() - startMs });
     }
 
     private check(request: QueuedRequest): Failure | undefined {
--- a/src/dispatch/pause_detector.test.ts
+++ b/src/dispatch/pause_detector.test.ts
@@ -10,10 +10,9 @@
     const pauses = new PauseDetector({ clock: process, timers: process, turns: process });
     pauses.start();
     await time.run(1_000);
-    assert.deepEqual([pauses.isResuming(), pauses.getPausedMs()], [false, 0]);
+    assert.equal(pauses.isResuming(), false);
     time.addPause(1_100);
     assert.equal(pauses.isResuming(), true);
-    assert.equal(pauses.getPausedMs(), 1_000);
     const waited = pauses.wait();
     await time.run(0);
     await waited;
--- a/src/dispatch/pause_detector.ts
+++ b/src/dispatch/pause_detector.ts
@@ -25,11 +25,10 @@
 /** A timer that is late by more is taken as a pause, from the design page. */
 const lateMs = 250;
 
-/** Measures pauses and tells until when sockets that filled during a pause may be unread. */
+/** Notices pauses and tells until when sockets that filled during a pause may be unread. */
 export class PauseDetector implements PauseGuard {
     private timer: Timer | undefined;
     private expectedMs = Infinity;
-    private pausedMs = 0;
     private resuming: Promise<void> | undefined;
 
     constructor(private readonly options: Options) {}
@@ -57,19 +56,12 @@
         await this.resuming;
     }
 
-    getPausedMs(): number {
-        this.check();
-        return this.pausedMs;
-    }
-
     /** Looks at the clock too, because other timers may run before the late one of this class. */
     private check(): void {
         const nowMs = this.options.clock.getMonotonicMs();
-        const overdueMs = nowMs - this.expectedMs;
-        if (overdueMs <= lateMs) {
+        if (nowMs - this.expectedMs <= lateMs) {
             return;
         }
-        this.pausedMs += overdueMs;
         this.expectedMs = nowMs + periodMs;
         const resuming = this.options.turns.wait(2).then(() => {
             if (this.resuming === resuming) {
--- a/src/dispatch/pause_guard.ts
+++ b/src/dispatch/pause_guard.ts
@@ -4,6 +4,4 @@
     isResuming(): boolean;
     /** Resolves when the sockets that filled during the pause were read. */
     wait(): Promise<void>;
-    /** Milliseconds that this process has been paused since its start. */
-    getPausedMs(): number;
 }
--- a/src/settle/decide_verdict.ts
+++ b/src/settle/decide_verdict.ts
@@ -5,6 +5,7 @@
 import { Outcome } from "../core/outcome.ts";
 import type { UpstreamResult } from "../dispatch/upstream_result.ts";
 import { UpstreamResultKind } from "../dispatch/upstream_result_kind.ts";
+import { isExpected } from "../health/is_expected.ts";
 import type { Verdict } from "./verdict.ts";
 
 const codeOfKind = {
@@ -32,17 +33,12 @@
     if (route.shedStatuses.includes(answer.status)) {
         return buildVerdict(Code.UpstreamShed, { shed: true });
     }
-    const type = answer.headers.find(header => header.name === "content-type")?.value ?? "";
-    const mediaType = type.split(";", 1)[0]!.trim().toLowerCase();
-    const { statuses, contentType } = route.expect;
-    const expected = statuses.includes(answer.status)
-        && (contentType === "" || contentType.toLowerCase() === mediaType);
-    return expected ? buildVerdict(Code.Ok, { expected }) : buildVerdict(Code.UpstreamUnexpected, {
-        detail: `the upstream answered with status ${answer.status} and type "${mediaType}"`,
+    return isExpected(answer, route.expect) ? buildVerdict(Code.Ok) : buildVerdict(Code.UpstreamUnexpected, {
+        detail: `the route does not expect this answer with status ${answer.status}`,
     });
 }
 
-function buildVerdict(code: Code, fields: Partial<Verdict>): Verdict {
+function buildVerdict(code: Code, fields: Partial<Verdict> = {}): Verdict {
     const { outcome, summary } = codeTable[code];
-    return { code, outcome, detail: summary, expected: false, shed: false, ...fields };
+    return { code, outcome, detail: summary, shed: false, ...fields };
 }
--- a/src/settle/settle_filter.test.ts
+++ b/src/settle/settle_filter.test.ts
@@ -1,29 +1,25 @@
 import assert from "node:assert/strict";
 import { Buffer } from "node:buffer";
 import { test } from "node:test";
-import { VirtualTime } from "../../proof/fakes/virtual_time.ts";
 import { buildOwnerRequest } from "../../proof/operations/build_owner_request.ts";
 import { Code } from "../core/code.ts";
 import { createFailure } from "../core/create_failure.ts";
 import { Outcome } from "../core/outcome.ts";
 import type { DispatchedRequest } from "../dispatch/dispatched_request.ts";
 import { UpstreamResultKind } from "../dispatch/upstream_result_kind.ts";
-import type { Evidence } from "../health/evidence.ts";
 import { DaemonState } from "../lifecycle/daemon_state.ts";
 import { SettleFilter } from "./settle_filter.ts";
 import { UpstreamStateBuilder } from "./upstream_state_builder.ts";
 
 function run(kind: UpstreamResultKind | undefined, status?: number, type = "application/json") {
-    const evidence: Evidence[] = [];
-    const closed: (number | undefined)[] = [];
-    const recorder = { record: (entry: Evidence) => void evidence.push(entry), getScore: () => 0 };
+    const watched: DispatchedRequest[] = [];
+    const closed: unknown[][] = [];
     const filter = new SettleFilter({
         identity: { ownerId: "d1", incarnation: "i1" },
-        clock: new VirtualTime(),
-        evidence: recorder,
+        watch: { start: () => undefined, record: entry => void watched.push(entry) },
         states: new UpstreamStateBuilder({
             queues: { getState: () => undefined },
-            evidence: recorder,
+            evidence: { record: () => undefined, getScore: () => 0 },
             daemonState: { getState: () => DaemonState.Serving },
         }),
     });
@@ -33,14 +29,14 @@
     const dispatched: DispatchedRequest = {
         ...request,
         route: { ...request.route, expect: { statuses: [200], contentType: "application/json" } },
-        lease: { close: serviceMs => void closed.push(serviceMs) },
+        lease: { close: (...args) => void closed.push(args) },
         waitMs: 1,
         result: kind === undefined ? undefined : { kind, answer, detail: "" },
         refusal: kind === undefined ? createFailure(Code.Revoked) : undefined,
         serviceMs: 20,
     };
     const { code, outcome } = filter.apply(dispatched)._unsafeUnwrap();
-    return { code, outcome, closed, evidence: evidence.map(entry => entry.expected) };
+    return { code, outcome, closed, watched };
 }
 
 const { Answered, NotSent, Cut, TimedOut, AnswerTooLarge, Cancelled } = UpstreamResultKind;
@@ -62,14 +58,11 @@
 });
 
 test("the slot is released in every case, with a service time only when something was sent", () => {
-    assert.deepEqual([undefined, NotSent, Cut].map(kind => run(kind).closed), [[undefined], [undefined], [
-        20,
-    ]]);
+    assert.deepEqual(run(undefined).closed, [[undefined]]);
+    assert.deepEqual(run(NotSent).closed, [[undefined, false]]);
+    assert.deepEqual([run(Cut).closed, run(Answered, 503).closed], [[[20, false]], [[20, true]]]);
 });
 
-test("shed, cancelled and refused work is no evidence of a fault", () => {
-    assert.deepEqual(run(Answered, 503).evidence, []);
-    assert.deepEqual(run(Cancelled).evidence, []);
-    assert.deepEqual(run(undefined).evidence, []);
-    assert.deepEqual([run(Answered, 200).evidence, run(Answered, 500).evidence], [[true], [false]]);
+test("every attempt is reported to the watch, which otherwise counts it as hanging", () => {
+    assert.deepEqual([undefined, Cut, Cancelled].map(kind => run(kind).watched.length), [1, 1, 1]);
 });
--- a/src/settle/verdict.ts
+++ b/src/settle/verdict.ts
@@ -6,8 +6,6 @@
     readonly code: Code;
     readonly outcome: Outcome;
     readonly detail: string;
-    /** True when a complete answer is what the route expects. */
-    readonly expected: boolean;
     /** True when the upstream declared by its status that it did not run the request. */
     readonly shed: boolean;
 }
