--- a/src/health/health_report.ts
+++ b/src/health/health_report.ts
@@ -1,10 +1,11 @@
 /** Score of an upstream as one daemon passes it on to another. */
 export interface HealthReport {
     readonly upstreamId: string;
+    readonly service: string;
     /** Nats, 0 or more. */
     readonly score: number;
     /** Milliseconds since the owner computed the score; clocks of different instances are never compared. */
     readonly ageMs: number;
-    /** Milliseconds for which the score has been raised. */
+    /** Milliseconds for which the score has been raised when the owner computed it; 0 when it is not. */
     readonly raisedForMs: number;
 }
--- a/src/health/score_board.ts
+++ b/src/health/score_board.ts
@@ -2,8 +2,9 @@
  * The most recent health score of each upstream that this daemon knows, from its own tests, from replies and from
  * reports of other daemons.
  *
- * A sender that meets an upstream only every few seconds would learn of its fault as late. Therefore each reply and
- * each head exchange carries the raised scores that its sender knows.
+ * A sender that meets an upstream only every few seconds would learn of its fault as late. Therefore replies and head
+ * exchanges carry the high scores that their sender knows, with those of other upstreams of the same service to
+ * compare them with. Nothing is sent while no score is high.
  *
  * @example
  * ```ts
@@ -14,21 +15,21 @@
  * @module
  */
 import type { HealthReport } from "./health_report.ts";
+import { ReportBudget } from "./report_budget.ts";
+import type { ScoreRecord } from "./score_record.ts";
 
-/** Scores below this are those of healthy upstreams and not passed on; two slow answers in a row exceed it. */
+/** From this score on an upstream is under suspicion; one bad result exceeds it. */
 const raisedScore = 3;
 
-/** Reports older than this in milliseconds are no longer passed on. */
+/** From this score on it is reported; two bad results in a row exceed it, which is rare for a healthy upstream. */
+const reportedScore = 6;
+
+/** Scores older than this in milliseconds are no longer passed on. */
 const reportLifeMs = 3_000;
 
-/** Reports on one message; each takes some 20 bytes. */
+/** Reports on one message, and how many of them are about high scores. */
 const maxReports = 8;
-
-/** Observations are dropped after this time in milliseconds. */
-const observationLifeMs = 60_000;
-
-/** Observations kept; above it, those that are too old are dropped. */
-const pruneSize = 4_096;
+const maxHighReports = 4;
 
 /** Two raised scores of one upstream within this time in milliseconds belong together. */
 const raisedGapMs = 1_000;
@@ -39,10 +40,12 @@
  */
 const peakLifeMs = 2_000;
 
-interface Observation {
-    readonly score: number;
-    readonly atMs: number;
-    /** Time since which the score has been raised; undefined when it is not. */
+/** Scores are dropped after this time in milliseconds when more than `pruneSize` are kept. */
+const scoreLifeMs = 60_000;
+const pruneSize = 4_096;
+
+interface Observation extends ScoreRecord {
+    /** Undefined when the score is not raised. */
     readonly raisedSinceMs: number | undefined;
     readonly peak: number;
     readonly peakAtMs: number;
@@ -51,36 +54,37 @@
 /** Keeps the freshest score of each upstream. */
 export class ScoreBoard {
     private readonly observations = new Map<string, Observation>();
-    /** Upstreams with a raised score, so that a message need not look through all. */
-    private readonly raised = new Set<string>();
-
-    /**
-     * `atMs` is the monotonic time at which the owner computed the score, or an earlier one; `raisedSinceMs` the
-     * time since which it has been raised, if the owner reported that.
-     */
-    record(upstreamId: string, score: number, atMs: number, raisedSinceMs?: number): void {
+    /** Upstreams with a score to report. */
+    private readonly high = new Set<string>();
+    /** Identifiers of the upstreams of each service. */
+    private readonly services = new Map<string, Set<string>>();
+    private readonly budget = new ReportBudget();
+
+    record(record: ScoreRecord): void {
+        const { upstreamId, service, score, atMs } = record;
         const known = this.observations.get(upstreamId);
         if (known !== undefined && known.atMs > atMs) {
             return;
         }
         const isPeak = known === undefined || score >= known.peak || atMs - known.peakAtMs > peakLifeMs;
-        const isRaised = score >= raisedScore;
-        const knownSinceMs = known !== undefined && atMs - known.atMs <= raisedGapMs
-            ? known.raisedSinceMs
-            : undefined;
+        const isContinued = known !== undefined && atMs - known.atMs <= raisedGapMs;
+        const raisedSinceMs = record.raisedSinceMs ?? (isContinued ? known.raisedSinceMs : undefined) ?? atMs;
         this.observations.set(upstreamId, {
+            upstreamId,
+            service,
             score,
             atMs,
-            raisedSinceMs: isRaised ? raisedSinceMs ?? knownSinceMs ?? atMs : undefined,
+            raisedSinceMs: score >= raisedScore ? raisedSinceMs : undefined,
             peak: isPeak ? score : known.peak,
             peakAtMs: isPeak ? atMs : known.peakAtMs,
         });
-        if (isRaised) {
-            this.raised.add(upstreamId);
+        if (score >= reportedScore) {
+            this.high.add(upstreamId);
         }
         else {
-            this.raised.delete(upstreamId);
+            this.high.delete(upstreamId);
         }
+        this.services.set(service, (this.services.get(service) ?? new Set()).add(upstreamId));
         if (this.observations.size > pruneSize) {
             this.removeOld(atMs);
         }
@@ -88,9 +92,10 @@
 
     /** Takes reports of another daemon. */
     merge(reports: readonly HealthReport[], nowMs: number): void {
-        for (const { upstreamId, score, ageMs, raisedForMs } of reports) {
+        for (const { upstreamId, service, score, ageMs, raisedForMs } of reports) {
             if (score >= 0 && ageMs >= 0 && ageMs <= reportLifeMs && raisedForMs >= 0) {
-                this.record(upstreamId, score, nowMs - ageMs, nowMs - raisedForMs);
+                const atMs = nowMs - ageMs;
+                this.record({ upstreamId, service, score, atMs, raisedSinceMs: atMs - raisedForMs });
             }
         }
     }
@@ -115,27 +120,40 @@
         return this.observations.get(upstreamId)?.raisedSinceMs;
     }
 
-    /** The freshest raised scores. */
+    /** The highest scores, and the freshest of other upstreams of the same services. */
     listReports(nowMs: number): readonly HealthReport[] {
-        const reports: HealthReport[] = [];
-        for (const upstreamId of this.raised) {
-            const { score, atMs, raisedSinceMs = atMs } = this.observations.get(upstreamId)!;
-            if (nowMs - atMs <= reportLifeMs) {
-                const raisedForMs = Math.max(0, nowMs - raisedSinceMs);
-                reports.push({ upstreamId, score, ageMs: Math.max(0, nowMs - atMs), raisedForMs });
-            }
-            else {
-                this.raised.delete(upstreamId);
-            }
+        if (this.high.size === 0) {
+            return [];
         }
-        return reports.sort((left, right) => left.ageMs - right.ageMs).slice(0, maxReports);
+        const isFresh = ({ atMs }: Observation): boolean => nowMs - atMs <= reportLifeMs;
+        const high = this.listObservations(this.high).filter(isFresh)
+            .sort((left, right) => right.score - left.score)
+            .slice(0, maxHighReports);
+        const reported = new Set(high);
+        const others = [...new Set(high.map(({ service }) => service))]
+            .flatMap(service => this.listObservations(this.services.get(service) ?? new Set()))
+            .filter(observation => isFresh(observation) && !reported.has(observation))
+            .sort((left, right) => right.atMs - left.atMs);
+        const chosen = [...high, ...others].slice(0, maxReports);
+        return chosen.slice(0, this.budget.take(chosen.length, nowMs)).map(observation => ({
+            upstreamId: observation.upstreamId,
+            service: observation.service,
+            score: observation.score,
+            ageMs: Math.max(0, nowMs - observation.atMs),
+            raisedForMs: Math.max(0, observation.atMs - (observation.raisedSinceMs ?? observation.atMs)),
+        }));
+    }
+
+    private listObservations(upstreamIds: ReadonlySet<string>): readonly Observation[] {
+        return [...upstreamIds].map(upstreamId => this.observations.get(upstreamId)!);
     }
 
     private removeOld(nowMs: number): void {
-        for (const [upstreamId, { atMs }] of this.observations) {
-            if (nowMs - atMs > observationLifeMs) {
+        for (const [upstreamId, { service, atMs }] of this.observations) {
+            if (nowMs - atMs > scoreLifeMs) {
                 this.observations.delete(upstreamId);
-                this.raised.delete(upstreamId);
+                this.high.delete(upstreamId);
+                this.services.get(service)?.delete(upstreamId);
             }
         }
     }
--- a/src/health/sequential_evidence_recorder.ts
+++ b/src/health/sequential_evidence_recorder.ts
@@ -40,7 +40,8 @@
             this.tests.set(evidence.upstreamId, test);
         }
         test.apply(evidence, computeAlarmScore(service.health));
-        this.options.board.record(evidence.upstreamId, test.getScore(), evidence.atMs);
+        const { upstreamId, atMs } = evidence;
+        this.options.board.record({ upstreamId, service: service.name, score: test.getScore(), atMs });
     }
 
     getScore(upstreamId: string): number {
--- a/src/select/power_of_two_selector.ts
+++ b/src/select/power_of_two_selector.ts
@@ -121,7 +121,9 @@
             this.paths.recordSuccess(upstream.ownerId);
             // The reply may have been on its way for long; its score is not newer than the end of the exchange.
             const scoredAtMs = Math.min(nowMs, nowMs - roundTripMs + reply.waitMs + reply.serviceMs);
-            this.options.board.record(upstream.id, reply.upstream.healthScore, scoredAtMs);
+            const score = reply.upstream.healthScore;
+            const record = { upstreamId: upstream.id, service: service.name, score, atMs: scoredAtMs };
+            this.options.board.record(record);
         }
         else if (reply.code >= firstHopCode && reply.code <= lastHopCode) {
             this.paths.recordFailure(upstream.ownerId, nowMs);
