--- a/src/health/compute_reference_score.ts
+++ b/src/health/compute_reference_score.ts
@@ -5,7 +5,7 @@
 const lagFactor = 2;
 
 /** With fewer known scores of other upstreams there is nothing to compare with. */
-const minOthers = 2;
+const minOthers = 3;
 
 /**
  * Reference for one upstream in nats, from the median of the scores of the service's other upstreams in rotation. A
--- a/src/health/ejection_table.ts
+++ b/src/health/ejection_table.ts
@@ -26,6 +26,12 @@
  */
 const confirmMs = 400;
 
+/**
+ * A common cause raises the other scores up to this time in milliseconds later: at ten requests a second three
+ * requests to each upstream begin in it, and slow ones need a while to end.
+ */
+const commonDelayMs = 300;
+
 /** Scores older than this in milliseconds do not count. */
 const scoreLifeMs = 10_000;
 
@@ -156,7 +162,7 @@
     /**
      * The reference is subtracted only from scores that reach the alarm; the others decide nothing. It is made of the
      * recent peaks of those upstreams whose score is newer than the begin of the fault: older ones say nothing about
-     * a common cause, and present scores may be older or newer than this one.
+     * a common cause. Peaks, because present scores may be older or newer than this one.
      */
     private computeExcess(
         upstreamId: string,
@@ -170,9 +176,9 @@
         if (score < alarmScore) {
             return score;
         }
-        const raisedSinceMs = board.getRaisedSinceMs(upstreamId) ?? nowMs;
+        const comparableSinceMs = (board.getRaisedSinceMs(upstreamId) ?? nowMs) + commonDelayMs;
         const others = [...states].filter(([id, state]) => id !== upstreamId && !state.ejected);
-        const known = others.filter(([id]) => board.getScore(id, raisedSinceMs) !== undefined);
+        const known = others.filter(([id]) => board.getScore(id, comparableSinceMs) !== undefined);
         return score - computeReferenceScore(others.length, known.map(([id]) => board.getPeak(id, nowMs)));
     }
 
