Let old scores and peaks of a common fault not eject

Cause: a score that was seconds old, or the last one to fall after a common fault, stood against fresh low ones; timeouts without evidence renewed the age. The cap is now 1.25 alarms.

--- a/src/health/ejection_table.ts
+++ b/src/health/ejection_table.ts
@@ -27,13 +27,13 @@
 const confirmMs = 400;
 
 /**
- * A common cause raises the other scores up to this time in milliseconds later: at ten requests a second three
- * requests to each upstream begin in it, and slow ones need a while to end.
+ * A common cause raises the other scores up to this time in milliseconds earlier or later: at ten requests a second
+ * three requests to each upstream begin in it, and slow ones need a while to end.
  */
 const commonDelayMs = 300;
 
-/** Scores older than this in milliseconds do not count. */
-const scoreLifeMs = 10_000;
+/** Scores older than this in milliseconds do not eject: the others may have recovered from a common fault since. */
+const scoreLifeMs = 1_500;
 
 /** Wait in milliseconds after a trial request that showed nothing. */
 const nextTrialMs = 500;
@@ -176,10 +176,16 @@
         if (score < alarmScore) {
             return score;
         }
-        const comparableSinceMs = (board.getRaisedSinceMs(upstreamId) ?? nowMs) + commonDelayMs;
+        const raisedSinceMs = board.getRaisedSinceMs(upstreamId) ?? nowMs;
         const others = [...states].filter(([id, state]) => id !== upstreamId && !state.ejected);
-        const known = others.filter(([id]) => board.getScore(id, comparableSinceMs) !== undefined);
-        return score - computeReferenceScore(others.length, known.map(([id]) => board.getPeak(id, nowMs)));
+        const known = others.filter(([id]) =>
+            board.getScore(id, raisedSinceMs + commonDelayMs) !== undefined
+        );
+        return score -
+            computeReferenceScore(
+                others.length,
+                known.map(([id]) => board.getPeak(id, raisedSinceMs - commonDelayMs)),
+            );
     }
 
     /** Ejects, or extends an ejection. The hold doubles unless the upstream was in rotation for the longest hold. */
--- a/src/health/score_board.ts
+++ b/src/health/score_board.ts
@@ -34,11 +34,8 @@
 /** Two raised scores of one upstream within this time in milliseconds belong together. */
 const raisedGapMs = 1_000;
 
-/**
- * A peak is remembered for this time in milliseconds. It is longer than reports take to arrive, and so short that a
- * healthy upstream at ten requests a second with 1.6% slow answers mostly has no peak.
- */
-const peakLifeMs = 2_000;
+/** A peak is remembered for this time in milliseconds; a common fault raises the scores within it. */
+const peakLifeMs = 5_000;
 
 /** Scores are dropped after this time in milliseconds when more than `pruneSize` are kept. */
 const scoreLifeMs = 60_000;
@@ -106,13 +103,13 @@
         return known !== undefined && known.atMs > sinceMs ? known.score : undefined;
     }
 
-    /** Highest score of the last seconds; 0 when none is known. */
-    getPeak(upstreamId: string, nowMs: number): number {
+    /** Highest score of the last seconds if it was reached after `sinceMs`, or else the last score. */
+    getPeak(upstreamId: string, sinceMs: number): number {
         const known = this.observations.get(upstreamId);
         if (known === undefined) {
             return 0;
         }
-        return nowMs - known.peakAtMs <= peakLifeMs ? known.peak : known.score;
+        return known.peakAtMs >= sinceMs ? known.peak : known.score;
     }
 
     /** Time since which the score has been raised; undefined when it is not. */
--- a/src/health/sequential_evidence_recorder.ts
+++ b/src/health/sequential_evidence_recorder.ts
@@ -39,7 +39,9 @@
             test = new UpstreamTest();
             this.tests.set(evidence.upstreamId, test);
         }
-        test.apply(evidence, computeAlarmScore(service.health));
+        if (!test.apply(evidence, computeAlarmScore(service.health))) {
+            return;
+        }
         const { upstreamId, atMs } = evidence;
         this.options.board.record({ upstreamId, service: service.name, score: test.getScore(), atMs });
     }
--- a/src/health/upstream_test.ts
+++ b/src/health/upstream_test.ts
@@ -4,12 +4,12 @@
 
 /**
  * The score stays below this multiple of the alarm score, so that an upstream that works again is seen to do so
- * within some 35 requests even when it was never ejected.
+ * within some 30 requests even when it was never ejected.
  */
-const limitFactor = 1.4;
+const limitFactor = 1.25;
 
 /** Good trial requests that lower the score by the alarm score. */
-const trialsPerAlarm = 4;
+const trialsPerAlarm = 5;
 
 /** Sequential test of one upstream: one sum for slow answers and one for failed requests. */
 export class UpstreamTest {
@@ -18,23 +18,25 @@
     private readonly slow = new CumulativeSum({ healthyShare: 0.02, failingShare: 0.5 });
     private readonly failed = new CumulativeSum({ healthyShare: 0.01, failingShare: 0.5 });
 
-    apply(evidence: Evidence, alarmScore: number): void {
+    /** Returns false when the evidence says nothing. */
+    apply(evidence: Evidence, alarmScore: number): boolean {
         const limit = alarmScore * limitFactor;
         const failed = isFailed(evidence);
         const slow = evidence.baselineMs > 0 && evidence.serviceMs > evidence.baselineMs;
         const known = evidence.baselineMs > 0 && !failed;
         if (evidence.kind === UpstreamResultKind.TimedOut && !slow) {
             // The request had less time than a healthy upstream may take.
-            return;
+            return false;
         }
         if (evidence.trial) {
             this.applyTrial(failed, slow, alarmScore, limit);
-            return;
+            return true;
         }
         this.failed.add(failed, limit);
         if (known) {
             this.slow.add(slow, limit);
         }
+        return true;
     }
 
     /** Nats. */
