--- a/measure/detection/fake_owner.ts
+++ b/measure/detection/fake_owner.ts
@@ -105,7 +105,7 @@
                 healthScore: evidence.getScore(request.upstreamId),
                 leaving: false,
             },
-            healthReports: board.listReports(time.getMonotonicMs()),
+            healthReports: board.listReports(time.getMonotonicMs(), request.upstreamId),
         };
     }
 }
--- a/src/health/score_board.ts
+++ b/src/health/score_board.ts
@@ -8,7 +8,7 @@
  *
  * @example
  * ```ts
- * const reply = { ...ownReply, healthReports: board.listReports(clock.getMonotonicMs()) };
+ * const reply = { ...ownReply, healthReports: board.listReports(clock.getMonotonicMs(), upstreamId) };
  * board.merge(reply.healthReports, clock.getMonotonicMs());
  * ```
  *
@@ -90,7 +90,7 @@
     /** Takes reports of another daemon. */
     merge(reports: readonly HealthReport[], nowMs: number): void {
         for (const { upstreamId, service, score, ageMs, raisedForMs } of reports) {
-            if (score >= 0 && ageMs >= 0 && ageMs <= reportLifeMs && raisedForMs >= 0) {
+            if (score >= 0 && ageMs >= 0 && raisedForMs >= 0) {
                 const atMs = nowMs - ageMs;
                 this.record({ upstreamId, service, score, atMs, raisedSinceMs: atMs - raisedForMs });
             }
@@ -117,8 +117,17 @@
         return this.observations.get(upstreamId)?.raisedSinceMs;
     }
 
-    /** The highest scores, and the freshest of other upstreams of the same services. */
-    listReports(nowMs: number): readonly HealthReport[] {
+    /**
+     * The highest scores, and the freshest of other upstreams of the same services. `aboutId` is the upstream that a
+     * reply is about: its own score is always in the reply, and this report adds since when it is raised.
+     */
+    listReports(nowMs: number, aboutId?: string): readonly HealthReport[] {
+        const about = aboutId === undefined ? undefined : this.observations.get(aboutId);
+        const own = about?.raisedSinceMs === undefined ? [] : [buildReport(about, nowMs)];
+        return [...own, ...this.listOthers(nowMs).filter(({ upstreamId }) => upstreamId !== aboutId)];
+    }
+
+    private listOthers(nowMs: number): readonly HealthReport[] {
         if (this.high.size === 0) {
             return [];
         }
@@ -132,13 +141,8 @@
             .filter(observation => isFresh(observation) && !reported.has(observation))
             .sort((left, right) => right.atMs - left.atMs);
         const chosen = [...high, ...others].slice(0, maxReports);
-        return chosen.slice(0, this.budget.take(chosen.length, nowMs)).map(observation => ({
-            upstreamId: observation.upstreamId,
-            service: observation.service,
-            score: observation.score,
-            ageMs: Math.max(0, nowMs - observation.atMs),
-            raisedForMs: Math.max(0, observation.atMs - (observation.raisedSinceMs ?? observation.atMs)),
-        }));
+        const sent = chosen.slice(0, this.budget.take(chosen.length, nowMs));
+        return sent.map(observation => buildReport(observation, nowMs));
     }
 
     private listObservations(upstreamIds: ReadonlySet<string>): readonly Observation[] {
@@ -155,3 +159,9 @@
         }
     }
 }
+
+function buildReport(observation: Observation, nowMs: number): HealthReport {
+    const { upstreamId, service, score, atMs, raisedSinceMs = atMs } = observation;
+    const ageMs = Math.max(0, nowMs - atMs);
+    return { upstreamId, service, score, ageMs, raisedForMs: Math.max(0, atMs - raisedSinceMs) };
+}
--- a/src/select/power_of_two_selector.ts
+++ b/src/select/power_of_two_selector.ts
@@ -119,11 +119,7 @@
         if (reply.upstream !== undefined) {
             load.update(reply.upstream, nowMs);
             this.paths.recordSuccess(upstream.ownerId);
-            // The reply may have been on its way for long; its score is not newer than the end of the exchange.
-            const scoredAtMs = Math.min(nowMs, nowMs - roundTripMs + reply.waitMs + reply.serviceMs);
-            const score = reply.upstream.healthScore;
-            const record = { upstreamId: upstream.id, service: service.name, score, atMs: scoredAtMs };
-            this.options.board.record(record);
+            this.recordScore(selected, reply, reply.upstream.healthScore, nowMs - roundTripMs);
         }
         else if (reply.code >= firstHopCode && reply.code <= lastHopCode) {
             this.paths.recordFailure(upstream.ownerId, nowMs);
@@ -163,6 +159,16 @@
         });
     }
 
+    /** Takes the score that a reply carries, unless a report on the same reply tells its age. */
+    private recordScore(selected: SelectedRequest, reply: OwnerReply, score: number, sentAtMs: number): void {
+        const { id: upstreamId, service } = selected.upstream;
+        if (reply.healthReports?.some(report => report.upstreamId === upstreamId) !== true) {
+            // The reply may have been on its way for long; its score is not newer than the end of the exchange.
+            const atMs = sentAtMs + reply.waitMs + reply.serviceMs;
+            this.options.board.record({ upstreamId, service, score, atMs });
+        }
+    }
+
     private updateRotation(service: ServiceConfig, members: readonly Upstream[], nowMs: number): Rotation {
         const unreachable = new Set(
             members.filter(({ ownerId }) => this.paths.isAvoided(ownerId, true, nowMs)).map(({ id }) => id),
