--- a/src/health/score_board.ts
+++ b/src/health/score_board.ts
@@ -15,13 +15,11 @@
  * @module
  */
 import type { HealthReport } from "./health_report.ts";
+import { raisedScore } from "./raised_score.ts";
 import { ReportBudget } from "./report_budget.ts";
 import type { ScoreRecord } from "./score_record.ts";
 
-/** From this score on an upstream is under suspicion; one bad result exceeds it. */
-const raisedScore = 3;
-
-/** From this score on it is reported; two bad results in a row exceed it, which is rare for a healthy upstream. */
+/** From this score on an upstream is reported; two bad results in a row exceed it, which is rare for a healthy upstream. */
 const reportedScore = 6;
 
 /** Scores older than this in milliseconds are no longer passed on. */
@@ -34,8 +32,8 @@
 /** Two raised scores of one upstream within this time in milliseconds belong together. */
 const raisedGapMs = 1_000;
 
-/** A peak is remembered for this time in milliseconds; a common fault raises the scores within it. */
-const peakLifeMs = 5_000;
+/** A peak is remembered for this time in milliseconds; the scores fall within it after a common fault has ended. */
+const peakLifeMs = 10_000;
 
 /** Scores are dropped after this time in milliseconds when more than `pruneSize` are kept. */
 const scoreLifeMs = 60_000;
--- a/src/health/sequential_evidence_recorder.ts
+++ b/src/health/sequential_evidence_recorder.ts
@@ -43,7 +43,9 @@
             return;
         }
         const { upstreamId, atMs } = evidence;
-        this.options.board.record({ upstreamId, service: service.name, score: test.getScore(), atMs });
+        const raisedSinceMs = test.getRaisedSinceMs();
+        const record = { upstreamId, service: service.name, score: test.getScore(), atMs };
+        this.options.board.record(raisedSinceMs === undefined ? record : { ...record, raisedSinceMs });
     }
 
     getScore(upstreamId: string): number {
--- a/src/health/upstream_test.ts
+++ b/src/health/upstream_test.ts
@@ -1,6 +1,7 @@
 import { UpstreamResultKind } from "../dispatch/upstream_result_kind.ts";
 import { CumulativeSum } from "./cumulative_sum.ts";
 import type { Evidence } from "./evidence.ts";
+import { raisedScore } from "./raised_score.ts";
 
 /**
  * The score stays below this multiple of the alarm score, so that an upstream that works again is seen to do so
@@ -13,6 +14,7 @@
 
 /** Sequential test of one upstream: one sum for slow answers and one for failed requests. */
 export class UpstreamTest {
+    private raisedSinceMs: number | undefined;
     // With the default slowFactor of 3, a healthy upstream exceeds three times the third quartile of its peers in
     // 1.6% of its answers when service times are exponential, and in fewer when they spread less.
     private readonly slow = new CumulativeSum({ healthyShare: 0.02, failingShare: 0.5 });
@@ -20,6 +22,12 @@
 
     /** Returns false when the evidence says nothing about the test that makes the score, which is then not newer. */
     apply(evidence: Evidence, alarmScore: number): boolean {
+        const isCounted = this.addEvidence(evidence, alarmScore);
+        this.raisedSinceMs = this.getScore() < raisedScore ? undefined : this.raisedSinceMs ?? evidence.atMs;
+        return isCounted;
+    }
+
+    private addEvidence(evidence: Evidence, alarmScore: number): boolean {
         const limit = alarmScore * limitFactor;
         const failed = isFailed(evidence);
         const slow = evidence.baselineMs > 0 && evidence.serviceMs > evidence.baselineMs;
@@ -39,6 +47,11 @@
         return known || this.failed.get() >= this.slow.get();
     }
 
+    /** Time since which the score has been raised; undefined when it is not. */
+    getRaisedSinceMs(): number | undefined {
+        return this.raisedSinceMs;
+    }
+
     /** Nats. */
     getScore(): number {
         return Math.max(this.slow.get(), this.failed.get());
