--- a/measure/detection/run_scenario.ts
+++ b/measure/detection/run_scenario.ts
@@ -54,6 +54,9 @@
     // The sender whose path is cut is in the failure domain of the upstream and owns another one or none.
     const cutDaemon = `daemon ${deployment.daemons - 3}`;
 
+    // A cut path and a fault of all upstreams are no faults of single upstreams, so no ejection is right.
+    const isOwnFault = !cutPath && faulty.size < members.length;
+
     let wrongful = 0;
     let returns = 0;
     let firstEjectionMs: number | undefined;
@@ -63,7 +66,9 @@
         if (entry.change === "return") {
             returns += 1;
         }
-        else if (entry.before === "in rotation" && (cutPath || afterMs < 0 || !faulty.has(entry.subject))) {
+        else if (
+            entry.before === "in rotation" && (!isOwnFault || afterMs < 0 || !faulty.has(entry.subject))
+        ) {
             wrongful += 1;
         }
         else {
