--- /dev/null
+++ b/proof/health/floor.test.ts
@@ -0,0 +1,147 @@
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { computeRotation } from "../../src/health/compute_rotation.ts";
+import { EjectionTable } from "../../src/health/ejection_table.ts";
+import { ScoreBoard } from "../../src/health/score_board.ts";
+import { TrialResult } from "../../src/health/trial_result.ts";
+import { checkHistory } from "../check_history.ts";
+import { EventKind } from "../event_kind.ts";
+import { SeededRandom } from "../fakes/seeded_random.ts";
+import { HistoryRecorder } from "../history_recorder.ts";
+import { FloorPredicate } from "../predicates/floor_predicate.ts";
+import type { Violation } from "../violation.ts";
+import { buildTestMembers } from "./build_test_members.ts";
+import { buildTestService } from "./build_test_service.ts";
+
+const anyMember = fc.record({
+    upstreamId: fc.integer({ min: 0, max: 15 }).map(index => `u${index}`),
+    excess: fc.double(),
+    failing: fc.boolean(),
+    ejected: fc.boolean(),
+    unreachable: fc.boolean(),
+});
+
+test("no evidence makes the rotation smaller than the floor, not even NaN, duplicates or an absurd floor", () => {
+    fc.assert(
+        fc.property(
+            fc.array(anyMember, { maxLength: 20 }),
+            fc.integer({ min: -3, max: 30 }),
+            (members, floor) => {
+                const { inRotation, ejected, avoided } = computeRotation(members, floor);
+                const live = new Set(members.map(({ upstreamId }) => upstreamId));
+                assert.ok(inRotation.size >= Math.min(live.size, floor));
+                assert.equal(inRotation.size + ejected.size + avoided.size, live.size);
+            },
+        ),
+    );
+});
+
+test("the worst are ejected first, so that the floor keeps the least bad ones", () => {
+    const members = fc.uniqueArray(anyMember, { selector: ({ upstreamId }) => upstreamId, maxLength: 16 });
+    fc.assert(fc.property(members, fc.nat(16), (list, floor) => {
+        const finite = list.map(member => ({
+            ...member,
+            excess: Number.isFinite(member.excess) ? member.excess : 0,
+        }));
+        const { ejected } = computeRotation(finite, floor);
+        const out = finite.filter(({ upstreamId }) => ejected.has(upstreamId));
+        const kept = finite.filter(({ upstreamId, failing }) => failing && !ejected.has(upstreamId));
+        assert.ok(out.every(({ failing }) => failing));
+        assert.ok(out.every(({ excess }) => kept.every(other => excess >= other.excess)));
+    }));
+});
+
+interface Step {
+    readonly daemon: number;
+    readonly upstream: number;
+    readonly score: number;
+    /** Age of the score; a late reply or a report has an old one. */
+    readonly ageMs: number;
+    readonly elapsedMs: number;
+    readonly trial: TrialResult | undefined;
+    readonly unreachable: number;
+    readonly live: number;
+}
+
+const anyStep: fc.Arbitrary<Step> = fc.record({
+    daemon: fc.nat(2),
+    upstream: fc.nat(7),
+    // Mostly far above the alarm, and 0 as after a restart of the owner.
+    score: fc.oneof(fc.constant(0), fc.constant(30), fc.double({ min: 0, max: 40, noNaN: true })),
+    ageMs: fc.oneof(fc.constant(0), fc.nat(5_000)),
+    elapsedMs: fc.nat(1_500),
+    trial: fc.option(fc.constantFrom(...Object.values(TrialResult)), { nil: undefined }),
+    unreachable: fc.nat(8),
+    live: fc.integer({ min: 1, max: 8 }),
+});
+
+/** Three daemons with views of their own; `usedFloor` is what the table is told, `floor` what must hold. */
+function runDaemons(steps: readonly Step[], floor: number, usedFloor: number): readonly Violation[] {
+    const members = buildTestMembers(8);
+    const service = buildTestService({ floor: usedFloor });
+    const history = new HistoryRecorder();
+    const daemons = Array.from({ length: 3 }, (_, index) => {
+        const board = new ScoreBoard();
+        const audit = { record: () => undefined };
+        const membership = { list: () => members, getFirstSeenMs: () => 0, getVersion: () => 1 };
+        const random = new SeededRandom(index);
+        return { board, table: new EjectionTable({ random, membership, audit, board }) };
+    });
+    let nowMs = 0;
+    for (const step of steps) {
+        nowMs += step.elapsedMs;
+        const { board, table } = daemons[step.daemon]!;
+        const upstreamId = `u${step.upstream}`;
+        const live = members.slice(0, step.live);
+        const atMs = nowMs - step.ageMs;
+        board.record({
+            upstreamId,
+            service: service.name,
+            score: step.score,
+            atMs,
+            raisedSinceMs: atMs - 1_000,
+        });
+        // The others are known as healthy, so that the high score counts.
+        for (const { id } of live.filter(member => member.id !== upstreamId)) {
+            if (board.getScore(id, nowMs - 1_000) === undefined) {
+                board.record({ upstreamId: id, service: service.name, score: 0, atMs: nowMs });
+            }
+        }
+        if (step.trial !== undefined) {
+            table.recordTrialStart(service.name, upstreamId);
+            table.recordTrialEnd(service, upstreamId, step.trial, nowMs);
+        }
+        const unreachable = new Set(live.slice(0, step.unreachable).map(({ id }) => id));
+        const { inRotation } = table.update(service, live, unreachable, nowMs);
+        history.record({
+            kind: EventKind.RotationComputed,
+            atMs: nowMs,
+            actor: `daemon ${step.daemon}`,
+            service: service.name,
+            members: [...inRotation],
+            live: live.length,
+            floor,
+        });
+    }
+    return checkHistory(history.list(), [new FloorPredicate()]);
+}
+
+const anySteps = fc.array(anyStep, { minLength: 30, maxLength: 80 });
+
+test("daemons that decide at once with different, late and stale views each keep the floor", () => {
+    fc.assert(
+        fc.property(anySteps, fc.nat(8), (steps, floor) => {
+            assert.deepEqual(runDaemons(steps, floor, floor), []);
+        }),
+        { seed: 1, numRuns: 200 },
+    );
+});
+
+test("the predicate catches ejection without the floor check, so the proof can fail", () => {
+    const [steps] = fc.sample(anySteps, { seed: 1, numRuns: 50 })
+        .filter(candidate => runDaemons(candidate, 6, 0).length > 0);
+    assert.ok(steps !== undefined, "no run of the mutant breaks the floor");
+    assert.equal(runDaemons(steps, 6, 0)[0]?.predicate, "floor");
+    assert.deepEqual(runDaemons(steps, 6, 6), []);
+});
