--- a/src/health/ejection_table.ts
+++ b/src/health/ejection_table.ts
@@ -26,8 +26,14 @@
  */
 const confirmMs = 400;
 
-/** Scores older than this in milliseconds do not count. */
-const scoreLifeMs = 10_000;
+/**
+ * A common cause raises the other scores up to this time in milliseconds earlier or later: at ten requests a second
+ * three requests to each upstream begin in it, and slow ones need a while to end.
+ */
+const commonDelayMs = 300;
+
+/** Scores older than this in milliseconds do not eject: the others may have recovered from a common fault since. */
+const scoreLifeMs = 1_500;
 
 /** Wait in milliseconds after a trial request that showed nothing. */
 const nextTrialMs = 500;
@@ -156,7 +162,7 @@
     /**
      * The reference is subtracted only from scores that reach the alarm; the others decide nothing. It is made of the
      * recent peaks of those upstreams whose score is newer than the begin of the fault: older ones say nothing about
-     * a common cause, and present scores may be older or newer than this one.
+     * a common cause. Peaks, because present scores may be older or newer than this one.
      */
     private computeExcess(
         upstreamId: string,
@@ -172,8 +178,14 @@
         }
         const raisedSinceMs = board.getRaisedSinceMs(upstreamId) ?? nowMs;
         const others = [...states].filter(([id, state]) => id !== upstreamId && !state.ejected);
-        const known = others.filter(([id]) => board.getScore(id, raisedSinceMs) !== undefined);
-        return score - computeReferenceScore(others.length, known.map(([id]) => board.getPeak(id, nowMs)));
+        const known = others.filter(([id]) =>
+            board.getScore(id, raisedSinceMs + commonDelayMs) !== undefined
+        );
+        return score -
+            computeReferenceScore(
+                others.length,
+                known.map(([id]) => board.getPeak(id, raisedSinceMs - commonDelayMs)),
+            );
     }
 
     /** Ejects, or extends an ejection. The hold doubles unless the upstream was in rotation for the longest hold. */
--- a/src/health/sequential_evidence_recorder.ts
+++ b/src/health/sequential_evidence_recorder.ts
@@ -39,8 +39,13 @@
             test = new UpstreamTest();
             this.tests.set(evidence.upstreamId, test);
         }
-        test.apply(evidence, computeAlarmScore(service.health));
-        this.options.board.record(evidence.upstreamId, test.getScore(), evidence.atMs);
+        if (!test.apply(evidence, computeAlarmScore(service.health))) {
+            return;
+        }
+        const { upstreamId, atMs } = evidence;
+        const raisedSinceMs = test.getRaisedSinceMs();
+        const record = { upstreamId, service: service.name, score: test.getScore(), atMs };
+        this.options.board.record(raisedSinceMs === undefined ? record : { ...record, raisedSinceMs });
     }
 
     getScore(upstreamId: string): number {
--- a/src/health/upstream_test.ts
+++ b/src/health/upstream_test.ts
@@ -1,40 +1,55 @@
 import { UpstreamResultKind } from "../dispatch/upstream_result_kind.ts";
 import { CumulativeSum } from "./cumulative_sum.ts";
 import type { Evidence } from "./evidence.ts";
+import { raisedScore } from "./raised_score.ts";
 
 /**
  * The score stays below this multiple of the alarm score, so that an upstream that works again is seen to do so
- * within some 35 requests even when it was never ejected.
+ * within some 30 requests even when it was never ejected.
  */
-const limitFactor = 1.4;
+const limitFactor = 1.25;
 
 /** Good trial requests that lower the score by the alarm score. */
-const trialsPerAlarm = 4;
+const trialsPerAlarm = 5;
 
 /** Sequential test of one upstream: one sum for slow answers and one for failed requests. */
 export class UpstreamTest {
+    private raisedSinceMs: number | undefined;
     // With the default slowFactor of 3, a healthy upstream exceeds three times the third quartile of its peers in
     // 1.6% of its answers when service times are exponential, and in fewer when they spread less.
     private readonly slow = new CumulativeSum({ healthyShare: 0.02, failingShare: 0.5 });
     private readonly failed = new CumulativeSum({ healthyShare: 0.01, failingShare: 0.5 });
 
-    apply(evidence: Evidence, alarmScore: number): void {
+    /** Returns false when the evidence says nothing about the test that makes the score, which is then not newer. */
+    apply(evidence: Evidence, alarmScore: number): boolean {
+        const isCounted = this.addEvidence(evidence, alarmScore);
+        this.raisedSinceMs = this.getScore() < raisedScore ? undefined : this.raisedSinceMs ?? evidence.atMs;
+        return isCounted;
+    }
+
+    private addEvidence(evidence: Evidence, alarmScore: number): boolean {
         const limit = alarmScore * limitFactor;
         const failed = isFailed(evidence);
         const slow = evidence.baselineMs > 0 && evidence.serviceMs > evidence.baselineMs;
         const known = evidence.baselineMs > 0 && !failed;
         if (evidence.kind === UpstreamResultKind.TimedOut && !slow) {
             // The request had less time than a healthy upstream may take.
-            return;
+            return false;
         }
         if (evidence.trial) {
             this.applyTrial(failed, slow, alarmScore, limit);
-            return;
+            return true;
         }
         this.failed.add(failed, limit);
         if (known) {
             this.slow.add(slow, limit);
         }
+        return known || this.failed.get() >= this.slow.get();
+    }
+
+    /** Time since which the score has been raised; undefined when it is not. */
+    getRaisedSinceMs(): number | undefined {
+        return this.raisedSinceMs;
     }
 
     /** Nats. */
