Redirect short work that would wait, and measure it

Long requests in flight also counted as short ones in the selector of the measurement, which now counts each class apart. An owner now answers RetryElsewhere (2020, before dispatch) when short work that the entry daemon marked as redirectable would wait more than half a service time. Conclusion: two redirects at half a service time.

--- a/measure/load.ts
+++ b/measure/load.ts
@@ -26,12 +26,14 @@
         seeds: { type: "string", default: "1,2,3,4,5" },
         /** A table: surge, waiting, reduced or fairness. */
         only: { type: "string", default: "" },
+        /** Part of the name of the loads to measure. */
+        load: { type: "string", default: "" },
         /** Part of the name of the systems to measure. */
         system: { type: "string", default: "" },
     },
 });
 const seeds = settings.seeds.split(",").map(Number);
-const { system, shedVariants, slotVariants, baselines } = buildSystems();
+const { shedVariants, redirectVariants, slotVariants, baselines } = buildSystems();
 const { surges, waiting, reduced, fairness } = buildScenarios();
 
 /** Prints one table with a row for each scenario and system; each figure is computed for each seed. */
@@ -42,7 +44,7 @@
     figures: Readonly<Record<string, (result: LoadResult, scenario: LoadScenario) => number>>,
 ): Promise<void> {
     const rows: string[][] = [];
-    for (const scenario of scenarios) {
+    for (const scenario of scenarios.filter(({ name }) => name.includes(settings.load))) {
         for (const system of systems.filter(({ name }) => name.includes(settings.system))) {
             const values: number[][] = [];
             for (const seed of seeds) {
@@ -117,7 +119,7 @@
                 listMeasured(result, scenario).filter(entry => entry.outcome === Outcome.Unknown).length,
                 listMeasured(result, scenario).length,
             ),
-        "time to refusal, median ms": (result, scenario) => computeRefusalMs(result, scenario, 0.5),
+        "time to refusal, p50 ms": (result, scenario) => computeRefusalMs(result, scenario, 0.5),
         "p99 ms": (result, scenario) => computeRefusalMs(result, scenario, 0.99),
         "slot time on expired work, %": ({ slotMs }) =>
             computePercent(slotMs.expired, slotMs.expired + slotMs.useful),
@@ -128,16 +130,17 @@
     });
 }
 if (isWanted("waiting")) {
-    await writeTable("Short work behind long work", waiting, [system, ...baselines], {
+    await writeTable("Short work behind long work", waiting, [...redirectVariants, ...baselines], {
         "wait of short work, median ms": result => computeWait(result, "short", 0.5),
         "p99 ms": result => computeWait(result, "short", 0.99),
         "short answered in time, %": (result, scenario) => computeAnswered(result, scenario, "short"),
+        "attempts per try": (result, scenario) => result.attempts / listMeasured(result, scenario).length,
         "wait of long work, median ms": result => computeWait(result, "long", 0.5),
         "long answered in time, %": (result, scenario) => computeAnswered(result, scenario, "long"),
     });
 }
 if (isWanted("fairness")) {
-    await writeTable("One organisation sends half of twice the capacity", fairness, [
+    await writeTable("One organisation sends half of the demand", fairness, [
         ...shedVariants,
         ...baselines,
     ], {
--- a/measure/load/build_scenarios.ts
+++ b/measure/load/build_scenarios.ts
@@ -76,12 +76,13 @@
     };
 }
 
-function buildFairness(name: string, of: typeof authority): LoadScenario {
-    const half = computeCapacity(of, 0);
+/** Demand of `times` the capacity, one half of it from one organisation. */
+function buildFairness(name: string, of: typeof authority, times: number): LoadScenario {
+    const half = times / 2 * computeCapacity(of, 0);
     return {
         ...of,
         ...phases,
-        name,
+        name: `${name}, ${times} times capacity`,
         callerTries: 1,
         streams: [
             buildStream("one", 0, of, { organisations: 1, measuredRate: half }),
@@ -110,12 +111,15 @@
             buildSurge("payments, surge of 3 times capacity", authority, 3),
             buildSurge("checklist, surge of 3 times capacity", safai, 3),
         ],
-        waiting: [buildWaiting(2, 0.5), buildWaiting(2, 0.7), buildWaiting(1, 0.5)],
+        waiting: [buildWaiting(2, 0.3), buildWaiting(2, 0.5), buildWaiting(2, 0.7), buildWaiting(1, 0.5)],
         reduced: [0.9, 3].flatMap(times => [
             buildReduced("sheds from the third request", times, { ...steady, shedFrom: 2 }),
             buildReduced("shares two slots", times, { ...steady, capacity: 2, slowExponent: 1 }),
             buildReduced("loses throughput above two", times, { ...steady, capacity: 2, slowExponent: 2 }),
         ]),
-        fairness: [buildFairness("payments", authority), buildFairness("checklist", safai)],
+        fairness: [1.5, 2].flatMap(times => [
+            buildFairness("payments", authority, times),
+            buildFairness("checklist", safai, times),
+        ]),
     };
 }
--- a/measure/load/build_systems.ts
+++ b/measure/load/build_systems.ts
@@ -16,6 +16,7 @@
     return {
         name,
         cancels: dropsExpired,
+        redirects: false,
         createQueue: (time, upstream) => new FifoQueueFilter(time, upstream, dropsExpired),
         createBudget: () => new UnlimitedRetryBudget(),
         createAdmit: () => ({ apply: request => ok(request) }),
@@ -24,11 +25,13 @@
 
 function buildSystem(
     name: string,
+    redirects = true,
     policies: Pick<QueueFilterOptions, "createShedPolicy" | "createSlotLimit"> = {},
 ): LoadSystem {
     return {
         name,
         cancels: true,
+        redirects,
         createQueue: (time, upstream) =>
             new QueueFilter({
                 clock: time,
@@ -54,20 +57,20 @@
 /** The system under measurement, variants of it with other policies, and the baselines. */
 export function buildSystems() {
     return {
-        system,
         shedVariants: [
             system,
-            buildSystem("zinniaglade, controlled delay", {
+            buildSystem("zinniaglade, controlled delay", true, {
                 createShedPolicy: () => new ControlledDelayShedPolicy(),
             }),
-            buildSystem("zinniaglade, no shedding", { createShedPolicy: () => new NoShedPolicy() }),
+            buildSystem("zinniaglade, no shedding", true, { createShedPolicy: () => new NoShedPolicy() }),
         ],
         slotVariants: [
             system,
-            buildSystem("zinniaglade, fixed slots", {
+            buildSystem("zinniaglade, fixed slots", true, {
                 createSlotLimit: nominal => new FixedSlotLimit(nominal),
             }),
         ],
+        redirectVariants: [system, buildSystem("zinniaglade, no redirects", false)],
         baselines: [buildBaseline("FIFO", false), buildBaseline("FIFO, drops expired", true)],
     };
 }
--- a/measure/load/controlled_delay_shed_policy.ts
+++ b/measure/load/controlled_delay_shed_policy.ts
@@ -11,6 +11,10 @@
     private count = 0;
     private lastCount = 0;
 
+    isShedding(): boolean {
+        return this.dropping;
+    }
+
     decideArrival(): boolean {
         return false;
     }
--- a/measure/load/entry_path.ts
+++ b/measure/load/entry_path.ts
@@ -22,6 +22,8 @@
 import type { OwnerQueue } from "./owner_queue.ts";
 import { TwoChoiceSelector } from "./two_choice_selector.ts";
 
+/** Attempts of a request that an owner may redirect; the last attempt always waits. */
+const redirects = 2;
 /** Attempts of an entry daemon for one request, including the first. */
 const maxAttempts = 3;
 
@@ -34,6 +36,7 @@
     readonly budget: RetryBudget;
     readonly owners: ReadonlyMap<string, { readonly queue: OwnerQueue; readonly upstream: FakeUpstream; }>;
     readonly cancels: boolean;
+    readonly redirects: boolean;
     readonly result: LoadResult;
     /** Requests whose work an upstream has run, at least in part. */
     readonly started: Set<string>;
@@ -63,8 +66,11 @@
                 return last;
             }
             excluded.add(id);
-            this.selector.recordStart(id);
+            this.selector.recordStart(id, request.route.workClass);
             last = await this.forward(request, attempt, id, demandMs, stream);
+            if (last.isErr() && last.error.code === Code.RetryElsewhere) {
+                continue;
+            }
             const retryable = last.isErr()
                 && (last.error.outcome === Outcome.NotExecuted || request.route.idempotent);
             const inTime = time.getMonotonicMs() < request.deadlineMs && !request.signal.aborted;
@@ -95,14 +101,20 @@
             receivedAtMs: time.getMonotonicMs(),
             baselineMs: 0,
             trial: false,
+            redirectable: this.options.redirects && attempt <= redirects,
         });
         const settled = queued.isErr()
             ? err(queued.error)
-            : await this.sendUpstream(queued.value, demandMs, stream);
+            : await this.sendUpstream(
+                queued.value,
+                demandMs,
+                stream,
+                time.getMonotonicMs() - request.receivedAtMs - scenario.hopMs,
+            );
         const state = queue.getState(upstreamId);
         result.mostQueued = Math.max(result.mostQueued, (state?.queuedShort ?? 0) + (state?.queuedLong ?? 0));
         await this.wait(scenario.hopMs);
-        this.selector.recordReply(upstreamId, state);
+        this.selector.recordReply(upstreamId, request.route.workClass, state);
         return settled;
     }
 
@@ -110,12 +122,13 @@
         queued: QueuedRequest,
         demandMs: number,
         stream: string,
+        waitMs: number,
     ): Promise<Result<void, Failure>> {
         const { time, owners, cancels, result, started } = this.options;
         const measured = this.isMeasured();
         if (measured) {
             const waits = result.waitsMs.get(stream) ?? [];
-            waits.push(queued.waitMs);
+            waits.push(waitMs);
             result.waitsMs.set(stream, waits);
         }
         const timeoutMs = cancels ? queued.deadlineMs - time.getMonotonicMs() : Infinity;
--- a/measure/load/load_result.ts
+++ b/measure/load/load_result.ts
@@ -3,7 +3,10 @@
 /** What one run produced. */
 export interface LoadResult {
     readonly tries: TryRecord[];
-    /** Time in the owner's queue of work that started during the measurement, for each stream. */
+    /**
+     * Milliseconds from the arrival at the entry daemon to the start, less one hop, of work that started during the
+     * measurement, for each stream. Contains the waits and hops of refused attempts.
+     */
     readonly waitsMs: Map<string, number[]>;
     /** Slot time during the measurement in milliseconds, by use. */
     readonly slotMs: { useful: number; expired: number; };
--- a/measure/load/load_system.ts
+++ b/measure/load/load_system.ts
@@ -11,6 +11,8 @@
     readonly name: string;
     /** False when expired or abandoned work stays queued and runs to its end. */
     readonly cancels: boolean;
+    /** True when entry daemons let owners redirect short work that would wait. */
+    readonly redirects: boolean;
     createQueue(time: VirtualTime, upstream: OwnedUpstream): OwnerQueue;
     createBudget(time: VirtualTime): RetryBudget;
     createAdmit(time: VirtualTime, config: ActiveConfigReader): Filter<RoutedRequest, RoutedRequest>;
--- a/measure/load/run_load.ts
+++ b/measure/load/run_load.ts
@@ -46,6 +46,7 @@
             budget: system.createBudget(time),
             owners,
             cancels: system.cancels,
+            redirects: system.redirects,
             result,
             started,
         }));
--- a/measure/load/two_choice_selector.ts
+++ b/measure/load/two_choice_selector.ts
@@ -3,7 +3,8 @@
 import type { QueueState } from "../../src/queue/queue_state.ts";
 
 interface Observed {
-    inFlight: number;
+    /** Own requests of each class. Counted apart, because queued long work does not delay short work. */
+    readonly inFlight: Record<WorkClass, number>;
     state: QueueState | undefined;
 }
 
@@ -13,7 +14,7 @@
 
     constructor(private readonly random: RandomSource, private readonly upstreamIds: readonly string[]) {
         for (const id of upstreamIds) {
-            this.observed.set(id, { inFlight: 0, state: undefined });
+            this.observed.set(id, { inFlight: { short: 0, long: 0 }, state: undefined });
         }
     }
 
@@ -29,19 +30,19 @@
             : right;
     }
 
-    recordStart(id: string): void {
-        this.observed.get(id)!.inFlight += 1;
+    recordStart(id: string, workClass: WorkClass): void {
+        this.observed.get(id)!.inFlight[workClass] += 1;
     }
 
-    recordReply(id: string, state: QueueState | undefined): void {
+    recordReply(id: string, workClass: WorkClass, state: QueueState | undefined): void {
         const observed = this.observed.get(id)!;
-        observed.inFlight -= 1;
+        observed.inFlight[workClass] -= 1;
         observed.state = state ?? observed.state;
     }
 
     private computeCost(id: string, workClass: WorkClass, serviceMs: number): number {
         const { inFlight, state } = this.observed.get(id)!;
         const waitMs = (workClass === "long" ? state?.waitLongMs : state?.waitShortMs) ?? 0;
-        return waitMs + ((state?.running ?? 0) + inFlight) * serviceMs / (state?.slots ?? 1);
+        return waitMs + ((state?.running ?? 0) + inFlight[workClass]) * serviceMs / (state?.slots ?? 1);
     }
 }
--- a/src/core/code.ts
+++ b/src/core/code.ts
@@ -34,6 +34,7 @@
     AnswerNotKept: 2017,
     OwnerOverloaded: 2018,
     OrganisationOverShare: 2019,
+    RetryElsewhere: 2020,
     PeerUnreachable: 3001,
     PeerCut: 3002,
     PeerTimeout: 3003,
--- a/src/core/code_table.ts
+++ b/src/core/code_table.ts
@@ -41,6 +41,7 @@
     2017: buildEntry(409, Executed, "the operation was executed and its answer is no longer kept"),
     2018: buildEntry(503, NotExecuted, "the owner sheds load because the wait stays above its target"),
     2019: buildEntry(429, NotExecuted, "the organisation has its full share of the queue"),
+    2020: buildEntry(503, NotExecuted, "the request would wait here; another upstream may serve it sooner"),
     3001: buildEntry(502, NotExecuted, "the owner refused the connection"),
     3002: buildEntry(502, Unknown, "the connection to the owner closed before the reply was complete"),
     3003: buildEntry(504, Unknown, "the owner did not reply in time"),
--- a/src/queue/owner_request.ts
+++ b/src/queue/owner_request.ts
@@ -16,6 +16,11 @@
     readonly deadlineMs: number;
     readonly baselineMs: number;
     readonly trial: boolean;
+    /**
+     * True when the entry daemon will try another upstream at once if this one answers `RetryElsewhere`. Not set when
+     * no other upstream is left or after two such answers, so that a request is redirected at most twice.
+     */
+    readonly redirectable?: boolean;
     readonly method: string;
     readonly target: string;
     readonly headers: readonly MessageHeader[];
--- a/src/queue/queue_filter.test.ts
+++ b/src/queue/queue_filter.test.ts
@@ -98,3 +98,15 @@
     queue.drain();
     checkRefusal(await waiting, Code.OwnerLeaving);
 });
+
+test("short work is redirected only while it may be, so that a request always finds a queue in the end", async () => {
+    const { queue } = openQueue(1);
+    const service = buildService({ routes: [{}, { workClass: WorkClass.Long }] });
+    await queue.apply(buildOwnerRequest({ service, redirectable: true }));
+    checkRefusal(await queue.apply(buildOwnerRequest({ service, redirectable: true })), Code.RetryElsewhere);
+    void queue.apply(buildOwnerRequest({ service }));
+    void queue.apply(buildOwnerRequest({ service, route: service.routes[1]!, redirectable: true }));
+    assert.equal(queue.getState("u1")?.queuedShort, 1);
+    assert.equal(queue.getState("u1")?.queuedLong, 1);
+    queue.drain();
+});
--- a/src/queue/running_work.ts
+++ b/src/queue/running_work.ts
@@ -1,4 +1,5 @@
 import { WorkClass } from "../core/work_class.ts";
+import { computeFluidWait } from "./compute_fluid_wait.ts";
 
 /** A request that holds a slot. */
 interface Running {
@@ -35,11 +36,22 @@
         return count;
     }
 
+    /** Expected wait in milliseconds of new work of a class behind `aheadMs` of queued work of the class. */
+    computeWaitMs(
+        workClass: WorkClass,
+        aheadMs: number,
+        slots: number,
+        longSlots: number,
+        nowMs: number,
+    ): number {
+        return computeFluidWait(this.listFreeAfterMs(workClass, slots, longSlots, nowMs), aheadMs);
+    }
+
     /**
      * Times in milliseconds after which the slots that a class can use become free. Short work counts on the slots
      * that long work does not hold; long work counts on its share, of which short work may hold a part.
      */
-    listFreeAfterMs(workClass: WorkClass, slots: number, longSlots: number, nowMs: number): number[] {
+    private listFreeAfterMs(workClass: WorkClass, slots: number, longSlots: number, nowMs: number): number[] {
         const own: number[] = [];
         const others: number[] = [];
         for (const entry of this.entries) {
--- a/src/queue/shed_policy.ts
+++ b/src/queue/shed_policy.ts
@@ -1,5 +1,6 @@
 /** Decides when a queue sheds load because its wait stays too long. All times are in milliseconds. */
 export interface ShedPolicy {
+    isShedding(): boolean;
     /** True when an arriving request with this expected wait is refused. */
     decideArrival(nowMs: number, expectedWaitMs: number, targetWaitMs: number): boolean;
     /** Records the wait of a request whose turn has come; true when the request is refused instead of started. */
--- a/src/queue/sustained_wait_shed_policy.ts
+++ b/src/queue/sustained_wait_shed_policy.ts
@@ -17,6 +17,10 @@
     /** Monotonic milliseconds since which all waits have spoken for a change of `shedding`. */
     private changeSinceMs: number | undefined;
 
+    isShedding(): boolean {
+        return this.shedding;
+    }
+
     decideArrival(_nowMs: number, expectedWaitMs: number, targetWaitMs: number): boolean {
         return this.shedding && expectedWaitMs > targetWaitMs;
     }
--- a/src/queue/upstream_queue.ts
+++ b/src/queue/upstream_queue.ts
@@ -15,7 +15,6 @@
 import type { Failure } from "../core/failure.ts";
 import { Outcome } from "../core/outcome.ts";
 import { WorkClass } from "../core/work_class.ts";
-import { computeFluidWait } from "./compute_fluid_wait.ts";
 import { FairQueue } from "./fair_queue.ts";
 import type { OwnedUpstream } from "./owned_upstream.ts";
 import type { OwnerRequest } from "./owner_request.ts";
@@ -34,6 +33,11 @@
 
 /** Mean deviations by which the service time of work that had to wait may exceed its mean. */
 const marginDeviations = 2;
+/**
+ * Multiple of the mean service time above which short work that may be redirected does not wait. A redirect costs one
+ * round trip between daemons; docs/measurements_load.md compares the figures.
+ */
+const redirectWait = 0.5;
 
 /** Gives the slots of one upstream to requests. All refusals happen before dispatch. */
 export class UpstreamQueue {
@@ -97,18 +101,15 @@
 
     getState(): QueueState {
         const nowMs = this.options.clock.getMonotonicMs();
+        const { short, long } = this.queues;
         return {
             upstreamId: this.upstream.id,
             slots: this.limit.getSlots(nowMs),
             running: this.running.count(),
-            queuedShort: this.queues.short.count(),
-            queuedLong: this.queues.long.count(),
-            waitShortMs: this.correction.apply(
-                this.computeWaitMs(WorkClass.Short, this.queues.short.getWorkMs(), nowMs),
-            ),
-            waitLongMs: this.correction.apply(
-                this.computeWaitMs(WorkClass.Long, this.queues.long.getWorkMs(), nowMs),
-            ),
+            queuedShort: short.count(),
+            queuedLong: long.count(),
+            waitShortMs: this.correction.apply(this.computeWaitMs(WorkClass.Short, short.getWorkMs(), nowMs)),
+            waitLongMs: this.correction.apply(this.computeWaitMs(WorkClass.Long, long.getWorkMs(), nowMs)),
         };
     }
 
@@ -126,6 +127,9 @@
         if (nowMs + waitMs + this.computeNeededMs(request, waitMs, nowMs) > request.deadlineMs) {
             return Code.WaitTooLong;
         }
+        if (this.isRedirected(request, nowMs, waitMs)) {
+            return Code.RetryElsewhere;
+        }
         if (this.isOverShare(request)) {
             return Code.OrganisationOverShare;
         }
@@ -138,6 +142,13 @@
         return Code.Ok;
     }
 
+    /** A queue that sheds redirects nothing, because then other upstreams have no room either. */
+    private isRedirected(request: OwnerRequest, nowMs: number, waitMs: number): boolean {
+        return request.redirectable === true && request.route.workClass === WorkClass.Short
+            && !this.shed.isShedding()
+            && waitMs > redirectWait * this.serviceTimes.getMeanMs(request.route, nowMs);
+    }
+
     private isOverShare(request: OwnerRequest): boolean {
         const { queueLength, organisationPercent } = request.service.limits;
         const { short, long } = this.queues;
@@ -271,9 +282,7 @@
     /** Expected wait in milliseconds behind `aheadMs` of queued work and the running work. */
     private computeWaitMs(workClass: WorkClass, aheadMs: number, nowMs: number): number {
         const slots = this.limit.getSlots(nowMs);
-        const longSlots = this.computeLongSlots(slots);
-        const freeAfterMs = this.running.listFreeAfterMs(workClass, slots, longSlots, nowMs);
-        return computeFluidWait(freeAfterMs, aheadMs);
+        return this.running.computeWaitMs(workClass, aheadMs, slots, this.computeLongSlots(slots), nowMs);
     }
 
     /** Slots that long work may use. At least one slot stays usable for long work so that it cannot starve. */
