Give each class half of the queue when a service has both

Cause: the queue length counted both classes together, so that queued long work, whose deadlines are long, could fill the queue and short work was refused with QueueFull. Each class now has its own half, and the share of an organisation counts within it.

--- a/src/queue/queue_filter.test.ts
+++ b/src/queue/queue_filter.test.ts
@@ -110,3 +110,41 @@
     assert.equal(queue.getState("u1")?.queuedLong, 1);
     queue.drain();
 });
+
+test("a queue full of long work still takes short work", async () => {
+    const { queue } = openQueue(1);
+    const service = buildService({
+        limits: { queueLength: 4, organisationPercent: 100 },
+        routes: [{}, { workClass: WorkClass.Long }],
+    });
+    const addLong = (organisation: string) =>
+        queue.apply(buildOwnerRequest({ service, organisation, route: service.routes[1]! }));
+    await addLong("o1");
+    void addLong("o1");
+    void addLong("o2");
+    checkRefusal(await addLong("o3"), Code.QueueFull);
+    void queue.apply(buildOwnerRequest({ service }));
+    assert.equal(queue.getState("u1")?.queuedShort, 1);
+    queue.drain();
+});
+
+test("refusals follow measured times, so that a queue of slow work refuses what one of fast work takes", async () => {
+    const countAccepted = async (serviceMs: number): Promise<number> => {
+        const { queue, time } = openQueue(1);
+        const addRequest = (budgetMs: number) => {
+            const receivedAtMs = time.getMonotonicMs();
+            return queue.apply(buildOwnerRequest({ receivedAtMs, deadlineMs: receivedAtMs + budgetMs }));
+        };
+        for (let index = 0; index < 40; index++) {
+            const request = (await addRequest(1_000))._unsafeUnwrap();
+            await time.run(serviceMs);
+            request.lease.close(serviceMs);
+        }
+        await addRequest(1_000);
+        void addRequest(100);
+        const accepted = queue.getState("u1")!.queuedShort;
+        queue.drain();
+        return accepted;
+    };
+    assert.deepEqual([await countAccepted(10), await countAccepted(90)], [1, 0]);
+});
--- a/src/queue/upstream_queue.ts
+++ b/src/queue/upstream_queue.ts
@@ -15,6 +15,7 @@
 import type { Failure } from "../core/failure.ts";
 import { Outcome } from "../core/outcome.ts";
 import { WorkClass } from "../core/work_class.ts";
+import { computeQueueLimit } from "./compute_queue_limit.ts";
 import { FairQueue } from "./fair_queue.ts";
 import type { OwnedUpstream } from "./owned_upstream.ts";
 import type { OwnerRequest } from "./owner_request.ts";
@@ -136,7 +137,8 @@
         if (this.shed.decideArrival(nowMs, waitMs, limits.targetWaitMs)) {
             return this.refuseLargest(request) ? Code.Ok : Code.OwnerOverloaded;
         }
-        if (this.queues.short.count() + this.queues.long.count() >= limits.queueLength) {
+        const { workClass } = request.route;
+        if (this.queues[workClass].count() >= computeQueueLimit(request.service, workClass)) {
             return this.refuseLargest(request) ? Code.Ok : Code.QueueFull;
         }
         return Code.Ok;
@@ -149,12 +151,11 @@
             && waitMs > redirectWait * this.serviceTimes.getMeanMs(request.route, nowMs);
     }
 
-    private isOverShare(request: OwnerRequest): boolean {
-        const { queueLength, organisationPercent } = request.service.limits;
-        const { short, long } = this.queues;
-        const queued = short.countOrganisation(request.organisation) +
-            long.countOrganisation(request.organisation);
-        return queued >= Math.max(1, Math.floor(queueLength * organisationPercent / 100));
+    private isOverShare({ service, route, organisation }: OwnerRequest): boolean {
+        const limit = computeQueueLimit(service, route.workClass);
+        const share = limit * service.limits.organisationPercent / 100;
+        const queued = this.queues[route.workClass].countOrganisation(organisation);
+        return queued >= Math.max(1, Math.floor(share));
     }
 
     /** Makes room for the request at the cost of the organisation with the most queued work of the class. */
