Judge the waits of each class apart, with a target of at least one service time

Cause: one policy saw the waits of both classes, so that short starts without wait kept long work from ever being shed, and a target below the service time of long work would have shed all of it that has to wait at all.

--- a/src/queue/upstream_queue.ts
+++ b/src/queue/upstream_queue.ts
@@ -46,7 +46,7 @@
     private readonly running = new RunningWork();
     private readonly serviceTimes = new ServiceTimes();
     private readonly correction = new WaitCorrection();
-    private readonly shed: ShedPolicy;
+    private readonly sheds: Readonly<Record<WorkClass, ShedPolicy>>;
     private readonly limit: SlotLimit;
     private reserveShort = 0;
     /** True when long work is next, because short work took the last slot that both could use. */
@@ -55,20 +55,17 @@
 
     constructor(
         private readonly upstream: OwnedUpstream,
-        private readonly options: Pick<
-            QueueFilterOptions,
-            "clock" | "timers" | "createShedPolicy" | "createSlotLimit"
-        >,
+        private readonly options: Omit<QueueFilterOptions, "upstreams" | "daemonState">,
     ) {
-        this.shed = options.createShedPolicy?.() ?? new SustainedWaitShedPolicy();
+        const createShed = options.createShedPolicy ?? (() => new SustainedWaitShedPolicy());
+        this.sheds = { [WorkClass.Short]: createShed(), [WorkClass.Long]: createShed() };
         this.limit = options.createSlotLimit?.(upstream.slots) ?? new ShedSlotLimit(upstream.slots);
     }
 
     /** Waits for a slot. The result is a failure with outcome not-executed when the request never got one. */
     async add(request: OwnerRequest): Promise<Result<QueuedRequest, Failure>> {
         const nowMs = this.options.clock.getMonotonicMs();
-        const limits = request.service.limits;
-        this.reserveShort = limits.reserveShort;
+        this.reserveShort = request.service.limits.reserveShort;
         const costMs = this.serviceTimes.getMeanMs(request.route, nowMs);
         const estimatedWaitMs = this.computeArrivalWaitMs(request, costMs, nowMs);
         const code = this.checkArrival(request, nowMs, this.correction.apply(estimatedWaitMs));
@@ -78,14 +75,15 @@
         const { organisation, route } = request;
         const firstOfOrganisation = this.queues[route.workClass].countOrganisation(organisation) === 0;
         return new Promise(resolve => {
-            this.addEntry({
+            const entry = {
                 request,
                 queuedAtMs: nowMs,
                 costMs,
                 estimatedWaitMs,
                 firstOfOrganisation,
                 resolve,
-            });
+            };
+            this.addEntry(entry);
         });
     }
 
@@ -115,7 +113,7 @@
     }
 
     private checkArrival(request: OwnerRequest, nowMs: number, waitMs: number): Code {
-        const { limits } = request.service;
+        const { workClass } = request.route;
         if (this.drained) {
             return Code.OwnerLeaving;
         }
@@ -134,10 +132,9 @@
         if (this.isOverShare(request)) {
             return Code.OrganisationOverShare;
         }
-        if (this.shed.decideArrival(nowMs, waitMs, limits.targetWaitMs)) {
+        if (this.sheds[workClass].decideArrival(nowMs, waitMs, this.computeTargetMs(request, nowMs))) {
             return this.refuseLargest(request) ? Code.Ok : Code.OwnerOverloaded;
         }
-        const { workClass } = request.route;
         if (this.queues[workClass].count() >= computeQueueLimit(request.service, workClass)) {
             return this.refuseLargest(request) ? Code.Ok : Code.QueueFull;
         }
@@ -147,10 +144,15 @@
     /** A queue that sheds redirects nothing, because then other upstreams have no room either. */
     private isRedirected(request: OwnerRequest, nowMs: number, waitMs: number): boolean {
         return request.redirectable === true && request.route.workClass === WorkClass.Short
-            && !this.shed.isShedding()
+            && !this.sheds.short.isShedding()
             && waitMs > redirectWait * this.serviceTimes.getMeanMs(request.route, nowMs);
     }
 
+    /** The target is at least one service time, which work in a queue behind busy slots waits anyway. */
+    private computeTargetMs({ service, route }: OwnerRequest, nowMs: number): number {
+        return Math.max(service.limits.targetWaitMs, this.serviceTimes.getMeanMs(route, nowMs));
+    }
+
     private isOverShare({ service, route, organisation }: OwnerRequest): boolean {
         const limit = computeQueueLimit(service, route.workClass);
         const share = limit * service.limits.organisationPercent / 100;
@@ -170,9 +172,10 @@
      * its deadline, so it needs a margin; work that gets a free slot does not.
      */
     private computeNeededMs(request: OwnerRequest, waitMs: number, nowMs: number): number {
-        const deviations = waitMs > 0 ? marginDeviations : 0;
-        return this.serviceTimes.getMeanMs(request.route, nowMs)
-            + deviations * this.serviceTimes.getDeviationMs(request.route, nowMs);
+        const marginMs = waitMs > 0
+            ? marginDeviations * this.serviceTimes.getDeviationMs(request.route, nowMs)
+            : 0;
+        return this.serviceTimes.getMeanMs(request.route, nowMs) + marginMs;
     }
 
     private addEntry(arrived: QueueEntry): void {
@@ -218,7 +221,8 @@
     }
 
     private checkStart(request: OwnerRequest, nowMs: number, waitMs: number): Code {
-        const shed = this.shed.decideStart(nowMs, waitMs, request.service.limits.targetWaitMs);
+        const shed = this.sheds[request.route.workClass]
+            .decideStart(nowMs, waitMs, this.computeTargetMs(request, nowMs));
         if (nowMs >= request.deadlineMs) {
             return Code.DeadlineExceeded;
         }
