--- a/src/queue/upstream_queue.ts
+++ b/src/queue/upstream_queue.ts
@@ -279,9 +279,8 @@
     }
 
     private computeArrivalWaitMs(request: OwnerRequest, costMs: number, nowMs: number): number {
-        const { workClass } = request.route;
-        const aheadMs = this.queues[workClass].computeWorkAheadMs(request.organisation, costMs);
-        return this.computeWaitMs(workClass, aheadMs, nowMs);
+        const aheadMs = this.queues[request.route.workClass].computeWorkAheadMs(request.organisation, costMs);
+        return this.computeWaitMs(request.route.workClass, aheadMs, nowMs);
     }
 
     /** Expected wait in milliseconds behind `aheadMs` of queued work and the running work. */
