--- a/src/core/code.ts
+++ b/src/core/code.ts
@@ -39,6 +39,7 @@
     AttemptRepeated: 2032,
     KeyOwnerUnknown: 2033,
     OwnerRestarted: 2034,
+    RetryElsewhere: 2020,
     PeerUnreachable: 3001,
     PeerCut: 3002,
     PeerTimeout: 3003,
--- a/src/queue/owner_request.ts
+++ b/src/queue/owner_request.ts
@@ -18,6 +18,11 @@
     readonly ownerIncarnation?: string | undefined;
     readonly baselineMs: number;
     readonly trial: boolean;
+    /**
+     * True when the entry daemon will try another upstream at once if this one answers `RetryElsewhere`. Not set when
+     * no other upstream is left or after two such answers, so that a request is redirected at most twice.
+     */
+    readonly redirectable?: boolean;
     readonly method: string;
     readonly target: string;
     readonly headers: readonly MessageHeader[];
--- a/src/queue/upstream_queue.ts
+++ b/src/queue/upstream_queue.ts
@@ -15,7 +15,7 @@
 import type { Failure } from "../core/failure.ts";
 import { Outcome } from "../core/outcome.ts";
 import { WorkClass } from "../core/work_class.ts";
-import { computeFluidWait } from "./compute_fluid_wait.ts";
+import { computeQueueLimit } from "./compute_queue_limit.ts";
 import { FairQueue } from "./fair_queue.ts";
 import type { OwnedUpstream } from "./owned_upstream.ts";
 import type { OwnerRequest } from "./owner_request.ts";
@@ -34,6 +34,11 @@
 
 /** Mean deviations by which the service time of work that had to wait may exceed its mean. */
 const marginDeviations = 2;
+/**
+ * Multiple of the mean service time above which short work that may be redirected does not wait. A redirect costs one
+ * round trip between daemons; docs/measurements_load.md compares the figures.
+ */
+const redirectWait = 0.5;
 
 /** Gives the slots of one upstream to requests. All refusals happen before dispatch. */
 export class UpstreamQueue {
@@ -41,7 +46,7 @@
     private readonly running = new RunningWork();
     private readonly serviceTimes = new ServiceTimes();
     private readonly correction = new WaitCorrection();
-    private readonly shed: ShedPolicy;
+    private readonly sheds: Readonly<Record<WorkClass, ShedPolicy>>;
     private readonly limit: SlotLimit;
     private reserveShort = 0;
     /** True when long work is next, because short work took the last slot that both could use. */
@@ -50,20 +55,17 @@
 
     constructor(
         private readonly upstream: OwnedUpstream,
-        private readonly options: Pick<
-            QueueFilterOptions,
-            "clock" | "timers" | "createShedPolicy" | "createSlotLimit"
-        >,
+        private readonly options: Omit<QueueFilterOptions, "upstreams" | "daemonState">,
     ) {
-        this.shed = options.createShedPolicy?.() ?? new SustainedWaitShedPolicy();
+        const createShed = options.createShedPolicy ?? (() => new SustainedWaitShedPolicy());
+        this.sheds = { [WorkClass.Short]: createShed(), [WorkClass.Long]: createShed() };
         this.limit = options.createSlotLimit?.(upstream.slots) ?? new ShedSlotLimit(upstream.slots);
     }
 
     /** Waits for a slot. The result is a failure with outcome not-executed when the request never got one. */
     async add(request: OwnerRequest): Promise<Result<QueuedRequest, Failure>> {
         const nowMs = this.options.clock.getMonotonicMs();
-        const limits = request.service.limits;
-        this.reserveShort = limits.reserveShort;
+        this.reserveShort = request.service.limits.reserveShort;
         const costMs = this.serviceTimes.getMeanMs(request.route, nowMs);
         const estimatedWaitMs = this.computeArrivalWaitMs(request, costMs, nowMs);
         const code = this.checkArrival(request, nowMs, this.correction.apply(estimatedWaitMs));
@@ -73,14 +75,15 @@
         const { organisation, route } = request;
         const firstOfOrganisation = this.queues[route.workClass].countOrganisation(organisation) === 0;
         return new Promise(resolve => {
-            this.addEntry({
+            const entry = {
                 request,
                 queuedAtMs: nowMs,
                 costMs,
                 estimatedWaitMs,
                 firstOfOrganisation,
                 resolve,
-            });
+            };
+            this.addEntry(entry);
         });
     }
 
@@ -97,23 +100,20 @@
 
     getState(): QueueState {
         const nowMs = this.options.clock.getMonotonicMs();
+        const { short, long } = this.queues;
         return {
             upstreamId: this.upstream.id,
             slots: this.limit.getSlots(nowMs),
             running: this.running.count(),
-            queuedShort: this.queues.short.count(),
-            queuedLong: this.queues.long.count(),
-            waitShortMs: this.correction.apply(
-                this.computeWaitMs(WorkClass.Short, this.queues.short.getWorkMs(), nowMs),
-            ),
-            waitLongMs: this.correction.apply(
-                this.computeWaitMs(WorkClass.Long, this.queues.long.getWorkMs(), nowMs),
-            ),
+            queuedShort: short.count(),
+            queuedLong: long.count(),
+            waitShortMs: this.correction.apply(this.computeWaitMs(WorkClass.Short, short.getWorkMs(), nowMs)),
+            waitLongMs: this.correction.apply(this.computeWaitMs(WorkClass.Long, long.getWorkMs(), nowMs)),
         };
     }
 
     private checkArrival(request: OwnerRequest, nowMs: number, waitMs: number): Code {
-        const { limits } = request.service;
+        const { workClass } = request.route;
         if (this.drained) {
             return Code.OwnerLeaving;
         }
@@ -126,24 +126,38 @@
         if (nowMs + waitMs + this.computeNeededMs(request, waitMs, nowMs) > request.deadlineMs) {
             return Code.WaitTooLong;
         }
+        if (this.isRedirected(request, nowMs, waitMs)) {
+            return Code.RetryElsewhere;
+        }
         if (this.isOverShare(request)) {
             return Code.OrganisationOverShare;
         }
-        if (this.shed.decideArrival(nowMs, waitMs, limits.targetWaitMs)) {
+        if (this.sheds[workClass].decideArrival(nowMs, waitMs, this.computeTargetMs(request, nowMs))) {
             return this.refuseLargest(request) ? Code.Ok : Code.OwnerOverloaded;
         }
-        if (this.queues.short.count() + this.queues.long.count() >= limits.queueLength) {
+        if (this.queues[workClass].count() >= computeQueueLimit(request.service, workClass)) {
             return this.refuseLargest(request) ? Code.Ok : Code.QueueFull;
         }
         return Code.Ok;
     }
 
-    private isOverShare(request: OwnerRequest): boolean {
-        const { queueLength, organisationPercent } = request.service.limits;
-        const { short, long } = this.queues;
-        const queued = short.countOrganisation(request.organisation) +
-            long.countOrganisation(request.organisation);
-        return queued >= Math.max(1, Math.floor(queueLength * organisationPercent / 100));
+    /** A queue that sheds redirects nothing, because then other upstreams have no room either. */
+    private isRedirected(request: OwnerRequest, nowMs: number, waitMs: number): boolean {
+        return request.redirectable === true && request.route.workClass === WorkClass.Short
+            && !this.sheds.short.isShedding()
+            && waitMs > redirectWait * this.serviceTimes.getMeanMs(request.route, nowMs);
+    }
+
+    /** The target is at least one service time, which work in a queue behind busy slots waits anyway. */
+    private computeTargetMs({ service, route }: OwnerRequest, nowMs: number): number {
+        return Math.max(service.limits.targetWaitMs, this.serviceTimes.getMeanMs(route, nowMs));
+    }
+
+    private isOverShare({ service, route, organisation }: OwnerRequest): boolean {
+        const limit = computeQueueLimit(service, route.workClass);
+        const share = limit * service.limits.organisationPercent / 100;
+        const queued = this.queues[route.workClass].countOrganisation(organisation);
+        return queued >= Math.max(1, Math.floor(share));
     }
 
     /** Makes room for the request at the cost of the organisation with the most queued work of the class. */
@@ -158,9 +172,10 @@
      * its deadline, so it needs a margin; work that gets a free slot does not.
      */
     private computeNeededMs(request: OwnerRequest, waitMs: number, nowMs: number): number {
-        const deviations = waitMs > 0 ? marginDeviations : 0;
-        return this.serviceTimes.getMeanMs(request.route, nowMs)
-            + deviations * this.serviceTimes.getDeviationMs(request.route, nowMs);
+        const marginMs = waitMs > 0
+            ? marginDeviations * this.serviceTimes.getDeviationMs(request.route, nowMs)
+            : 0;
+        return this.serviceTimes.getMeanMs(request.route, nowMs) + marginMs;
     }
 
     private addEntry(arrived: QueueEntry): void {
@@ -206,7 +221,8 @@
     }
 
     private checkStart(request: OwnerRequest, nowMs: number, waitMs: number): Code {
-        const shed = this.shed.decideStart(nowMs, waitMs, request.service.limits.targetWaitMs);
+        const shed = this.sheds[request.route.workClass]
+            .decideStart(nowMs, waitMs, this.computeTargetMs(request, nowMs));
         if (nowMs >= request.deadlineMs) {
             return Code.DeadlineExceeded;
         }
@@ -263,17 +279,14 @@
     }
 
     private computeArrivalWaitMs(request: OwnerRequest, costMs: number, nowMs: number): number {
-        const { workClass } = request.route;
-        const aheadMs = this.queues[workClass].computeWorkAheadMs(request.organisation, costMs);
-        return this.computeWaitMs(workClass, aheadMs, nowMs);
+        const aheadMs = this.queues[request.route.workClass].computeWorkAheadMs(request.organisation, costMs);
+        return this.computeWaitMs(request.route.workClass, aheadMs, nowMs);
     }
 
     /** Expected wait in milliseconds behind `aheadMs` of queued work and the running work. */
     private computeWaitMs(workClass: WorkClass, aheadMs: number, nowMs: number): number {
         const slots = this.limit.getSlots(nowMs);
-        const longSlots = this.computeLongSlots(slots);
-        const freeAfterMs = this.running.listFreeAfterMs(workClass, slots, longSlots, nowMs);
-        return computeFluidWait(freeAfterMs, aheadMs);
+        return this.running.computeWaitMs(workClass, aheadMs, slots, this.computeLongSlots(slots), nowMs);
     }
 
     /** Slots that long work may use. At least one slot stays usable for long work so that it cannot starve. */
