--- a/src/membership/upstream_index.ts
+++ b/src/membership/upstream_index.ts
@@ -7,7 +7,7 @@
  * daemons that changed, because a list of 24,000 upstreams changes about once in eight seconds.
  */
 export class UpstreamIndex {
-    private upstreams: ReadonlyMap<string, Upstream> = new Map();
+    private readonly upstreams = new Map<string, Upstream>();
     private readonly byService = new Map<string, readonly Upstream[]>();
     private daemons: ReadonlyMap<string, Daemon> = new Map();
 
@@ -24,30 +24,34 @@
         return this.daemons;
     }
 
-    /** Takes a complete list and returns what changed, first what went. */
+    /** Takes a complete list that names no upstream twice, and returns what changed, first what went. */
     update(upstreams: readonly Upstream[]): readonly UpstreamChange[] {
-        const next = new Map<string, Upstream>();
         const came: UpstreamChange[] = [];
         for (const after of upstreams) {
             const before = this.upstreams.get(after.id);
-            const isSame = before === after || (before !== undefined && isEqual(before, after));
-            next.set(after.id, isSame ? before : after);
-            if (!isSame) {
+            if (before !== after && (before === undefined || !isEqual(before, after))) {
+                this.upstreams.set(after.id, after);
                 came.push({ before, after });
             }
         }
-        const went: UpstreamChange[] = [];
-        for (const before of this.upstreams.values()) {
-            if (!next.has(before.id)) {
-                went.push({ before, after: undefined });
-            }
-        }
-        const changes = [...went, ...came];
-        this.upstreams = next;
+        const changes = [...this.removeExcept(upstreams), ...came];
         this.updateGroups(changes);
         return changes;
     }
 
+    private removeExcept(upstreams: readonly Upstream[]): readonly UpstreamChange[] {
+        // All listed upstreams are in the map now, each once, so equal sizes mean that none went.
+        if (this.upstreams.size === upstreams.length) {
+            return [];
+        }
+        const listed = new Set(upstreams.map(upstream => upstream.id));
+        const went = [...this.upstreams.values()].filter(upstream => !listed.has(upstream.id));
+        for (const { id } of went) {
+            this.upstreams.delete(id);
+        }
+        return went.map(before => ({ before, after: undefined }));
+    }
+
     private updateGroups(changes: readonly UpstreamChange[]): void {
         const services = new Map<string, Upstream[]>();
         const owners = new Map<string, Upstream[]>();
