Count all answers of peers at the start of a daemon

Cause: the counter was read before the wait for each answer, so three answers counted as one and more peers than three were asked.

--- a/src/gossip/startup_query.ts
+++ b/src/gossip/startup_query.ts
@@ -92,7 +92,8 @@
                 .slice(0, missing);
             await Promise.all(fresh.map(async peer => {
                 this.asked.add(peer.address);
-                this.answered += await this.options.gossip.sendHeads(peer) ? 1 : 0;
+                const isAnswered = await this.options.gossip.sendHeads(peer);
+                this.answered += isAnswered ? 1 : 0;
             }));
         }
     }
