--- a/measure/spread.ts
+++ b/measure/spread.ts
@@ -9,16 +9,11 @@
  *
  * @module
  */
+import { computeControlBytes } from "./compute_control_bytes.ts";
 import { SpreadFleet } from "./spread_fleet.ts";
 
 const seeds = Array.from({ length: Number(process.argv[2] ?? 3) }, (_, index) => index + 1);
 const base = { daemons: 1_800, domains: 31, regions: 8, ownShare: 0.75, lostShare: 0 };
-const daySeconds = 86_400;
-/** Changes per second: of the configuration, and three of the instance list for each restart or failure. */
-const changes = 9_000 / daySeconds + 3 * (3_500 + 67) / daySeconds;
-/** Bytes of one fetched section with its request and reply, at the fetching daemon and at the peer. */
-const fetchBytes = 2 * (1_200 + 300 + 718);
-
 for (const peersPerRound of [1, 2, 3]) {
     for (const [name, options] of [["all links", {}], ["1 of 10 links lost", { lostShare: 0.1 }]] as const) {
         const spreads: number[] = [];
@@ -42,7 +37,7 @@
                 + `change ${formatSeconds(spreads)} s (target 16 s), leaving notice ${
                     formatSeconds(notices)
                 } s, `
-                + `${((idle + changes * fetchBytes) / 1_000).toFixed(2)} KB/s (target 6 KB/s), `
+                + `${(computeControlBytes(idle) / 1_000).toFixed(2)} KB/s (target 6 KB/s), `
                 + `of these ${(idle / 1_000).toFixed(2)} KB/s without changes`,
         );
     }
