Let other daemons read when no reader reaches the platform

Cause: with two readers of a failure domain lost in a partition, nobody on that side read the platform although it could. Heads carry the age of the last contact of a reader; the next two daemons in the order read after 8 s, four more after 12 s.

--- a/measure/compute_message_bytes.ts
+++ b/measure/compute_message_bytes.ts
@@ -25,7 +25,7 @@
         const rejectedBytes = rejected === undefined
             ? 0
             : 3 * fieldBytes + 3 * varintBytes + rejected.digest.length + rejected.detail.length;
-        return 2 * fieldBytes + daemonId.length + incarnation.length + headBytes + noticeBytes +
+        return 2 * fieldBytes + varintBytes + daemonId.length + incarnation.length + headBytes + noticeBytes +
             rejectedBytes;
     }
     if ("pieces" in message) {
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -87,9 +87,15 @@
 
     /** The message of this daemon, as request or as reply. */
     buildMessage(): HeadExchange {
-        const { daemonId, incarnation, documents, store } = this.options;
-        const heads = documents.map(document => document.getHead());
-        return { daemonId, incarnation, heads, notices: this.notices.list(), rejected: store.getRejected() };
+        const { daemonId, incarnation, documents, store, election } = this.options;
+        return {
+            daemonId,
+            incarnation,
+            heads: documents.map(document => document.getHead()),
+            notices: this.notices.list(),
+            platformAgeMs: election.getPlatformAgeMs(),
+            rejected: store.getRejected(),
+        };
     }
 
     /** Makes one exchange; true when the peer replied. Ends after the fetches that follow from the reply. */
@@ -107,12 +113,13 @@
 
     /** Learns from a message; ends after the fetches that follow from it. */
     async handleMessage(peer: Peer, message: HeadExchange, isReply: boolean): Promise<void> {
-        const { daemonId, membership, store, fetcher } = this.options;
+        const { daemonId, membership, store, fetcher, election } = this.options;
         if (message.daemonId === daemonId) {
             return;
         }
         const cause = `peer ${message.daemonId}`;
         membership.recordIncarnation(message.daemonId, message.incarnation, isReply);
+        election.recordPlatformAge(message.platformAgeMs);
         for (const notice of message.notices) {
             if (notice.daemonId !== daemonId && this.notices.add(notice)) {
                 this.handleNotice(notice, cause);
--- a/src/gossip/head_exchange.ts
+++ b/src/gossip/head_exchange.ts
@@ -9,5 +9,7 @@
     readonly heads: readonly DocumentHead[];
     /** Notices that the sender learned in its last rounds. */
     readonly notices: readonly DaemonNotice[];
+    /** Milliseconds since a reader that the sender knows of, directly or through others, reached the platform. */
+    readonly platformAgeMs: number;
     readonly rejected: RejectedConfig | undefined;
 }
--- a/src/gossip/notice_board.test.ts
+++ b/src/gossip/notice_board.test.ts
@@ -23,3 +23,13 @@
     assert.equal(board.add({ ...notice, incarnation: "d" }), false);
     assert.equal(board.add({ ...notice, incarnation: "a" }), true);
 });
+
+test("a start of the whole fleet does not fill the messages, and leaving notices go first", () => {
+    const board = new NoticeBoard();
+    for (let index = 0; index < 100; index++) {
+        board.add({ daemonId: `daemon-${index}`, incarnation: "first", leaving: false });
+    }
+    board.add(notice);
+    assert.equal(board.list().length, 8);
+    assert.deepEqual(board.list()[0], notice);
+});
--- a/src/gossip/notice_board.ts
+++ b/src/gossip/notice_board.ts
@@ -1,5 +1,8 @@
 import type { DaemonNotice } from "./daemon_notice.ts";
 
+/** Notices of others in one message: about 400 bytes. */
+const maxNotices = 8;
+
 /** Notices that this daemon passes on, each for a limited number of rounds. */
 export class NoticeBoard {
     private own: DaemonNotice | undefined;
@@ -36,8 +39,14 @@
         return true;
     }
 
+    /** The own notice and at most eight others, those that leave first, so that a start of the whole fleet stays small. */
     list(): readonly DaemonNotice[] {
-        return [...(this.own === undefined ? [] : [this.own]), ...this.rounds.keys()];
+        const others = [...this.rounds.keys()];
+        const sorted = [
+            ...others.filter(({ leaving }) => leaving),
+            ...others.filter(({ leaving }) => !leaving),
+        ];
+        return [...(this.own === undefined ? [] : [this.own]), ...sorted.slice(0, maxNotices)];
     }
 
     /** Ends a round. */
--- a/src/gossip/reader_election.test.ts
+++ b/src/gossip/reader_election.test.ts
@@ -59,5 +59,40 @@
     await time.run(10_000);
     assert.equal(election.isReader(), true);
     election.recordContact();
+    election.recordPlatformAge(0);
     assert.equal(election.isReader(), false);
 });
+
+test("when no reader reaches the platform for 8 s, two more daemons of the failure domain read", async () => {
+    const fixtures = upstreams.map((_, index) => createFixture(index));
+    for (const { membership } of fixtures) {
+        membership.merge({ version: 1, upstreams }, "a", "platform");
+    }
+    const countReaders = () => fixtures.filter(({ election }) => election.isReader()).length;
+    const runAll = async (durationMs: number) => {
+        for (const { time, election } of fixtures) {
+            await time.run(durationMs);
+            election.recordContact();
+        }
+    };
+    await runAll(7_900);
+    assert.equal(countReaders(), 6);
+    await runAll(100);
+    assert.equal(countReaders(), 12);
+    await runAll(4_000);
+    assert.equal(countReaders(), 24);
+});
+
+test("the age that peers pass on keeps others from reading, and ages grow on their way", async () => {
+    const { time, membership, election } = createFixture(0);
+    membership.merge({ version: 1, upstreams }, "a", "platform");
+    await time.run(20_000);
+    election.recordPlatformAge(500);
+    assert.equal(election.getPlatformAgeMs(), 600);
+    election.recordRead(true);
+    await time.run(9_000);
+    assert.equal(election.getPlatformAgeMs(), 0);
+    election.recordRead(false);
+    await time.run(1_000);
+    assert.equal(election.getPlatformAgeMs(), 1_000);
+});
--- a/src/platform/document_watch.ts
+++ b/src/platform/document_watch.ts
@@ -94,6 +94,7 @@
         if (this.closed) {
             return 0;
         }
+        this.options.role.recordRead(result.isOk());
         if (result.isErr()) {
             return this.handleFailure(result.error);
         }
