--- a/src/edge/control/decode_head_exchange.ts
+++ b/src/edge/control/decode_head_exchange.ts
@@ -14,7 +14,12 @@
         daemonId: message.daemonId,
         incarnation: message.incarnation,
         heads: message.heads.map(decodeDocumentHead).filter(head => head !== undefined),
-        leaving: message.leaving.map(({ daemonId, incarnation }) => ({ daemonId, incarnation })),
+        notices: message.notices.map(({ daemonId, incarnation, leaving }) => ({
+            daemonId,
+            incarnation,
+            leaving,
+        })),
+        platformAgeMs: message.platformAgeMs,
         rejected: rejected === undefined || !(rejected.code in codeTable) ? undefined : {
             version: Number(rejected.version),
             digest: rejected.digest,
--- a/src/edge/control/encode_head_exchange.ts
+++ b/src/edge/control/encode_head_exchange.ts
@@ -9,7 +9,8 @@
         daemonId: exchange.daemonId,
         incarnation: exchange.incarnation,
         heads: exchange.heads.map(head => ({ ...head, version: BigInt(head.version) })),
-        leaving: exchange.leaving.map(notice => ({ ...notice })),
+        notices: exchange.notices.map(notice => ({ ...notice })),
+        platformAgeMs: exchange.platformAgeMs,
         rejected: rejected === undefined ? undefined : {
             ...rejected,
             version: BigInt(rejected.version),
