--- a/proof/control/configuration.test.ts
+++ b/proof/control/configuration.test.ts
@@ -116,6 +116,25 @@
     fleet.close();
 });
 
+test("in a partition whose two readers are lost, others read the platform in their place", async () => {
+    const { fleet, addHead } = await createFleet();
+    const isInside = new Map(
+        fleet.upstreams.map((upstream, index) => [upstream.ownerAddress, index % 3 === 0]),
+    );
+    fleet.network.setCuts((from, to) => isInside.get(from) !== isInside.get(to));
+    const inside = fleet.daemons.filter((_, index) => index % 3 === 0);
+    const lost = inside.filter(daemon => daemon.election.isReader());
+    for (const daemon of lost) {
+        daemon.close();
+    }
+    addHead(20, "twenty");
+    await fleet.time.run(16_000);
+    const left = inside.filter(daemon => !lost.includes(daemon));
+    assert.equal(lost.length, 2);
+    assert.deepEqual([...new Set(left.map(daemon => daemon.store.getActive()?.version))], [20]);
+    fleet.close();
+});
+
 test("a configuration that one reader accepted just before an outage is active everywhere within 16 s", async () => {
     const { fleet, listVersions, addHead } = await createFleet();
     addHead(20, "twenty");
