Keep the listeners open in a drain until callers have gone elsewhere

Now callers are refused with 2003, not executed, after the grace period, and the ports close after 500 ms without a request or at the time limit of the drain.

--- a/features/steps/path_steps.ts
+++ b/features/steps/path_steps.ts
@@ -3,6 +3,8 @@
 import { execFile } from "node:child_process";
 import { readFileSync } from "node:fs";
 import { promisify } from "node:util";
+import { Code } from "../../src/core/code.ts";
+import { Outcome } from "../../src/core/outcome.ts";
 import type { Fleet } from "../../standin/fleet.ts";
 import type { FleetDaemon } from "../../standin/fleet_daemon.ts";
 import { waitUntil } from "../../standin/wait_until.ts";
@@ -191,14 +193,14 @@
             try {
                 const daemon = daemons[index % daemons.length]!;
                 const answer = await sendRequest(daemon, `/accounts/${index}/balance`);
+                // The daemon has left and says that it did not run the request; the caller goes elsewhere.
+                if (answer.body.code === Code.OwnerLeaving && answer.outcome === Outcome.NotExecuted) {
+                    return;
+                }
                 assert.equal(answer.status, 200, JSON.stringify(answer.body));
             }
             catch (error) {
                 const { cause } = error as { cause?: { code?: string; }; };
-                // A refused connection means that the daemon has left; no request was on it.
-                if (cause?.code === "ECONNREFUSED") {
-                    return;
-                }
                 cut.push(`${(error as Error).message} ${cause?.code ?? ""}`);
             }
         }
--- a/src/build_daemon.ts
+++ b/src/build_daemon.ts
@@ -212,6 +212,7 @@
         getListeners: () => getListeners(),
         graceMs: settings.drainGraceMs,
         limitMs: settings.drainTimeoutMs,
+        quietMs: settings.drainQuietMs,
     });
     const queue = new QueueFilter({ ...base, upstreams, daemonState: lifecycle });
     const board = new ScoreBoard();
--- a/src/edge/daemon_servers.ts
+++ b/src/edge/daemon_servers.ts
@@ -73,7 +73,7 @@
     async openCallers(): Promise<Result<void, Failure>> {
         const { caller, settings } = this.options;
         const app = createCallerApp({
-            lease: this.createLease(),
+            lease: this.createLease(() => this.refuseCaller()),
             handle: incoming => caller.handle(incoming),
             maxRequestBytes: settings.maxRequestBytes,
         }).callback();
@@ -92,9 +92,19 @@
         await Promise.all(this.opened.map(listener => listener.close()));
     }
 
-    private createLease() {
+    private refuseCaller(): boolean {
+        const { lifecycle } = this.options;
+        if (!lifecycle.isRefusing()) {
+            return false;
+        }
+        lifecycle.recordRefusal();
+        return true;
+    }
+
+    private createLease(refuse: () => boolean = () => false) {
         const { lifecycle } = this.options;
         return createLeaseMiddleware({
+            refuse,
             registerRequest: () => lifecycle.registerRequest(),
             isDraining: () => lifecycle.getState() === DaemonState.Draining,
         });
--- a/src/edge/http/create_lease_middleware.ts
+++ b/src/edge/http/create_lease_middleware.ts
@@ -7,6 +7,8 @@
 interface LeaseOptions {
     /** Undefined when the daemon has closed. */
     readonly registerRequest: () => RequestLease | undefined;
+    /** True when new requests are refused as not executed; never for those of other daemons. */
+    readonly refuse: () => boolean;
     /** True while the daemon drains: responses then ask the peer to close its connection. */
     readonly isDraining: () => boolean;
 }
@@ -14,10 +16,11 @@
 /** Keeps each request registered as in flight until the last byte of its response was handed to the connection. */
 export function createLeaseMiddleware(options: LeaseOptions): Middleware {
     return async (context, next) => {
-        const lease = options.registerRequest();
+        const lease = options.refuse() ? undefined : options.registerRequest();
         if (lease === undefined) {
             const problem = formatProblem(createFailure(Code.OwnerLeaving), "");
             context.status = problem.status;
+            problem.headers.forEach(header => context.set(header.name, header.value));
             context.set("connection", "close");
             context.body = Buffer.from(problem.body);
             return;
--- a/src/lifecycle/lifecycle.ts
+++ b/src/lifecycle/lifecycle.ts
@@ -47,12 +47,19 @@
      * each has a deadline, so the limit should be above `graceMs` plus the longest deadline of a route.
      */
     readonly limitMs: number;
+    /**
+     * Milliseconds without a new request after which the listeners close; the default is 0. The kernel resets
+     * connections that wait to be accepted when a listener closes, so it closes when callers have gone elsewhere.
+     */
+    readonly quietMs?: number;
 }
 
 /** Counts the requests in flight and runs the drain. */
 export class Lifecycle implements DaemonStateReader {
     private state: DaemonState = DaemonState.Starting;
     private inFlight = 0;
+    private refusing = false;
+    private arrivedAtMs = -Infinity;
     private draining: Promise<DrainReport> | undefined;
     private onIdle: (() => void) | undefined;
 
@@ -83,6 +90,7 @@
             return undefined;
         }
         this.inFlight += 1;
+        this.arrivedAtMs = this.options.clock.getMonotonicMs();
         this.options.metrics.setGauge("lifecycle.in_flight", this.inFlight);
         let open = true;
         return {
@@ -95,6 +103,17 @@
         };
     }
 
+    /** True after the grace period of a drain: callers are refused as not executed, so that they go elsewhere. */
+    isRefusing(): boolean {
+        return this.refusing;
+    }
+
+    /** Call for each refused request. */
+    recordRefusal(): void {
+        this.arrivedAtMs = this.options.clock.getMonotonicMs();
+        this.options.metrics.addCount("lifecycle.refused");
+    }
+
     /** Closed when the last request has ended. Further calls join the first. */
     waitForClose(cause: string): Promise<DrainReport> {
         this.draining ??= this.runDrain(cause);
@@ -126,6 +145,8 @@
         this.options.announcer.sendLeaving();
         const released = this.options.queue.releaseQueued();
         await this.waitMs(this.options.graceMs);
+        this.refusing = true;
+        await this.waitForQuiet(startMs);
         const listeners = this.options.getListeners();
         for (const listener of listeners) {
             listener.stop();
@@ -144,6 +165,20 @@
         return new Promise(resolve => void this.options.timers.start(durationMs, resolve));
     }
 
+    /** Ends at the time limit of the drain even when callers keep coming. */
+    private async waitForQuiet(startMs: number): Promise<void> {
+        const { clock, limitMs, quietMs = 0 } = this.options;
+        await this.waitForIdle();
+        for (;;) {
+            const nowMs = clock.getMonotonicMs();
+            const remainingMs = Math.min(this.arrivedAtMs + quietMs, startMs + limitMs) - nowMs;
+            if (remainingMs <= 0) {
+                return;
+            }
+            await this.waitMs(remainingMs);
+        }
+    }
+
     private async waitForIdle(): Promise<void> {
         while (this.inFlight > 0) {
             await new Promise<void>(resolve => {
--- a/src/settings/read_serve_settings.ts
+++ b/src/settings/read_serve_settings.ts
@@ -31,6 +31,7 @@
             watchMs: getNumber("watch-ms"),
             startWaitMs: getNumber("start-wait-ms"),
             drainGraceMs: getNumber("drain-grace-ms"),
+            drainQuietMs: getNumber("drain-quiet-ms"),
             drainTimeoutMs: getNumber("drain-timeout-ms"),
         };
     });
--- a/src/settings/serve_settings.ts
+++ b/src/settings/serve_settings.ts
@@ -21,5 +21,6 @@
     readonly watchMs: number;
     readonly startWaitMs: number;
     readonly drainGraceMs: number;
+    readonly drainQuietMs: number;
     readonly drainTimeoutMs: number;
 }
--- a/src/settings/serve_specs.ts
+++ b/src/settings/serve_specs.ts
@@ -82,5 +82,12 @@
         [0, 600_000],
         "how long a draining daemon still accepts callers",
     ),
+    buildInteger(
+        "drain-quiet-ms",
+        "ms",
+        500,
+        [0, 60_000],
+        "time without a request after which a drain closes the ports",
+    ),
     buildInteger("drain-timeout-ms", "ms", 60_000, [100, 3_600_000], "time limit of a drain, grace included"),
 ];
