--- a/proof/fakes/virtual_time.test.ts
+++ b/proof/fakes/virtual_time.test.ts
@@ -15,3 +15,13 @@
     await time.run(5);
     assert.deepEqual(ran, ["a", "b", "c"]);
 });
+
+test("after a pause, timers run late and the clock does not step back to when they were due", async () => {
+    const time = new VirtualTime();
+    const ranAtMs: number[] = [];
+    time.start(10, () => ranAtMs.push(time.getMonotonicMs()));
+    time.addPause(1_000);
+    await time.run(1);
+    assert.deepEqual(ranAtMs, [1_000]);
+    assert.equal(time.getMonotonicMs(), 1_001);
+});
--- a/proof/fakes/virtual_time.ts
+++ b/proof/fakes/virtual_time.ts
@@ -52,7 +52,7 @@
             if (this.closed.delete(entry)) {
                 continue;
             }
-            this.nowMs = entry.atMs;
+            this.nowMs = Math.max(this.nowMs, entry.atMs);
             entry.action();
             await waitForPromises();
         }
--- /dev/null
+++ b/src/health/ejection_table.test.ts
@@ -0,0 +1,130 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { SeededRandom } from "../../proof/fakes/seeded_random.ts";
+import { buildTestMembers } from "../../proof/health/build_test_members.ts";
+import { buildTestService } from "../../proof/health/build_test_service.ts";
+import type { AuditEntry } from "../audit/audit_entry.ts";
+import { EjectionTable } from "./ejection_table.ts";
+import { ScoreBoard } from "./score_board.ts";
+import { TrialResult } from "./trial_result.ts";
+
+const service = buildTestService();
+const members = buildTestMembers(6);
+
+class Setup {
+    readonly board = new ScoreBoard();
+    readonly entries: AuditEntry[] = [];
+    readonly table = new EjectionTable({
+        random: new SeededRandom(1),
+        membership: { list: () => members, getFirstSeenMs: () => -60_000, getVersion: () => 7 },
+        audit: { record: entry => void this.entries.push(entry) },
+        board: this.board,
+    });
+
+    /** Records scores computed at `atMs` for the upstreams in order, raised for one second. */
+    record(scores: readonly number[], atMs: number): void {
+        for (const [index, score] of scores.entries()) {
+            const record = { upstreamId: `u${index}`, service: service.name, score, atMs };
+            this.board.record({ ...record, raisedSinceMs: atMs - 1_000 });
+        }
+    }
+
+    listEjected(nowMs: number): readonly string[] {
+        return [...this.table.update(service, members, new Set(), nowMs).ejected];
+    }
+
+    recordTrial(result: TrialResult, nowMs: number): void {
+        this.table.recordTrialStart(service.name, "u0");
+        this.table.recordTrialEnd(service, "u0", result, nowMs);
+    }
+
+    findTrial(idempotent: boolean, nowMs: number): string | undefined {
+        return this.table.findTrial(service.name, members, { idempotent, nowMs })?.id;
+    }
+}
+
+test("a single failing upstream is ejected, and the audit entry holds the evidence", () => {
+    const setup = new Setup();
+    setup.record([18, 0, 0, 0, 0, 0], 5_000);
+    assert.deepEqual(setup.listEjected(5_000), ["u0"]);
+    assert.equal(setup.entries[0]?.subject, "u0");
+    assert.match(setup.entries[0].cause, /18\.0 nats .* alarm at 14\.5/);
+    assert.equal(setup.entries[0].version, 7);
+});
+
+test("a fault common to all upstreams ejects none, although each of them exceeds the alarm", () => {
+    const setup = new Setup();
+    setup.record([18, 18, 17, 18, 16, 18], 5_000);
+    assert.deepEqual(setup.listEjected(5_000), []);
+});
+
+test("without fresh scores of other upstreams nothing is ejected, because the cause may be common", () => {
+    const setup = new Setup();
+    setup.record([0, 0, 0, 0, 0, 0], 1_000);
+    setup.record([18], 5_000);
+    assert.deepEqual(setup.listEjected(5_000), []);
+});
+
+test("a score that is old does not eject, as when replies are late or the owner has restarted", () => {
+    const setup = new Setup();
+    setup.record([18, 0, 0, 0, 0, 0], 5_000);
+    assert.deepEqual(setup.listEjected(7_000), []);
+});
+
+test("the hold doubles from 2 s while trial requests fail, and ends at 60 s", () => {
+    const setup = new Setup();
+    setup.record([18, 0, 0, 0, 0, 0], 0);
+    setup.listEjected(0);
+    const holds: number[] = [];
+    for (let nowMs = 0; holds.length < 7; nowMs += 200_000) {
+        holds.push(setup.table.getState(service.name, "u0")!.holdMs);
+        setup.recordTrial(TrialResult.Bad, nowMs);
+    }
+    assert.deepEqual(holds, [2_000, 4_000, 8_000, 16_000, 32_000, 60_000, 60_000]);
+});
+
+test("a flapping upstream is held longer at each ejection that follows a short return", () => {
+    const setup = new Setup();
+    const holds: number[] = [];
+    for (const nowMs of [0, 10_000, 30_000]) {
+        setup.record([18, 0, 0, 0, 0, 0], nowMs);
+        setup.listEjected(nowMs);
+        holds.push(setup.table.getState(service.name, "u0")!.holdMs);
+        setup.record([0, 0, 0, 0, 0, 0], nowMs + 7_000);
+        setup.recordTrial(TrialResult.Good, nowMs + 7_000);
+        assert.deepEqual(setup.listEjected(nowMs + 7_000), []);
+    }
+    assert.deepEqual(holds, [2_000, 4_000, 8_000]);
+});
+
+test("trial requests begin after the hold, one at a time, and non-idempotent ones a second hold later", () => {
+    const setup = new Setup();
+    setup.record([18, 0, 0, 0, 0, 0], 0);
+    setup.listEjected(0);
+    assert.equal(setup.findTrial(true, 1_900), undefined);
+    assert.equal(setup.findTrial(true, 3_100), "u0");
+    assert.equal(setup.findTrial(false, 3_100), undefined);
+    assert.equal(setup.findTrial(false, 5_100), "u0");
+    setup.table.recordTrialStart(service.name, "u0");
+    assert.equal(setup.findTrial(true, 5_100), undefined);
+});
+
+test("a returned upstream has a tenth of its weight and all of it after slow start", () => {
+    const setup = new Setup();
+    setup.record([18, 0, 0, 0, 0, 0], 0);
+    setup.listEjected(0);
+    setup.record([0], 4_000);
+    setup.recordTrial(TrialResult.Good, 4_000);
+    assert.equal(setup.table.getWeight(service, "u0", 4_000), 0.1);
+    assert.equal(setup.table.getWeight(service, "u0", 14_000), 1);
+    assert.equal(setup.table.getWeight(service, "u1", 4_000), 1);
+});
+
+test("a good trial request does not return an upstream whose owner still scores it high", () => {
+    const setup = new Setup();
+    setup.record([18, 0, 0, 0, 0, 0], 0);
+    setup.listEjected(0);
+    setup.record([12], 4_000);
+    setup.recordTrial(TrialResult.Good, 4_000);
+    assert.equal(setup.table.getState(service.name, "u0")?.ejected, true);
+});
