Measure a cut path at ten requests a second of one sender

Before, one sender sent less than one request a second on the path, so that a quiet second showed nothing.

--- a/measure/detection.ts
+++ b/measure/detection.ts
@@ -1,6 +1,7 @@
 /**
  * Measures detection and wrongful ejection in virtual time and prints a Markdown table. Arguments: number of seeds
- * (default 10) and name of one deployment.
+ * (default 10), name of one deployment,
+ * name of one scenario.
  *
  * @example
  * ```sh
@@ -15,7 +16,7 @@
 import type { Scenario } from "./detection/scenario.ts";
 import { scenarios } from "./detection/scenarios.ts";
 
-const [seedsText = "10", onlyDeployment = ""] = process.argv.slice(2);
+const [seedsText = "10", onlyDeployment = "", onlyScenario = ""] = process.argv.slice(2);
 const seeds = Number(seedsText);
 
 function formatSpread(values: readonly (number | undefined)[]): string {
@@ -55,7 +56,7 @@
             + " | wrongful ejections | fewest in rotation | answered well |",
     );
     console.log("| --- | --- | --- | --- | --- | --- | --- |");
-    for (const scenario of scenarios) {
+    for (const scenario of scenarios.filter(({ name }) => onlyScenario === "" || name === onlyScenario)) {
         for (const baseline of [false, true]) {
             const results: RunResult[] = [];
             for (let seed = 1; seed <= seeds; seed += 1) {
--- a/measure/detection/run_scenario.ts
+++ b/measure/detection/run_scenario.ts
@@ -167,7 +167,9 @@
 
     const sendRequest = (): void => {
         const nowMs = time.getMonotonicMs();
-        const daemon = daemons[Math.floor(random.take() * daemons.length)]!;
+        // A single sender must send ten requests a second to each upstream to show how it leaves a cut path.
+        const senders = cutPath ? daemons.filter(({ id }) => id === cutDaemon) : daemons;
+        const daemon = senders[Math.floor(random.take() * senders.length)]!;
         const isLong = random.take() * 100 < deployment.longPercent;
         const isWrite = random.take() < writeShare;
         const route = service.routes[isLong ? 2 : isWrite ? 1 : 0]!;
