--- a/src/health/ejection_table.ts
+++ b/src/health/ejection_table.ts
@@ -17,6 +17,7 @@
 import { computeWeight } from "./compute_weight.ts";
 import type { EjectionOptions } from "./ejection_options.ts";
 import type { EjectionState } from "./ejection_state.ts";
+import { raisedScore } from "./raised_score.ts";
 import type { Rotation } from "./rotation.ts";
 import { TrialResult } from "./trial_result.ts";
 
@@ -161,8 +162,8 @@
 
     /**
      * The reference is subtracted only from scores that reach the alarm; the others decide nothing. It is made of the
-     * recent peaks of those upstreams whose score is newer than the begin of the fault: older ones say nothing about
-     * a common cause. Peaks, because present scores may be older or newer than this one.
+     * recent peaks of the upstreams that are raised since the begin of the fault, and of those not raised although
+     * their score is newer by the delay of a common cause: older ones say nothing about it. Peaks, because present scores may be older or newer than this one.
      */
     private computeExcess(
         upstreamId: string,
@@ -178,14 +179,12 @@
         }
         const raisedSinceMs = board.getRaisedSinceMs(upstreamId) ?? nowMs;
         const others = [...states].filter(([id, state]) => id !== upstreamId && !state.ejected);
-        const known = others.filter(([id]) =>
+        const beginMs = raisedSinceMs - commonDelayMs;
+        const isKnown = (id: string): boolean =>
             board.getScore(id, raisedSinceMs + commonDelayMs) !== undefined
-        );
-        return score -
-            computeReferenceScore(
-                others.length,
-                known.map(([id]) => board.getPeak(id, raisedSinceMs - commonDelayMs)),
-            );
+            || (board.getScore(id, beginMs) !== undefined && board.getPeak(id, beginMs) >= raisedScore);
+        const peaks = others.filter(([id]) => isKnown(id)).map(([id]) => board.getPeak(id, beginMs));
+        return score - computeReferenceScore(others.length, peaks);
     }
 
     /** Ejects, or extends an ejection. The hold doubles unless the upstream was in rotation for the longest hold. */
