--- a/measure/detection.ts
+++ b/measure/detection.ts
@@ -12,8 +12,8 @@
  */
 import { deployments } from "./detection/deployments.ts";
 import type { RunResult } from "./detection/run_result.ts";
-import { runScenario } from "./detection/run_scenario.ts";
 import type { Scenario } from "./detection/scenario.ts";
+import { ScenarioRun } from "./detection/scenario_run.ts";
 import { scenarios } from "./detection/scenarios.ts";
 
 const [seedsText = "10", onlyDeployment = "", onlyScenario = ""] = process.argv.slice(2);
@@ -60,7 +60,7 @@
         for (const baseline of [false, true]) {
             const results: RunResult[] = [];
             for (let seed = 1; seed <= seeds; seed += 1) {
-                results.push(await runScenario(deployment, { ...scenario, baseline }, seed));
+                results.push(await new ScenarioRun(deployment, { ...scenario, baseline }, seed).run());
             }
             console.log(`| ${formatRow({ ...scenario, baseline }, results)} |`);
         }
--- /dev/null
+++ b/measure/detection/scenario_run.ts
@@ -0,0 +1,241 @@
+import { SeededRandom } from "../../proof/fakes/seeded_random.ts";
+import { VirtualTime } from "../../proof/fakes/virtual_time.ts";
+import type { ServiceConfig } from "../../src/config/service_config.ts";
+import type { Upstream } from "../../src/core/upstream.ts";
+import type { OwnerReply } from "../../src/forward/owner_reply.ts";
+import { isExpected } from "../../src/health/is_expected.ts";
+import { PowerOfTwoSelector } from "../../src/select/power_of_two_selector.ts";
+import type { SelectedRequest } from "../../src/select/selected_request.ts";
+import { buildLostReply } from "./build_lost_reply.ts";
+import { buildRequest } from "./build_request.ts";
+import { buildService } from "./build_service.ts";
+import type { Deployment } from "./deployment.ts";
+import { FakeDaemon } from "./fake_daemon.ts";
+import { FakeOwner } from "./fake_owner.ts";
+import { FakeUpstream } from "./fake_upstream.ts";
+import { FaultKind } from "./fault_kind.ts";
+import type { RunResult } from "./run_result.ts";
+import { RunTally } from "./run_tally.ts";
+import type { Scenario } from "./scenario.ts";
+
+/** Share of the short requests that are writes. */
+const writeShare = 0.3;
+
+/** Interval in milliseconds of the head exchange between daemons, and its number of peers. */
+const exchangeMs = 1_000;
+const exchangePeers = 3;
+
+/** Interval in milliseconds at which the size of the rotations is checked. */
+const checkMs = 1_000;
+
+/** One scenario on one deployment in virtual time, with fakes at the interfaces. */
+export class ScenarioRun {
+    private readonly time = new VirtualTime();
+    private readonly random: SeededRandom;
+    private readonly service: ServiceConfig;
+    private readonly members: readonly Upstream[];
+    private readonly faulty: ReadonlySet<string>;
+    private readonly isCutPath: boolean;
+    private readonly daemons: readonly FakeDaemon[];
+    /** Daemons to which the callers send. */
+    private readonly senders: readonly FakeDaemon[];
+    private readonly upstreams: readonly FakeUpstream[];
+    private readonly owners: ReadonlyMap<string, FakeOwner>;
+    private readonly tally: RunTally;
+    private sent = 0;
+
+    constructor(private readonly deployment: Deployment, private readonly scenario: Scenario, seed: number) {
+        const { time } = this;
+        const { slots } = deployment;
+        const random = new SeededRandom(seed);
+        const service = buildService(deployment);
+        const members = Array.from({ length: deployment.upstreams }, (_, index) => ({
+            id: `upstream ${index}`,
+            service: service.name,
+            failureDomain: `domain ${index % 3}`,
+            region: "region",
+            ownerId: `daemon ${index}`,
+            ownerAddress: "",
+            leaving: false,
+        }));
+        this.random = random;
+        this.service = service;
+        this.members = members;
+        this.isCutPath = scenario.fault === FaultKind.PathCut;
+        this.faulty = new Set(members.slice(0, scenario.faulty).map(({ id }) => id));
+        // A cut path and a fault of all upstreams are no faults of single upstreams.
+        const isOwnFault = !this.isCutPath && this.faulty.size < members.length;
+        this.tally = new RunTally(scenario, this.faulty, isOwnFault);
+
+        const configuration = { team: "", services: new Map([[service.name, service]]) };
+        const config = { getActive: () => ({ version: 1, digest: "", configuration, source: "" }) };
+        const membership = { list: () => members, getFirstSeenMs: () => -60_000, getVersion: () => 1 };
+        this.daemons = Array.from({ length: deployment.daemons }, (_, index) =>
+            new FakeDaemon({
+                id: `daemon ${index}`,
+                time,
+                random,
+                membership,
+                config,
+                failureDomain: `domain ${index % 3}`,
+                baseline: scenario.baseline,
+                recordAudit: entry => this.tally.recordAudit(entry, this.getAfterMs()),
+            }));
+        // A single sender must send ten requests a second to each upstream to show how it leaves a cut path. It is
+        // in the failure domain of the upstream and owns none.
+        this.senders = this.isCutPath ? this.daemons.slice(-3, -2) : this.daemons;
+        const upstreams = members.map(() => new FakeUpstream(random, time, slots));
+        this.upstreams = upstreams;
+        this.owners = new Map(members.map(({ id }, index) => {
+            const { evidence, watch, board } = this.daemons[index]!;
+            return [id, new FakeOwner({ time, upstream: upstreams[index]!, slots, evidence, watch, board })];
+        }));
+    }
+
+    async run(): Promise<RunResult> {
+        const { time, random, scenario } = this;
+        this.startNextRequest();
+        if (!scenario.baseline) {
+            this.daemons.forEach(daemon =>
+                time.start(random.take() * exchangeMs, () => this.sendReports(daemon))
+            );
+            this.daemons.forEach(daemon =>
+                time.start(random.take() * exchangeMs, () => this.sendOtherReply(daemon))
+            );
+            this.checkRotations();
+        }
+        time.start(scenario.eventMs, () => this.startFault());
+        await time.run(scenario.endMs);
+        return this.tally.build();
+    }
+
+    private getAfterMs(): number {
+        return this.time.getMonotonicMs() - this.scenario.eventMs;
+    }
+
+    private startFault(): void {
+        this.upstreams.forEach((upstream, index) => {
+            upstream.dependencyFactor = this.scenario.dependencyFactor;
+            if (!this.isCutPath && this.faulty.has(this.members[index]!.id)) {
+                upstream.fault = this.scenario.fault;
+                upstream.faultSinceMs = this.scenario.eventMs;
+            }
+        });
+    }
+
+    private startNextRequest(): void {
+        const rate = this.getAfterMs() < 0 ? this.scenario.rate : this.scenario.eventRate;
+        const gapMs = this.takeGapMs(rate * this.members.length);
+        this.time.start(gapMs, () => {
+            this.sendRequest();
+            this.startNextRequest();
+        });
+    }
+
+    private sendRequest(): void {
+        const { random, service, deployment } = this;
+        const nowMs = this.time.getMonotonicMs();
+        const daemon = this.takeOne(this.senders);
+        const isLong = random.take() * 100 < deployment.longPercent;
+        const isWrite = random.take() < writeShare;
+        const route = service.routes[isLong ? 2 : isWrite ? 1 : 0]!;
+        this.sent += 1;
+        const request = buildRequest(service, route, { requestId: `${this.sent}`, nowMs });
+        const selected = daemon.selector.select(request, 1, new Set());
+        if (selected.isErr()) {
+            this.tally.recordAnswer(false);
+            return;
+        }
+        const { upstream, trial } = selected.value;
+        if (!trial && this.faulty.has(upstream.id)) {
+            this.tally.recordFaultyRequest(this.getAfterMs());
+        }
+        this.forward(daemon, selected.value);
+    }
+
+    private forward(daemon: FakeDaemon, selected: SelectedRequest): void {
+        const { time, deployment } = this;
+        const { upstream } = selected;
+        const sentMs = time.getMonotonicMs();
+        daemon.selector.recordStart(selected);
+        const isLocal = upstream.ownerId === daemon.id;
+        const isNear = upstream.failureDomain === daemon.failureDomain;
+        const delayMs = isLocal ? 0 : isNear ? 0.1 : deployment.pathMs;
+        const isCut = this.isCutPath && this.getAfterMs() >= 0 && this.faulty.has(upstream.id);
+        const { signal } = new AbortController();
+        const request = { ...selected, upstreamId: upstream.id, receivedAtMs: sentMs + delayMs, signal };
+        let isEnded = false;
+        const handleEnd = (reply: OwnerReply): void => {
+            if (!isEnded) {
+                isEnded = true;
+                this.recordEnd(daemon, selected, reply, sentMs);
+            }
+        };
+        // On a cut path requests arrive and replies are lost.
+        time.start(delayMs, () =>
+            this.owners.get(upstream.id)!.handle(request, reply => {
+                if (!isCut) {
+                    time.start(delayMs, () => handleEnd(reply));
+                }
+            }));
+        time.start(selected.deadlineMs - sentMs + 1, () => handleEnd(buildLostReply(selected)));
+    }
+
+    private recordEnd(
+        daemon: FakeDaemon,
+        selected: SelectedRequest,
+        reply: OwnerReply,
+        sentMs: number,
+    ): void {
+        daemon.selector.recordReply(selected, reply, this.time.getMonotonicMs() - sentMs);
+        if (sentMs >= this.scenario.eventMs) {
+            this.tally.recordAnswer(
+                reply.answer !== undefined && isExpected(reply.answer, selected.route.expect),
+            );
+        }
+    }
+
+    /** The head exchange with a few peers. */
+    private sendReports(daemon: FakeDaemon): void {
+        const { time, deployment } = this;
+        for (let peer = 0; peer < exchangePeers; peer += 1) {
+            const other = this.takeOne(this.daemons);
+            const reports = daemon.board.listReports(time.getMonotonicMs());
+            time.start(deployment.pathMs, () => {
+                other.board.merge(reports, time.getMonotonicMs());
+                const answers = other.board.listReports(time.getMonotonicMs());
+                time.start(deployment.pathMs, () => daemon.board.merge(answers, time.getMonotonicMs()));
+            });
+        }
+        time.start(exchangeMs, () => this.sendReports(daemon));
+    }
+
+    /** A reply of another service's upstream, which carries reports too. */
+    private sendOtherReply(daemon: FakeDaemon): void {
+        const { time, deployment } = this;
+        const reports = this.takeOne(this.daemons).board.listReports(time.getMonotonicMs());
+        if (reports.length > 0) {
+            time.start(deployment.pathMs, () => daemon.board.merge(reports, time.getMonotonicMs()));
+        }
+        time.start(this.takeGapMs(deployment.otherReplies), () => this.sendOtherReply(daemon));
+    }
+
+    private checkRotations(): void {
+        for (const { selector } of this.daemons) {
+            if (selector instanceof PowerOfTwoSelector) {
+                const status = selector.listStatus(this.service);
+                this.tally.recordRotation(status.filter(({ ejected }) => !ejected).length);
+            }
+        }
+        this.time.start(checkMs, () => this.checkRotations());
+    }
+
+    private takeOne(daemons: readonly FakeDaemon[]): FakeDaemon {
+        return daemons[Math.floor(this.random.take() * daemons.length)]!;
+    }
+
+    /** Time in milliseconds until the next of events that come independently at `rate` a second. */
+    private takeGapMs(rate: number): number {
+        return -Math.log(1 - this.random.take()) * 1_000 / rate;
+    }
+}
