--- a/measure/load.ts
+++ b/measure/load.ts
@@ -28,7 +28,7 @@
         only: { type: "string", default: "" },
         /** Part of the name of the loads to measure. */
         load: { type: "string", default: "" },
-        /** Part of the name of the systems to measure. */
+        /** Regular expression that the names of the systems to measure match. */
         system: { type: "string", default: "" },
     },
 });
@@ -45,7 +45,7 @@
 ): Promise<void> {
     const rows: string[][] = [];
     for (const scenario of scenarios.filter(({ name }) => name.includes(settings.load))) {
-        for (const system of systems.filter(({ name }) => name.includes(settings.system))) {
+        for (const system of systems.filter(({ name }) => new RegExp(settings.system).test(name))) {
             const values: number[][] = [];
             for (const seed of seeds) {
                 const result = await runLoad(scenario, system, seed);
