--- /dev/null
+++ b/measure/load/load_callers.ts
@@ -0,0 +1,135 @@
+import type { Result } from "neverthrow";
+import type { VirtualTime } from "../../proof/fakes/virtual_time.ts";
+import { Code } from "../../src/core/code.ts";
+import { createFailure } from "../../src/core/create_failure.ts";
+import type { Failure } from "../../src/core/failure.ts";
+import { Outcome } from "../../src/core/outcome.ts";
+import type { RandomSource } from "../../src/core/random_source.ts";
+import type { RoutedRequest } from "../../src/route/routed_request.ts";
+import type { EntryPath } from "./entry_path.ts";
+import type { LoadResult } from "./load_result.ts";
+import type { LoadScenario } from "./load_scenario.ts";
+import type { LoadStream } from "./load_stream.ts";
+import { takeLognormal } from "./take_lognormal.ts";
+
+/** First delay in milliseconds before a caller tries again; doubles with each try, varied by half of it. */
+const callerBackoffMs = 200;
+
+/** What `LoadCallers` need. */
+interface LoadCallersOptions {
+    readonly time: VirtualTime;
+    readonly random: RandomSource;
+    readonly scenario: LoadScenario;
+    readonly entries: readonly EntryPath[];
+    /** True when a caller that gives up at its deadline closes its connection. */
+    readonly cancels: boolean;
+    readonly started: ReadonlySet<string>;
+    readonly result: LoadResult;
+}
+
+/** One try of an operation. */
+interface Try {
+    readonly stream: LoadStream;
+    readonly operation: number;
+    readonly attempt: number;
+    readonly organisation: string;
+}
+
+/** Callers that send operations at random times (a Poisson process) and repeat those that fail. */
+export class LoadCallers {
+    private operations = 0;
+
+    constructor(private readonly options: LoadCallersOptions) {}
+
+    /** Starts the arrivals of a stream, which end after the last phase. */
+    start(stream: LoadStream): void {
+        const { time, random, scenario } = this.options;
+        const atMs = time.getMonotonicMs() - scenario.warmUpMs;
+        const rate = atMs >= 0 && atMs < scenario.measuredMs ? stream.measuredRate : stream.calmRate;
+        // Without load the next check is after 10 ms, so that a stream can start with the measured phase.
+        const delayMs = rate > 0 ? -Math.log(1 - random.take()) * 1_000 / rate : 10;
+        time.start(delayMs, () => {
+            if (time.getMonotonicMs() - scenario.warmUpMs >= scenario.measuredMs + scenario.recoveryMs) {
+                return;
+            }
+            if (rate > 0) {
+                const organisation = `${stream.name}-${Math.floor(random.take() * stream.organisations)}`;
+                void this.send({ stream, operation: this.operations++, attempt: 1, organisation });
+            }
+            this.start(stream);
+        });
+    }
+
+    private async send(given: Try): Promise<void> {
+        const { time, random, scenario, started, result } = this.options;
+        const { stream, operation, attempt } = given;
+        const sentAtMs = time.getMonotonicMs();
+        const requestId = `${operation}.${attempt}`;
+        const reply = await this.waitForReply(given, requestId);
+        const failure = reply === undefined
+            ? createFailure(Code.DeadlineExceeded)
+            : reply.match(() => undefined, error => error);
+        result.tries.push({
+            stream: stream.name,
+            operation,
+            sentAtMs,
+            endedAtMs: time.getMonotonicMs(),
+            answered: failure === undefined,
+            code: failure?.code ?? Code.Ok,
+            outcome: failure?.outcome ?? Outcome.Executed,
+            untruthful: failure?.outcome === Outcome.NotExecuted && started.has(requestId),
+        });
+        if (failure !== undefined && attempt < scenario.callerTries) {
+            const delayMs = callerBackoffMs * 2 ** (attempt - 1) * (0.5 + random.take());
+            time.start(delayMs, () => void this.send({ ...given, attempt: attempt + 1 }));
+        }
+    }
+
+    /** Undefined when the deadline passes first. */
+    private waitForReply(given: Try, requestId: string): Promise<Result<void, Failure> | undefined> {
+        const { time, random, entries, cancels } = this.options;
+        const { stream } = given;
+        const caller = new AbortController();
+        const request = this.buildRequest(given, requestId, caller.signal);
+        const entry = entries[Math.floor(random.take() * entries.length)]!;
+        const demandMs = takeLognormal(random, stream.serviceMs, stream.variation);
+        return new Promise(resolve => {
+            const timer = time.start(stream.route.deadlineMs, () => {
+                if (cancels) {
+                    caller.abort();
+                }
+                resolve(undefined);
+            });
+            void entry.run(request, demandMs, stream.name).then(value => {
+                timer.close();
+                resolve(value);
+            });
+        });
+    }
+
+    private buildRequest(
+        { stream, organisation }: Try,
+        requestId: string,
+        signal: AbortSignal,
+    ): RoutedRequest {
+        const { route } = stream;
+        const receivedAtMs = this.options.time.getMonotonicMs();
+        return {
+            requestId,
+            method: route.method,
+            path: route.path,
+            target: route.path,
+            headers: [],
+            body: new Uint8Array(),
+            organisation,
+            idempotencyKey: undefined,
+            budgetMs: route.deadlineMs,
+            receivedAtMs,
+            signal,
+            service: this.options.scenario.service,
+            route,
+            deadlineMs: receivedAtMs + route.deadlineMs,
+            configVersion: 1,
+        };
+    }
+}
