Let fleets rest before the scenarios of the configuration

Cause: daemons without a list read the platform at their start, and a watch that was open then still delivered the new version in the scenarios. Before: passed with substitutes disabled. After: with 16 s of rest it fails with them disabled and passes with them; all other scenarios pass. Conclusion: the scenario now depends on the substitutes.

--- a/proof/control/configuration.test.ts
+++ b/proof/control/configuration.test.ts
@@ -27,6 +27,8 @@
 async function createFleet(options: Partial<ConstructorParameters<typeof ConfigFleet>[0]> = {}) {
     const fleet = new ConfigFleet({ seed: 1, ...options });
     await fleet.start();
+    // Daemons that had no list at first may hold a watch that was started then; after 16 s only readers have one.
+    await fleet.time.run(16_000);
     const listVersions = () => [...new Set(fleet.daemons.map(daemon => daemon.store.getActive()?.version))];
     const listCodes = () => [...new Set(fleet.daemons.map(daemon => daemon.store.getRejected()?.code))];
     const addHead = (version: number, content: string) =>
