--- /dev/null
+++ b/measure/capacity/create_selector.ts
@@ -0,0 +1,24 @@
+import { SeededRandom } from "../../proof/fakes/seeded_random.ts";
+import type { VirtualTime } from "../../proof/fakes/virtual_time.ts";
+import type { Upstream } from "../../src/core/upstream.ts";
+import { ScoreBoard } from "../../src/health/score_board.ts";
+import { MembershipTable } from "../../src/membership/membership_table.ts";
+import { PowerOfTwoSelector } from "../../src/select/power_of_two_selector.ts";
+import { NoSinks } from "./no_sinks.ts";
+
+/** Selector of a daemon in the first failure domain that knows `upstreams`. */
+export function createSelector(upstreams: readonly Upstream[], time: VirtualTime): PowerOfTwoSelector {
+    const sinks = new NoSinks();
+    const membership = new MembershipTable({ clock: time, audit: sinks, logger: sinks, metrics: sinks });
+    membership.merge({ version: 1, upstreams }, "1", "peer")._unsafeUnwrap();
+    return new PowerOfTwoSelector({
+        clock: time,
+        random: new SeededRandom(1),
+        membership,
+        leaving: membership,
+        audit: sinks,
+        board: new ScoreBoard(),
+        failureDomain: "region-0-zone-0",
+        region: "region-0",
+    });
+}
--- /dev/null
+++ b/measure/capacity/no_sinks.ts
@@ -0,0 +1,12 @@
+import type { AuditSink } from "../../src/audit/audit_sink.ts";
+import type { Logger } from "../../src/core/logger.ts";
+import type { Metrics } from "../../src/core/metrics.ts";
+
+/** Drops audit entries, log lines and metrics. */
+export class NoSinks implements AuditSink, Logger, Metrics {
+    record(): void {}
+    write(): void {}
+    addCount(): void {}
+    setGauge(): void {}
+    recordTime(): void {}
+}
