Measure load imbalance of bounded subsets and the cost of leaving out a library

A daemon cannot keep evidence about 24,000 upstreams; the subset rules show what imbalance a bounded subset costs. Leaving one library out shows its marginal cost, since libraries share dependencies.

--- a/measure/capacity.ts
+++ b/measure/capacity.ts
@@ -25,6 +25,7 @@
 import { SeenServicesMeasurement } from "./capacity/seen_services_measurement.ts";
 import { SelectorMeasurement } from "./capacity/selector_measurement.ts";
 import type { SlopeMeasurement } from "./capacity/slope_measurement.ts";
+import { SubsetMeasurement } from "./capacity/subset_measurement.ts";
 
 const runs = 5;
 const names = process.argv.slice(2);
@@ -53,7 +54,8 @@
     }
 }
 
-const libraries = new LibraryMeasurement();
-if (names.length === 0 || names.includes(libraries.name)) {
-    console.log(libraries.measure().join("\n"));
+for (const measurement of [new SubsetMeasurement(), new LibraryMeasurement()]) {
+    if (names.length === 0 || names.includes(measurement.name)) {
+        console.log(measurement.measure().join("\n"));
+    }
 }
--- /dev/null
+++ b/measure/capacity/hash_subset_rule.ts
@@ -0,0 +1,26 @@
+import type { Upstream } from "../../src/core/upstream.ts";
+import { computeRankScore } from "../../src/gossip/compute_rank_score.ts";
+import type { Daemon } from "../../src/membership/daemon.ts";
+import { splitTiers } from "./split_tiers.ts";
+import type { SubsetRule } from "./subset_rule.ts";
+
+/** Members of each tier with the highest scores of rendezvous hashing for the daemon. */
+export class HashSubsetRule implements SubsetRule {
+    readonly name = "rendezvous hashing";
+
+    /** `sizes` as in `RingSubsetRule`. */
+    constructor(private readonly sizes: readonly number[]) {}
+
+    select(daemon: Daemon, members: readonly Upstream[]): readonly Upstream[] {
+        const chosen: Upstream[] = [];
+        let wanted = 0;
+        for (const [index, tier] of splitTiers(daemon, members).entries()) {
+            wanted += this.sizes[index]!;
+            const scored = tier.map(member => ({ member, score: computeRankScore(daemon.id, member.id) }));
+            scored.sort((left, right) => right.score - left.score);
+            const count = Math.max(0, wanted - chosen.length);
+            chosen.push(...scored.slice(0, count).map(({ member }) => member));
+        }
+        return chosen;
+    }
+}
--- a/measure/capacity/library_measurement.ts
+++ b/measure/capacity/library_measurement.ts
@@ -57,8 +57,8 @@
             dependencies: Record<string, string>;
         };
         const names = Object.keys(dependencies);
-        const bundle = this.buildBundle(folder, "src/build_daemon.ts", "daemon");
-        const loadBundle = `await import(${JSON.stringify(pathToFileURL(bundle).href)});`;
+        const loadBundle = this.formatImport(this.buildBundle(folder, false));
+        const loadMinified = this.formatImport(this.buildBundle(folder, true));
         const flagSets = [[], ["--optimize-for-size"], ["--max-semi-space-size=1"], ["--single-threaded"], [
             "--optimize-for-size",
             "--max-semi-space-size=1",
@@ -72,6 +72,12 @@
                 flags: [],
                 script: names.map(name => `await import("${name}");`).join(" "),
             },
+            ...names.map(left => ({
+                name: `all libraries without ${left}`,
+                flags: [],
+                script: names.filter(name => name !== left).map(name => `await import("${name}");`).join(" "),
+            })),
+            { name: "bundled daemon, minified, not started", flags: [], script: loadMinified },
             ...flagSets.map(flags => ({
                 name: ["bundled daemon, not started", ...flags].join(" "),
                 flags,
@@ -80,11 +86,16 @@
         ];
     }
 
-    private buildBundle(folder: string, entry: string, name: string): string {
-        const outfile = join(folder, `${name}.cjs`);
+    private formatImport(file: string): string {
+        return `await import(${JSON.stringify(pathToFileURL(file).href)});`;
+    }
+
+    private buildBundle(folder: string, minify: boolean): string {
+        const outfile = join(folder, minify ? "minified.cjs" : "daemon.cjs");
         buildSync({
-            entryPoints: [entry],
+            entryPoints: ["src/build_daemon.ts"],
             bundle: true,
+            minify,
             platform: "node",
             target: "node20",
             format: "cjs",
--- /dev/null
+++ b/measure/capacity/ring_subset_rule.ts
@@ -0,0 +1,34 @@
+import type { Upstream } from "../../src/core/upstream.ts";
+import { computeRankScore } from "../../src/gossip/compute_rank_score.ts";
+import type { Daemon } from "../../src/membership/daemon.ts";
+import { splitTiers } from "./split_tiers.ts";
+import type { SubsetRule } from "./subset_rule.ts";
+
+/** Consecutive members of each tier, from a position that follows from the daemon's rank. */
+export class RingSubsetRule implements SubsetRule {
+    readonly name = "ring by rank";
+
+    /** `sizes` bounds the members of each tier, nearest first; what a tier lacks is taken from the next ones. */
+    constructor(private readonly sizes: readonly number[]) {}
+
+    select(
+        daemon: Daemon,
+        members: readonly Upstream[],
+        ranks: ReadonlyMap<string, number>,
+    ): readonly Upstream[] {
+        const chosen: Upstream[] = [];
+        let wanted = 0;
+        const rank = ranks.get(daemon.id)!;
+        const shift = computeRankScore(members[0]!.service, "");
+        for (const [index, tier] of splitTiers(daemon, members).entries()) {
+            wanted += this.sizes[index]!;
+            const count = Math.min(tier.length, wanted - chosen.length);
+            // Steps of the subset size, so that daemons of neighbouring ranks cover the tier before they overlap.
+            const start = (rank * Math.max(1, count) + shift) % Math.max(1, tier.length);
+            for (let step = 0; step < count; step += 1) {
+                chosen.push(tier[(start + step) % tier.length]!);
+            }
+        }
+        return chosen;
+    }
+}
