--- a/measure/capacity/create_owner_reply.ts
+++ b/measure/capacity/create_owner_reply.ts
@@ -33,6 +33,7 @@
         keyRecorded: false,
         healthReports: Array.from({ length: reports }, (_, report) => ({
             upstreamId: `service-${report}-${report}`,
+            service: `service-${report}`,
             score: 21.5,
             ageMs: 340.25,
             raisedForMs: 900.5,
--- a/measure/capacity/head_exchange_measurement.ts
+++ b/measure/capacity/head_exchange_measurement.ts
@@ -25,10 +25,12 @@
                 version: 1_234_567,
                 digest: "0".repeat(64),
             })),
-            leaving: Array.from({ length: count }, (_, index) => ({
+            notices: Array.from({ length: count }, (_, index) => ({
                 daemonId: `daemon-${1_000 + index}`,
                 incarnation: "5f3759df18c2a4b7e31",
+                leaving: true,
             })),
+            platformAgeMs: 400,
             rejected: undefined,
         };
         const encode = () =>
--- a/proof/control/fakes/work_daemon.ts
+++ b/proof/control/fakes/work_daemon.ts
@@ -29,7 +29,7 @@
 /** Entry and owner of one daemon, reduced to what matters for leaving and for a graceful stop. */
 export class WorkDaemon implements DrainableListener, QueuedWorkReleaser {
     readonly lifecycle: Lifecycle;
-    accepting = true;
+    private accepting = true;
     private running = 0;
     private readonly queue: Work[] = [];
     /** Ends each request that is in flight at this daemon as cut. */
@@ -53,6 +53,11 @@
         this.lifecycle.setServing();
     }
 
+    /** False when a caller is refused, by the daemon or because its port is closed, and goes elsewhere. */
+    isAccepting(): boolean {
+        return this.accepting && !this.lifecycle.isRefusing();
+    }
+
     stop(): void {
         this.accepting = false;
     }
--- a/proof/control/fakes/work_fleet.ts
+++ b/proof/control/fakes/work_fleet.ts
@@ -136,7 +136,7 @@
     }
 
     private sendRequests(): void {
-        const accepting = this.workers.filter(worker => worker.accepting);
+        const accepting = this.workers.filter(worker => worker.isAccepting());
         const entry = accepting[Math.floor(this.random.take() * accepting.length)];
         if (entry !== undefined) {
             const requestId = `request-${this.requests++}`;
--- a/src/lifecycle/lifecycle.ts
+++ b/src/lifecycle/lifecycle.ts
@@ -146,6 +146,7 @@
         const released = this.options.queue.releaseQueued();
         await this.waitMs(this.options.graceMs);
         this.refusing = true;
+        this.arrivedAtMs = this.options.clock.getMonotonicMs();
         await this.waitForQuiet(startMs);
         const listeners = this.options.getListeners();
         for (const listener of listeners) {
