Wire redirects, health reports and known incarnations; keep one format of parts

- Keys are issued for owners known from head exchanges too.
- Removed: parts and sections in the YAML, which said the same as the part list of the platform and the sections of the gossip and were not wired, with their tests; hedgePercent, which had no effect.
Replaced incarnations are bounded.

--- a/features/program.feature
+++ b/features/program.feature
@@ -32,4 +32,4 @@
             | members: 12             | member: 12                   | 4002 | 33   |
             | dependsOn: [accounts]   | dependsOn: [acounts]         | 4005 | 32   |
             | floor: 8                | floor: 13                    | 4007 | 35   |
-            | deadlineMs: 5000        | deadlineMs: -1               | 4004 | 51   |
+            | deadlineMs: 5000        | deadlineMs: -1               | 4004 | 50   |
--- a/measure/spread_fleet.ts
+++ b/measure/spread_fleet.ts
@@ -27,6 +27,7 @@
 import { ReaderElection } from "../src/gossip/reader_election.ts";
 import type { SectionRequest } from "../src/gossip/section_request.ts";
 import type { SectionResponse } from "../src/gossip/section_response.ts";
+import { ScoreBoard } from "../src/health/score_board.ts";
 import type { Daemon } from "../src/membership/daemon.ts";
 import { ConfigStore } from "../src/platform/config_store.ts";
 import { computeMessageBytes } from "./compute_message_bytes.ts";
@@ -159,6 +160,7 @@
         };
         const election = new ReaderElection(shared);
         const gossip = new Gossip({
+            health: new ScoreBoard(),
             ...shared,
             incarnation: `incarnation-${daemon.id}`,
             fetcher: new DocumentFetcher(shared),
--- a/proof/operations/fake_daemon.ts
+++ b/proof/operations/fake_daemon.ts
@@ -81,6 +81,7 @@
         const selector = this.selector = new FakeSelector(upstreams, random);
         const membership = { list: () => upstreams, getFirstSeenMs: () => 0, getVersion: () => 1 };
         const owners = this.owners = new KnownOwnerTable({
+            incarnations: { getIncarnation: () => undefined },
             identity,
             clock: process,
             membership,
--- a/src/build_daemon.ts
+++ b/src/build_daemon.ts
@@ -147,7 +147,8 @@
         ? undefined
         : new StatsdMetrics({ address: metricsAddress, daemonId });
     const metrics = statsd ?? new NoMetrics();
-    return { clock, timers: new SystemTimers(), random, identity, logger, audit, statsd, metrics };
+    const board = new ScoreBoard();
+    return { clock, timers: new SystemTimers(), random, identity, logger, audit, statsd, metrics, board };
 }
 
 /** Control pipelines: configuration, instance list and gossip. */
@@ -184,6 +185,7 @@
         ...base,
         daemonId,
         incarnation,
+        health: base.board,
         control,
         documents,
         fetcher: new DocumentFetcher({ ...base, control, documents }),
@@ -215,8 +217,7 @@
         quietMs: settings.drainQuietMs,
     });
     const queue = new QueueFilter({ ...base, upstreams, daemonState: lifecycle });
-    const board = new ScoreBoard();
-    const evidence = new SequentialEvidenceRecorder({ config: control.store, board });
+    const evidence = new SequentialEvidenceRecorder({ config: control.store, board: base.board });
     const states = new UpstreamStateBuilder({ queues: queue, evidence, daemonState: lifecycle });
     const attempts = new AttemptTable();
     const operations = new OperationTable({ clock });
@@ -237,13 +238,13 @@
     });
     const incoming = Pipeline.start(new ResolveFilter({ clock, config: control.store }))
         .pipe(register)
-        .pipe(new HealthReportFilter({ clock, board }));
+        .pipe(new HealthReportFilter(base));
     const revoker = new OwnerRevoker({ identity, attempts, operations });
     const setListeners = (get: () => readonly DrainableListener[]) => {
         getListeners = get;
     };
     const closers = [client, meter, watch];
-    return { closers, lifecycle, setListeners, board, states, pauses, register, incoming, revoker };
+    return { closers, lifecycle, setListeners, states, pauses, register, incoming, revoker };
 }
 
 /** The entry's side: from a caller's request to its answer. */
@@ -262,10 +263,9 @@
         ...place,
         membership,
         leaving: membership,
-        board: owner.board,
     });
     const preference = new RotationPreference({ config: store, selector });
-    const owners = new KnownOwnerTable({ ...base, membership, preference });
+    const owners = new KnownOwnerTable({ ...base, membership, incarnations: membership, preference });
     const inFlight = new InFlightTable();
     const saturation = new SaturationTable(clock, membership);
     const serviceTimes = new ServiceTimes();
--- a/src/cli/run_check.ts
+++ b/src/cli/run_check.ts
@@ -8,11 +8,9 @@
  *
  * @module
  */
-import { dirname, join } from "node:path";
 import type { Configuration } from "../config/configuration.ts";
 import { formatConfiguration } from "../config/format_configuration.ts";
 import { formatProblem } from "../config/format_problem.ts";
-import { listParts } from "../config/list_parts.ts";
 import { parseConfiguration } from "../config/parse_configuration.ts";
 import { Code } from "../core/code.ts";
 import { ExitCode } from "./exit_code.ts";
@@ -25,7 +23,7 @@
     readonly explain: boolean;
 }
 
-/** Parts of the configuration are read from files of their names in the folder of `file`. */
+/** Prints one line for each problem, or the summary, or the explained configuration. */
 export function runCheck(options: CheckOptions, files: TextReader, output: Output): ExitCode {
     const { file, explain } = options;
     const source = files.read(file);
@@ -33,12 +31,7 @@
         output.writeError(`${file}: error ${Code.FileUnreadable}: ${source.error.detail}\n`);
         return ExitCode.BadUsage;
     }
-    const parts = new Map<string, string>();
-    for (const { name } of listParts(source.value)) {
-        // A missing part is a problem of the configuration, which parseConfiguration reports with its place.
-        files.read(join(dirname(file), name)).map(content => parts.set(name, content));
-    }
-    const result = parseConfiguration(source.value, { name: file, parts });
+    const result = parseConfiguration(source.value, { name: file });
     if (result.isErr()) {
         const lines = result.error.map(problem => `${formatProblem(problem)}\n`);
         output.writeError(lines.join(""));
--- a/src/config/compute_sha256.ts
+++ /dev/null
@@ -1,6 +0,0 @@
-import { createHash } from "node:crypto";
-
-/** SHA-256 of a text in UTF-8, in lower-case hexadecimal. */
-export function computeSha256(text: string): string {
-    return createHash("sha256").update(text, "utf8").digest("hex");
-}
--- a/src/config/limits_config.ts
+++ b/src/config/limits_config.ts
@@ -9,8 +9,6 @@
     readonly organisationPercent: number;
     /** Retries in percent of first attempts. */
     readonly retryPercent: number;
-    /** Hedged reads in percent of first attempts; they come out of the retry budget. */
-    readonly hedgePercent: number;
     /** Requests in flight for the service at one entry daemon. */
     readonly entryConcurrency: number;
 }
--- a/src/config/parse_configuration.ts
+++ b/src/config/parse_configuration.ts
@@ -15,17 +15,19 @@
  */
 import type { Result } from "neverthrow";
 import type { Configuration } from "./configuration.ts";
-import { parseDocuments } from "./parse_documents.ts";
-import type { ParseOptions } from "./parse_options.ts";
+import { parseDocument } from "./parse_document.ts";
 import type { Problem } from "./problem.ts";
 import { FullDocumentReader } from "./yaml/full_document_reader.ts";
 
+interface ParseOptions {
+    /** Name of the file or published value, for messages. */
+    readonly name?: string;
+}
+
 /** Parses and checks a configuration; the error lists every problem in the order of the text. */
 export function parseConfiguration(
     source: string,
     options: ParseOptions = {},
 ): Result<Configuration, readonly Problem[]> {
-    return parseDocuments(source, options, new FullDocumentReader()).map(({ configuration }) =>
-        configuration
-    );
+    return parseDocument(source, options.name ?? "config", new FullDocumentReader());
 }
--- a/src/config/table/limits_type.ts
+++ b/src/config/table/limits_type.ts
@@ -37,12 +37,6 @@
         defaultValue: 10,
         description: "Retries that an entry daemon may send, as a share of its recent first attempts.",
     },
-    hedgePercent: {
-        type: percentType,
-        unit: "percent",
-        defaultValue: 2,
-        description: "Hedged reads, as a share of recent first attempts. They also use the retry budget.",
-    },
     entryConcurrency: {
         type: new NumberType({ minimum: 1, maximum: 100_000, integer: true }),
         unit: "requests",
--- a/src/core/code_table.ts
+++ b/src/core/code_table.ts
@@ -37,7 +37,7 @@
     2013: buildEntry(503, NotExecuted, "the upstream shed the request"),
     2014: buildEntry(502, Unknown, "the upstream closed the connection before its answer was complete"),
     2015: buildEntry(504, Unknown, "the upstream did not answer in time"),
-    2016: buildEntry(502, Executed, "the answer is larger than the route allows"),
+    2016: buildEntry(502, Unknown, "the answer is larger than the route allows"),
     2017: buildEntry(409, Executed, "the operation was executed and its answer is no longer kept"),
     2018: buildEntry(503, NotExecuted, "the owner sheds load because the wait stays above its target"),
     2019: buildEntry(429, NotExecuted, "the organisation has its full share of the queue"),
--- a/src/edge/control/decode_head_exchange.ts
+++ b/src/edge/control/decode_head_exchange.ts
@@ -19,6 +19,7 @@
             incarnation,
             leaving,
         })),
+        healthReports: message.healthReports,
         platformAgeMs: message.platformAgeMs,
         rejected: rejected === undefined || !(rejected.code in codeTable) ? undefined : {
             version: Number(rejected.version),
--- a/src/edge/control/encode_head_exchange.ts
+++ b/src/edge/control/encode_head_exchange.ts
@@ -10,6 +10,7 @@
         incarnation: exchange.incarnation,
         heads: exchange.heads.map(head => ({ ...head, version: BigInt(head.version) })),
         notices: exchange.notices.map(notice => ({ ...notice })),
+        healthReports: (exchange.healthReports ?? []).map(report => ({ ...report })),
         platformAgeMs: exchange.platformAgeMs,
         rejected: rejected === undefined ? undefined : {
             ...rejected,
--- a/src/edge/peer_http/decode_dispatch.ts
+++ b/src/edge/peer_http/decode_dispatch.ts
@@ -29,6 +29,7 @@
         remainingMs: head.remainingMs,
         baselineMs: head.baselineMs,
         trial: head.trial,
+        redirectable: head.redirectable,
         method: head.method,
         target: head.target,
         headers: head.headers,
--- a/src/edge/peer_http/encode_dispatch.ts
+++ b/src/edge/peer_http/encode_dispatch.ts
@@ -19,6 +19,7 @@
         headers: request.headers.map(header => ({ name: header.name, value: header.value })),
         configVersion: BigInt(request.configVersion),
         trial: request.trial,
+        redirectable: request.redirectable ?? false,
         incarnation: request.ownerIncarnation ?? "",
     });
     return Buffer.from(toBinary(DispatchHeadSchema, head)).toString("base64");
--- a/src/forward/local_forwarder.ts
+++ b/src/forward/local_forwarder.ts
@@ -30,6 +30,7 @@
             ownerIncarnation: request.ownerIncarnation,
             baselineMs: request.baselineMs,
             trial: request.trial,
+            redirectable: request.redirectable ?? false,
             method: request.method,
             target: request.target,
             headers: request.headers,
--- a/src/forward/unloaded_codes.ts
+++ b/src/forward/unloaded_codes.ts
@@ -11,4 +11,6 @@
     Code.UnknownRouteAtOwner,
     Code.OwnerRestarted,
     Code.PeerUnreachable,
+    // The owner redirects a request twice at most.
+    Code.RetryElsewhere,
 ]);
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -11,10 +11,12 @@
  *
  * @module
  */
+import type { Clock } from "../core/clock.ts";
 import type { Metrics } from "../core/metrics.ts";
 import type { RandomSource } from "../core/random_source.ts";
 import type { Timer } from "../core/timer.ts";
 import type { Timers } from "../core/timers.ts";
+import type { HealthReportExchange } from "../health/health_report_exchange.ts";
 import type { LeavingAnnouncer } from "../lifecycle/leaving_announcer.ts";
 import type { DaemonTable } from "../membership/daemon_table.ts";
 import type { ConfigStore } from "../platform/config_store.ts";
@@ -41,6 +43,8 @@
     readonly store: ConfigStore;
     readonly selector: PeerSelector;
     readonly election: ReaderElection;
+    readonly health: HealthReportExchange;
+    readonly clock: Clock;
     readonly timers: Timers;
     readonly random: RandomSource;
     readonly metrics: Metrics;
@@ -87,8 +91,9 @@
 
     /** The message of this daemon, as request or as reply. */
     buildMessage(): HeadExchange {
-        const { daemonId, incarnation, documents, store, election } = this.options;
+        const { daemonId, incarnation, documents, store, election, health, clock } = this.options;
         return {
+            healthReports: health.listReports(clock.getMonotonicMs()),
             daemonId,
             incarnation,
             heads: documents.map(document => document.getHead()),
@@ -113,10 +118,11 @@
 
     /** Learns from a message; ends after the fetches that follow from it. */
     async handleMessage(peer: Peer, message: HeadExchange, isReply: boolean): Promise<void> {
-        const { daemonId, membership, store, fetcher, election } = this.options;
+        const { daemonId, membership, store, fetcher, election, health, clock } = this.options;
         if (message.daemonId === daemonId) {
             return;
         }
+        health.merge(message.healthReports ?? [], clock.getMonotonicMs());
         const cause = `peer ${message.daemonId}`;
         membership.recordIncarnation(message.daemonId, message.incarnation, isReply);
         election.recordPlatformAge(message.platformAgeMs);
--- a/src/gossip/head_exchange.ts
+++ b/src/gossip/head_exchange.ts
@@ -1,3 +1,4 @@
+import type { HealthReport } from "../health/health_report.ts";
 import type { RejectedConfig } from "../platform/rejected_config.ts";
 import type { DaemonNotice } from "./daemon_notice.ts";
 import type { DocumentHead } from "./document_head.ts";
@@ -11,5 +12,7 @@
     readonly notices: readonly DaemonNotice[];
     /** Milliseconds since a reader that the sender knows of, directly or through others, reached the platform. */
     readonly platformAgeMs: number;
+    /** Raised health scores of any upstreams; absent when there are none. */
+    readonly healthReports?: readonly HealthReport[];
     readonly rejected: RejectedConfig | undefined;
 }
--- a/src/health/score_board.ts
+++ b/src/health/score_board.ts
@@ -15,6 +15,7 @@
  * @module
  */
 import type { HealthReport } from "./health_report.ts";
+import type { HealthReportExchange } from "./health_report_exchange.ts";
 import { raisedScore } from "./raised_score.ts";
 import { ReportBudget } from "./report_budget.ts";
 import type { ScoreRecord } from "./score_record.ts";
@@ -47,7 +48,7 @@
 }
 
 /** Keeps the freshest score of each upstream. */
-export class ScoreBoard {
+export class ScoreBoard implements HealthReportExchange {
     private readonly observations = new Map<string, Observation>();
     /** Upstreams with a score to report. */
     private readonly high = new Set<string>();
--- a/src/membership/incarnation_table.ts
+++ b/src/membership/incarnation_table.ts
@@ -1,3 +1,6 @@
+/** Replaced incarnations that are remembered for each daemon; a message is late by seconds, a restart takes longer. */
+const maxPast = 8;
+
 /** Incarnations of the known daemons: the current one and those that it replaced. */
 export class IncarnationTable {
     private readonly current = new Map<string, string>();
@@ -16,8 +19,8 @@
         this.current.set(daemonId, incarnation);
         this.past.get(daemonId)?.delete(incarnation);
         if (before !== undefined) {
-            const past = this.past.get(daemonId) ?? new Set();
-            this.past.set(daemonId, past.add(before));
+            const past = [...this.past.get(daemonId) ?? [], before].slice(-maxPast);
+            this.past.set(daemonId, new Set(past));
         }
         return true;
     }
--- a/src/membership/membership_table.ts
+++ b/src/membership/membership_table.ts
@@ -25,6 +25,7 @@
 import type { InstanceList } from "../platform/instance_list.ts";
 import type { Daemon } from "./daemon.ts";
 import type { DaemonTable } from "./daemon_table.ts";
+import type { IncarnationReader } from "./incarnation_reader.ts";
 import { IncarnationTable } from "./incarnation_table.ts";
 import type { LeavingMark } from "./leaving_mark.ts";
 import type { LeavingRecorder } from "./leaving_recorder.ts";
@@ -47,7 +48,7 @@
 const emptyList: InstanceList = { version: 0, upstreams: [] };
 
 /** Table of upstreams, kept in the memory of one daemon. */
-export class MembershipTable implements MembershipReader, LeavingRecorder, DaemonTable {
+export class MembershipTable implements IncarnationReader, MembershipReader, LeavingRecorder, DaemonTable {
     private current: InstanceList = emptyList;
     private digest = "";
     private readonly index = new UpstreamIndex();
--- a/src/operations/key_issuer.test.ts
+++ b/src/operations/key_issuer.test.ts
@@ -16,6 +16,7 @@
 function createIssuer(ejected: readonly string[] = []) {
     const time = new VirtualTime();
     const owners = new KnownOwnerTable({
+        incarnations: { getIncarnation: () => undefined },
         identity: { ownerId: "d-0", incarnation: "i0" },
         clock: time,
         membership: { list: () => upstreams, getFirstSeenMs: () => 0, getVersion: () => 1 },
--- a/src/operations/known_owner_table.ts
+++ b/src/operations/known_owner_table.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "../core/clock.ts";
+import type { IncarnationReader } from "../membership/incarnation_reader.ts";
 import type { MembershipReader } from "../membership/membership_reader.ts";
 import type { KeyOwnerReader } from "./key_owner_reader.ts";
 import type { KeyOwnerRecorder } from "./key_owner_recorder.ts";
@@ -11,6 +12,8 @@
     readonly clock: Clock;
     readonly membership: MembershipReader;
     readonly preference: UpstreamPreference;
+    /** Incarnations of owners that have not replied to this daemon yet. */
+    readonly incarnations: IncarnationReader;
 }
 
 interface KnownOwner extends OwnerIdentity {
@@ -44,21 +47,27 @@
     }
 
     getIncarnation(ownerId: string): string | undefined {
-        return this.owners.get(ownerId)?.incarnation;
+        return this.owners.get(ownerId)?.incarnation ?? this.options.incarnations.getIncarnation(ownerId);
     }
 
     /** Owners of preferred upstreams, of those the ones that were heard recently; each only if there is any. */
     list(service: string): readonly OwnerIdentity[] {
         const upstreams = this.options.membership.list(service).filter(({ ownerId }) =>
-            this.owners.has(ownerId)
+            this.getIncarnation(ownerId) !== undefined
         );
         const preferred = selectIfAny(upstreams, upstream => this.options.preference.isPreferred(upstream));
         const ownerIds = new Set(preferred.map(({ ownerId }) => ownerId));
-        const owners = [...ownerIds].map(ownerId => this.owners.get(ownerId)!);
+        const owners = [...ownerIds].map(ownerId => this.getOwner(ownerId));
         return selectIfAny(owners, owner => this.isFresh(owner))
             .map(({ ownerId, incarnation }) => ({ ownerId, incarnation }));
     }
 
+    /** An owner that has not replied yet counts as not heard. */
+    private getOwner(ownerId: string): KnownOwner {
+        return this.owners.get(ownerId)
+            ?? { ownerId, incarnation: this.getIncarnation(ownerId) ?? "", heardAtMs: -Infinity };
+    }
+
     private isFresh({ ownerId, heardAtMs }: KnownOwner): boolean {
         const { clock, identity } = this.options;
         return ownerId === identity.ownerId || clock.getMonotonicMs() - heardAtMs <= freshMs;
--- a/src/queue/upstream_queue.ts
+++ b/src/queue/upstream_queue.ts
@@ -36,7 +36,7 @@
 const marginDeviations = 2;
 /**
  * Multiple of the mean service time above which short work that may be redirected does not wait. A redirect costs one
- * round trip between daemons; docs/measurements_load.md compares the figures.
+ * round trip between daemons; docs/measurements.md compares the figures.
  */
 const redirectWait = 0.5;
 
--- a/src/select/power_of_two_selector.ts
+++ b/src/select/power_of_two_selector.ts
@@ -19,6 +19,7 @@
 import { createFailure } from "../core/create_failure.ts";
 import type { Failure } from "../core/failure.ts";
 import type { Upstream } from "../core/upstream.ts";
+import { WorkClass } from "../core/work_class.ts";
 import type { OwnerReply } from "../forward/owner_reply.ts";
 import { computeAlarmScore } from "../health/compute_alarm_score.ts";
 import { decideTrialResult } from "../health/decide_trial_result.ts";
@@ -43,6 +44,9 @@
 /** Share of the remaining time after which a reply counts as overdue when no baseline is known. */
 const unknownOverdueShare = 0.5;
 
+/** Attempts of one request that an owner may redirect; the attempt after them waits in the queue. */
+const maxRedirects = 2;
+
 /** Upstreams whose load is kept; above it, idle ones are dropped. */
 const maxLoads = 4_096;
 
@@ -95,7 +99,10 @@
             excluded: rotation.ejected,
             nowMs,
         });
-        return ok({ ...request, attempt, upstream, baselineMs, trial: rotation.ejected.has(upstream.id) });
+        const trialAttempt = rotation.ejected.has(upstream.id);
+        const redirectable = route.workClass === WorkClass.Short && !trialAttempt
+            && attempt <= maxRedirects && candidates.length > 1;
+        return ok({ ...request, attempt, upstream, baselineMs, trial: trialAttempt, redirectable });
     }
 
     recordStart(selected: SelectedRequest): void {
--- a/src/select/selected_request.ts
+++ b/src/select/selected_request.ts
@@ -10,6 +10,8 @@
     readonly baselineMs: number;
     /** True for a request that tries an ejected upstream. */
     readonly trial: boolean;
+    /** True when the owner may refuse the attempt because another upstream may serve it sooner. */
+    readonly redirectable?: boolean;
     /** Incarnation of the owner that this daemon knew when it sent the attempt; a revocation names it. */
     readonly ownerIncarnation?: string | undefined;
 }
