Abort a hop only when it is abandoned, with one shared reason

Cause: a processor profile of two daemons under the measurement of the hop showed 198 ms of 7.7 s in creating DOMException objects, because each exchange aborted its hop after the reply, and the combined signals of AbortSignal.any beside it. Now the hop is aborted only when no reply came, and one small class joins deadline and caller's signal. The mutant that runs a refused key again met another order of events and crashed on its own table; it now overrides close as well, and the checker still finds it.

The fleet of processes kills its children when a run ends by an exception or a signal; a demo that lost its output had left fifteen processes behind.

--- a/proof/operations/mutations.test.ts
+++ b/proof/operations/mutations.test.ts
@@ -110,6 +110,13 @@
         return super.add(this.getRunText(text), operation);
     }
 
+    override close(
+        text: string,
+        ...rest: [Parameters<OperationTable["close"]>[1], Parameters<OperationTable["close"]>[2]]
+    ): ReturnType<OperationTable["close"]> {
+        return super.close(this.getRunText(text), ...rest);
+    }
+
     private getRunText(text: string): string {
         const refused = super.find(text)?.getReply()?.outcome === Outcome.NotExecuted;
         return refused ? this.getRunText(`${text}+`) : text;
--- a/src/edge/upstream_http/undici_upstream_client.ts
+++ b/src/edge/upstream_http/undici_upstream_client.ts
@@ -15,6 +15,7 @@
 import { hasDeclaredEnd } from "../http/has_declared_end.ts";
 import { isConnectError } from "../http/is_connect_error.ts";
 import { readBody } from "../http/read_body.ts";
+import { RequestDeadline } from "../http/request_deadline.ts";
 
 const CONNECT_TIMEOUT_MS = 1_000;
 /** Below the five seconds after which Node.js servers close idle connections, so that none is reused as it closes. */
@@ -44,14 +45,14 @@
         if (pool === undefined) {
             return createResult(UpstreamResultKind.NotSent, "the upstream is not owned by this daemon");
         }
-        const timeout = AbortSignal.timeout(Math.max(1, Math.ceil(timeoutMs)));
+        const deadline = new RequestDeadline(signal, Math.max(1, Math.ceil(timeoutMs)));
         try {
             const response = await pool.request({
                 method: request.method,
                 path: request.target,
                 headers: createUpstreamHeaders(request, timeoutMs),
                 body: request.body.length === 0 ? undefined : request.body,
-                signal: AbortSignal.any([signal, timeout]),
+                signal: deadline.getSignal(),
             });
             if (!hasDeclaredEnd(request.method, response.statusCode, response.headers)) {
                 closeBody(response.body);
@@ -75,7 +76,10 @@
             return { kind: UpstreamResultKind.Answered, answer, detail: "" };
         }
         catch (error) {
-            return createErrorResult(error, signal, timeout);
+            return createErrorResult(error, signal, deadline);
+        }
+        finally {
+            deadline.close();
         }
     }
 
@@ -94,7 +98,7 @@
     return headers;
 }
 
-function createErrorResult(error: unknown, signal: AbortSignal, timeout: AbortSignal): UpstreamResult {
+function createErrorResult(error: unknown, signal: AbortSignal, deadline: RequestDeadline): UpstreamResult {
     const detail = error instanceof Error ? error.message : String(error);
     if (isConnectError(error)) {
         return createResult(UpstreamResultKind.NotSent, detail);
@@ -102,7 +106,10 @@
     if (signal.aborted) {
         return createResult(UpstreamResultKind.Cancelled, detail);
     }
-    return createResult(timeout.aborted ? UpstreamResultKind.TimedOut : UpstreamResultKind.Cut, detail);
+    return createResult(
+        deadline.hasTimedOut() ? UpstreamResultKind.TimedOut : UpstreamResultKind.Cut,
+        detail,
+    );
 }
 
 function createResult(kind: UpstreamResultKind, detail: string): UpstreamResult {
--- a/src/forward/attempt_exchanger.ts
+++ b/src/forward/attempt_exchanger.ts
@@ -21,6 +21,9 @@
     readonly revokeMs?: number;
 }
 
+/** One for all, because an error with a stack for each request is expensive. */
+const abortReason = new Error("the attempt was abandoned");
+
 /** Exchanges one attempt with the owner and finds out as much as possible when it is abandoned. */
 export class AttemptExchanger {
     private readonly revokeMs: number;
@@ -42,7 +45,9 @@
         const result = reply ?? await this.stopWaiting(selected, replied);
         cancelled.close();
         expiring.close();
-        hop.abort();
+        if (reply === undefined) {
+            hop.abort(abortReason);
+        }
         return result;
     }
 
--- a/standin/process_handle.ts
+++ b/standin/process_handle.ts
@@ -1,6 +1,13 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import { createInterface } from "node:readline";
 
+/** Started processes that have not ended. */
+const children = new Set<ChildProcess>();
+
+// A run that ends by an exception or a signal leaves no process behind.
+process.once("exit", () => children.forEach(child => child.kill("SIGKILL")));
+process.once("SIGTERM", () => process.exit(1));
+
 /** A process that a fleet started. */
 export class ProcessHandle {
     readonly output: string[] = [];
@@ -17,10 +24,14 @@
             env: { ...process.env, ...environment },
             stdio: ["ignore", "pipe", "pipe"],
         });
+        children.add(this.child);
         createInterface({ input: this.child.stdout! }).on("line", line => this.output.push(line));
         createInterface({ input: this.child.stderr! }).on("line", line => this.errors.push(line));
         this.ended = new Promise(resolve => {
-            this.child.once("exit", code => resolve(code ?? -1));
+            this.child.once("exit", code => {
+                children.delete(this.child);
+                resolve(code ?? -1);
+            });
         });
     }
 
