--- a/src/platform/document_watch.ts
+++ b/src/platform/document_watch.ts
@@ -14,40 +14,14 @@
  * @module
  */
 import { err, type Result } from "neverthrow";
-import type { Clock } from "../core/clock.ts";
 import { Code } from "../core/code.ts";
 import { createFailure } from "../core/create_failure.ts";
 import type { Failure } from "../core/failure.ts";
 import { LogLevel } from "../core/log_level.ts";
-import type { Logger } from "../core/logger.ts";
-import type { Metrics } from "../core/metrics.ts";
-import type { RandomSource } from "../core/random_source.ts";
 import type { Timer } from "../core/timer.ts";
-import type { Timers } from "../core/timers.ts";
-import type { ReaderRole } from "./reader_role.ts";
+import type { DocumentWatchOptions } from "./document_watch_options.ts";
 import type { WatchSource } from "./watch_source.ts";
 
-interface Options {
-    readonly role: ReaderRole;
-    readonly clock: Clock;
-    readonly timers: Timers;
-    readonly random: RandomSource;
-    readonly logger: Logger;
-    readonly metrics: Metrics;
-    /**
-     * Longest time in milliseconds that one watch waits at the platform, and milliseconds between reads that ask
-     * for whatever version the platform has; the defaults are 8 s. A platform that went back to lower versions can
-     * publish a version that was seen before, which only such a read notices, and it must be active within 16 s.
-     */
-    readonly watchMs?: number;
-    readonly checkMs?: number;
-    /** First and longest delay in milliseconds after a failure; the defaults are 250 ms and 5 s. */
-    readonly backoffMinMs?: number;
-    readonly backoffMaxMs?: number;
-    /** Milliseconds that a call may take beyond its waiting time; the default is 2 s. */
-    readonly callMs?: number;
-}
-
 /** Codes of failures that a later read can cure; after all others the version counts as seen. */
 const retryCodes: readonly Code[] = [Code.PlatformUnreachable, Code.PlatformBadValue];
 
@@ -59,7 +33,10 @@
     private closed = false;
     private timer: Timer | undefined;
 
-    constructor(private readonly source: WatchSource<Document>, private readonly options: Options) {}
+    constructor(
+        private readonly source: WatchSource<Document>,
+        private readonly options: DocumentWatchOptions,
+    ) {}
 
     start(): void {
         void this.run();
--- a/src/platform/platform_watcher.ts
+++ b/src/platform/platform_watcher.ts
@@ -11,35 +11,19 @@
  *
  * @module
  */
-import type { Clock } from "../core/clock.ts";
 import type { Filter } from "../core/filter.ts";
-import type { Logger } from "../core/logger.ts";
-import type { Metrics } from "../core/metrics.ts";
-import type { RandomSource } from "../core/random_source.ts";
-import type { Timers } from "../core/timers.ts";
 import { DocumentWatch } from "./document_watch.ts";
+import type { DocumentWatchOptions } from "./document_watch_options.ts";
 import type { InstanceList } from "./instance_list.ts";
 import type { PlatformReader } from "./platform_reader.ts";
 import type { PublishedValue } from "./published_value.ts";
-import type { ReaderRole } from "./reader_role.ts";
 
-interface Options {
+interface Options extends DocumentWatchOptions {
     readonly platform: PlatformReader;
     /** Joins, orders, parses and accepts the value `head`. */
     readonly configuration: Filter<PublishedValue, unknown>;
     /** Validates and merges the instance list. */
     readonly instances: Filter<InstanceList, unknown>;
-    readonly role: ReaderRole;
-    readonly clock: Clock;
-    readonly timers: Timers;
-    readonly random: RandomSource;
-    readonly logger: Logger;
-    readonly metrics: Metrics;
-    readonly watchMs?: number;
-    readonly checkMs?: number;
-    readonly backoffMinMs?: number;
-    readonly backoffMaxMs?: number;
-    readonly callMs?: number;
 }
 
 /** The two watches of one daemon. */
--- a/src/settings/serve_specs.ts
+++ b/src/settings/serve_specs.ts
@@ -70,7 +70,7 @@
     buildInteger(
         "watch-ms",
         "ms",
-        20_000,
+        8_000,
         [100, 60_000],
         "how long one watch of the platform waits for a change",
     ),
