--- a/measure/capacity/create_control_listener.ts
+++ b/measure/capacity/create_control_listener.ts
@@ -81,13 +81,14 @@
         selector: new PeerSelector({ ...base, ...place, seeds: [] }),
         election: new ReaderElection({ ...base, ...place }),
     });
+    const identity = { ownerId: daemonId, incarnation };
     const revoker = new OwnerRevoker({
-        identity: { ownerId: daemonId, incarnation },
+        identity,
         attempts: new AttemptTable(),
         operations: new OperationTable(base),
     });
     const routes = createControlRoutes({
-        incarnation,
+        identity,
         revoker,
         gossip: new GossipHandler({ gossip, documents, membership }),
     });
--- a/src/admit/saturation_table.ts
+++ b/src/admit/saturation_table.ts
@@ -24,6 +24,8 @@
 const saturationCodes: readonly Code[] = [Code.QueueFull, Code.OwnerOverloaded];
 /** Age at which a reply no longer counts: an unknown upstream may have recovered, so work may try it again. */
 const staleMs = 1_000;
+/** Upstreams above which the stale entries are dropped. */
+const maxEntries = 4_096;
 
 /**
  * A service is saturated when each of its live upstreams reported so in its last reply, and no reply is older than
@@ -43,6 +45,9 @@
         const waitMs = Math.min(state.waitShortMs, state.waitLongMs);
         if (saturationCodes.includes(reply.code) || waitMs > service.limits.targetWaitMs) {
             this.saturatedAtMs.set(state.upstreamId, this.clock.getMonotonicMs());
+            if (this.saturatedAtMs.size > maxEntries) {
+                this.removeStale();
+            }
         }
         else {
             this.saturatedAtMs.delete(state.upstreamId);
@@ -56,8 +61,13 @@
             && upstreams.every(({ id }) => (this.saturatedAtMs.get(id) ?? -Infinity) >= oldestMs);
     }
 
-    /** Forgets an upstream that has left the instance list. */
-    remove(upstreamId: string): void {
-        this.saturatedAtMs.delete(upstreamId);
+    /** Upstreams that have left the instance list would otherwise stay for ever. */
+    private removeStale(): void {
+        const oldestMs = this.clock.getMonotonicMs() - staleMs;
+        for (const [upstreamId, atMs] of this.saturatedAtMs) {
+            if (atMs < oldestMs) {
+                this.saturatedAtMs.delete(upstreamId);
+            }
+        }
     }
 }
--- a/src/build_daemon.ts
+++ b/src/build_daemon.ts
@@ -113,7 +113,7 @@
     const status = new StatusBuilder({ ...settings, ...base, ...control, ...owner, health: entry.selector });
     const servers: DaemonServers = new DaemonServers({
         settings,
-        incarnation: base.identity.incarnation,
+        identity: base.identity,
         lifecycle: owner.lifecycle,
         caller: entry.handler,
         owner: owner.incoming,
--- a/src/edge/caller_http/create_caller_app.ts
+++ b/src/edge/caller_http/create_caller_app.ts
@@ -11,6 +11,7 @@
 import type { IncomingRequest } from "../../receive/incoming_request.ts";
 import { createAbortSignal } from "../http/create_abort_signal.ts";
 import { formatEndToEndHeaders } from "../http/format_end_to_end_headers.ts";
+import { getBuffer } from "../http/get_buffer.ts";
 import { readBody } from "../http/read_body.ts";
 
 interface CallerAppOptions {
@@ -49,7 +50,7 @@
     for (const header of answer.headers) {
         context.append(header.name, header.value);
     }
-    context.body = Buffer.from(answer.body.buffer, answer.body.byteOffset, answer.body.byteLength);
+    context.body = getBuffer(answer.body);
     const contentType = answer.headers.find(header => header.name === "content-type");
     // koa adds a content type of its own to a buffer.
     if (contentType === undefined) {
--- a/src/edge/control/create_control_routes.ts
+++ b/src/edge/control/create_control_routes.ts
@@ -7,19 +7,20 @@
 import { Control } from "../../gen/zinniaglade/v1/control_pb.ts";
 import type { DocumentName } from "../../gossip/document_name.ts";
 import type { GossipHandler } from "../../gossip/gossip_handler.ts";
+import type { OwnerIdentity } from "../../operations/owner_identity.ts";
 import type { Revoker } from "../../operations/revoker.ts";
 import { decodeHeadExchange } from "./decode_head_exchange.ts";
 import { encodeHeadExchange } from "./encode_head_exchange.ts";
 
 interface ControlRouteOptions {
-    readonly incarnation: string;
+    readonly identity: OwnerIdentity;
     readonly revoker: Revoker;
     readonly gossip: GossipHandler;
 }
 
 /** Builds the routes; each handler only translates between messages and typed values. */
 export function createControlRoutes(options: ControlRouteOptions): (router: ConnectRouter) => void {
-    const { gossip, incarnation, revoker } = options;
+    const { gossip, identity, revoker } = options;
     return router => {
         router.service(Control, {
             exchangeHeads: message => {
@@ -43,7 +44,7 @@
                 return { head: { ...head, version: BigInt(head.version) }, baseUnknown, pieces: [...pieces] };
             },
             revoke: message => ({
-                incarnation,
+                incarnation: identity.incarnation,
                 state: revoker.revoke({
                     requestId: message.requestId,
                     attempt: message.attempt,
--- a/src/edge/daemon_servers.ts
+++ b/src/edge/daemon_servers.ts
@@ -13,6 +13,7 @@
 import type { DrainReport } from "../lifecycle/drain_report.ts";
 import type { DrainableListener } from "../lifecycle/drainable_listener.ts";
 import type { Lifecycle } from "../lifecycle/lifecycle.ts";
+import type { OwnerIdentity } from "../operations/owner_identity.ts";
 import type { Revoker } from "../operations/revoker.ts";
 import type { IncomingDispatch } from "../queue/incoming_dispatch.ts";
 import type { ServeSettings } from "../settings/serve_settings.ts";
@@ -27,7 +28,7 @@
 
 interface Options {
     readonly settings: ServeSettings;
-    readonly incarnation: string;
+    readonly identity: OwnerIdentity;
     readonly lifecycle: Lifecycle;
     readonly caller: CallerHandler;
     readonly owner: Filter<IncomingDispatch, OwnerReply>;
@@ -46,12 +47,11 @@
 
     /** Opens the interfaces for administration and for other daemons. Fails with PortUnavailable. */
     async openInternal(): Promise<Result<void, Failure>> {
-        const { settings, owner, incarnation } = this.options;
+        const { settings, owner, identity } = this.options;
         const admin = createAdminApp(this.options).callback();
         const app = createPeerApp({
             lease: this.createLease(),
-            daemonId: settings.daemonId,
-            incarnation,
+            identity,
             owner,
             maxRequestBytes: settings.maxRequestBytes,
         });
--- a/src/edge/peer_http/create_peer_app.ts
+++ b/src/edge/peer_http/create_peer_app.ts
@@ -9,9 +9,12 @@
 import { createFailure } from "../../core/create_failure.ts";
 import type { Failure } from "../../core/failure.ts";
 import type { Filter } from "../../core/filter.ts";
+import { buildOwnerReply } from "../../forward/build_owner_reply.ts";
 import type { OwnerReply } from "../../forward/owner_reply.ts";
+import type { OwnerIdentity } from "../../operations/owner_identity.ts";
 import type { IncomingDispatch } from "../../queue/incoming_dispatch.ts";
 import { createAbortSignal } from "../http/create_abort_signal.ts";
+import { getBuffer } from "../http/get_buffer.ts";
 import { readBody } from "../http/read_body.ts";
 import { decodeDispatch } from "./decode_dispatch.ts";
 import { encodeReply } from "./encode_reply.ts";
@@ -20,8 +23,7 @@
 interface PeerAppOptions {
     /** Runs before each request. */
     readonly lease: Koa.Middleware;
-    readonly daemonId: string;
-    readonly incarnation: string;
+    readonly identity: OwnerIdentity;
     /** Resolves and runs an attempt. */
     readonly owner: Filter<IncomingDispatch, OwnerReply>;
     /** Largest request body of any route, in bytes. */
@@ -51,28 +53,14 @@
             return;
         }
         const result = await options.owner.apply(dispatch.value);
-        const reply = result.isOk() ? result.value : createRefusal(options, dispatch.value, result.error);
+        const reply = result.isOk()
+            ? result.value
+            : buildOwnerReply(options.identity, dispatch.value, result.error);
         context.status = 200;
         context.set(PeerHeader.Reply, encodeReply(reply));
-        context.body = Buffer.from(reply.answer?.body ?? []);
+        context.body = getBuffer(reply.answer?.body ?? new Uint8Array());
     });
     // A daemon that breaks its connection is not an error of this one; the pipeline has been aborted.
     app.on("error", () => undefined);
     return app;
 }
-
-function createRefusal(options: PeerAppOptions, dispatch: IncomingDispatch, failure: Failure): OwnerReply {
-    return {
-        requestId: dispatch.requestId,
-        attempt: dispatch.attempt,
-        ownerId: options.daemonId,
-        incarnation: options.incarnation,
-        code: failure.code,
-        outcome: failure.outcome,
-        detail: failure.detail,
-        answer: undefined,
-        serviceMs: 0,
-        waitMs: 0,
-        upstream: undefined,
-    };
-}
--- a/src/operations/known_owner_table.ts
+++ b/src/operations/known_owner_table.ts
@@ -41,11 +41,6 @@
         });
     }
 
-    /** Call when the daemon is no longer in the instance list, or is this one and leaves. */
-    remove(ownerId: string): void {
-        this.owners.delete(ownerId);
-    }
-
     getIncarnation(ownerId: string): string | undefined {
         return this.owners.get(ownerId)?.incarnation ?? this.options.incarnations.getIncarnation(ownerId);
     }
