--- a/eslint.config.js
+++ b/eslint.config.js
@@ -21,7 +21,7 @@
     group => ["error", { patterns: [{ group, message: "Not allowed in this folder, see docs/design.md." }] }];
 
 export default tseslint.config(
-    { ignores: ["node_modules/", "dist/", "src/gen/", "eslint_rules/", "eslint.config.js"] },
+    { ignores: ["node_modules/", "dist/", "target/", "src/gen/", "eslint_rules/", "eslint.config.js"] },
     ...tseslint.configs.recommendedTypeChecked,
     {
         languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
--- a/measure/capacity/configuration_measurement.ts
+++ b/measure/capacity/configuration_measurement.ts
@@ -2,8 +2,8 @@
 import { parseConfiguration } from "../../src/config/parse_configuration.ts";
 import { SectionHistory } from "../../src/gossip/section_history.ts";
 import { ServiceSectionSplitter } from "../../src/gossip/service_section_splitter.ts";
-import { computeDigest } from "../../src/platform/compute_digest.ts";
-import { RouteTable } from "../../src/route/route_table.ts";
+import { computeDigest } from "../../src/published/compute_digest.ts";
+import { PatternRouteTable } from "../../src/route/pattern_route_table.ts";
 import { createConfigurationText } from "../create_configuration_text.ts";
 import { measureHeapBytes } from "./measure_heap_bytes.ts";
 import { measureProcessorUs } from "./measure_processor_us.ts";
@@ -29,7 +29,7 @@
         const parser = new ConfigParser();
         const heap = await measureHeapBytes(() => {
             const parsed = parser.parse(text)._unsafeUnwrap();
-            return { parsed, table: new RouteTable(parsed) };
+            return { parsed, table: new PatternRouteTable(parsed) };
         });
         const { parsed, table } = heap.value;
         const paths = [...parsed.services.values()].flatMap(service =>
@@ -41,7 +41,7 @@
         const plainHeap = await measureHeapBytes(() => parseConfiguration(text)._unsafeUnwrap());
         const lookupUs = await measureProcessorUs(() => {
             for (let round = 0; round < lookupRounds; round += 1) {
-                paths.forEach(({ method, path }) => table.find(method, path)._unsafeUnwrap());
+                paths.forEach(({ method, path }) => table.find({ method, host: "", path })._unsafeUnwrap());
             }
         });
         return {
@@ -51,7 +51,8 @@
                 await measureProcessorUs(() =>
                     texts.forEach(changed => parser.parse(changed)._unsafeUnwrap())
                 ) / 1_000 / changes,
-            "route table, processor ms": await measureProcessorUs(() => new RouteTable(parsed)) / 1_000,
+            "route table, processor ms": await measureProcessorUs(() => new PatternRouteTable(parsed)) /
+                1_000,
             "route lookup, processor µs": lookupUs / paths.length / lookupRounds,
             "digest of the text, processor ms": await measureProcessorUs(() => computeDigest(text)) / 1_000,
             "split into sections and their digests, processor ms": await this.measureSplitMs(text, texts),
--- a/measure/capacity/create_control_listener.ts
+++ b/measure/capacity/create_control_listener.ts
@@ -23,9 +23,9 @@
 import { AttemptTable } from "../../src/operations/attempt_table.ts";
 import { OperationTable } from "../../src/operations/operation_table.ts";
 import { OwnerRevoker } from "../../src/operations/owner_revoker.ts";
-import { AcceptFilter } from "../../src/platform/accept_filter.ts";
-import { ConfigStore } from "../../src/platform/config_store.ts";
-import { ParseFilter } from "../../src/platform/parse_filter.ts";
+import { AcceptFilter } from "../../src/published/accept_filter.ts";
+import { ConfigStore } from "../../src/published/config_store.ts";
+import { ParseFilter } from "../../src/published/parse_filter.ts";
 import { createConfigurationText } from "../create_configuration_text.ts";
 import { buildTargetUpstreams } from "./build_target_upstreams.ts";
 import { NoSinks } from "./no_sinks.ts";
--- a/measure/capacity/create_routed_request.ts
+++ b/measure/capacity/create_routed_request.ts
@@ -14,6 +14,7 @@
     return {
         requestId: `0123456789abcdef-${index}`,
         method: route.method,
+        host: "",
         path: route.path,
         target: `${route.path}?page=1`,
         headers,
--- a/measure/capacity/platform_read_measurement.ts
+++ b/measure/capacity/platform_read_measurement.ts
@@ -1,8 +1,8 @@
 import { JsonInstanceListCodec } from "../../src/edge/control/json_instance_list_codec.ts";
-import { GotPlatformReader } from "../../src/edge/platform_http/got_platform_reader.ts";
-import { DigestInstancesFilter } from "../../src/platform/digest_instances_filter.ts";
-import type { InstanceList } from "../../src/platform/instance_list.ts";
-import { ValidateInstancesFilter } from "../../src/platform/validate_instances_filter.ts";
+import { GotPlatformReader } from "../../src/edge/published_http/got_platform_reader.ts";
+import { DigestInstancesFilter } from "../../src/published/digest_instances_filter.ts";
+import type { InstanceList } from "../../src/published/instance_list.ts";
+import { ValidateInstancesFilter } from "../../src/published/validate_instances_filter.ts";
 import { buildTargetUpstreams } from "./build_target_upstreams.ts";
 import { measureProcessorUs } from "./measure_processor_us.ts";
 import { openCountingServer } from "./open_counting_server.ts";
--- a/measure/capacity/platform_watch_measurement.ts
+++ b/measure/capacity/platform_watch_measurement.ts
@@ -1,4 +1,4 @@
-import { GotPlatformReader } from "../../src/edge/platform_http/got_platform_reader.ts";
+import { GotPlatformReader } from "../../src/edge/published_http/got_platform_reader.ts";
 import { measureProcessorUs } from "./measure_processor_us.ts";
 import { openCountingServer } from "./open_counting_server.ts";
 import type { SlopeMeasurement } from "./slope_measurement.ts";
--- a/measure/capacity/queue_measurement.ts
+++ b/measure/capacity/queue_measurement.ts
@@ -3,6 +3,7 @@
 import { SystemClock } from "../../src/edge/system/system_clock.ts";
 import { SystemTimers } from "../../src/edge/system/system_timers.ts";
 import { DaemonState } from "../../src/lifecycle/daemon_state.ts";
+import { ConfiguredUpstreams } from "../../src/queue/configured_upstreams.ts";
 import { QueueFilter } from "../../src/queue/queue_filter.ts";
 import { measureHeapBytes } from "./measure_heap_bytes.ts";
 import { measureProcessorUs } from "./measure_processor_us.ts";
@@ -36,7 +37,7 @@
         const queue = new QueueFilter({
             clock: new SystemClock(),
             timers: new SystemTimers(),
-            upstreams: [{ id: "u1", service: service.name, address: "", slots: 1 }],
+            upstreams: new ConfiguredUpstreams([{ id: "u1", service: service.name, address: "", slots: 1 }]),
             daemonState: { getState: () => DaemonState.Serving },
         });
         let usedUs = 0;
--- a/measure/capacity/section_fetch_measurement.ts
+++ b/measure/capacity/section_fetch_measurement.ts
@@ -9,7 +9,7 @@
 import type { Section } from "../../src/gossip/section.ts";
 import { SectionHistory } from "../../src/gossip/section_history.ts";
 import { ServiceSectionSplitter } from "../../src/gossip/service_section_splitter.ts";
-import { computeDigest } from "../../src/platform/compute_digest.ts";
+import { computeDigest } from "../../src/published/compute_digest.ts";
 import { createConfigurationText } from "../create_configuration_text.ts";
 import { measureProcessorUs } from "./measure_processor_us.ts";
 import type { SlopeMeasurement } from "./slope_measurement.ts";
--- a/measure/config_load.ts
+++ b/measure/config_load.ts
@@ -8,7 +8,7 @@
 import { ConfigParser } from "../src/config/config_parser.ts";
 import { parseConfiguration } from "../src/config/parse_configuration.ts";
 import { FullDocumentReader } from "../src/config/yaml/full_document_reader.ts";
-import { RouteTable } from "../src/route/route_table.ts";
+import { PatternRouteTable } from "../src/route/pattern_route_table.ts";
 import { createConfigurationText } from "./create_configuration_text.ts";
 
 const runs = 11;
@@ -55,13 +55,13 @@
     "reject a wrong value",
     () => parser.parse(text.replace("members: ", "members: -"))._unsafeUnwrapErr(),
 );
-const table = new RouteTable(configuration);
+const table = new PatternRouteTable(configuration);
 const paths = [...configuration.services.values()].flatMap(service =>
     service.routes.map(route => ({ method: route.method, path: route.path.replace("{item}", "42") }))
 );
 measure(`find each of ${paths.length} routes`, () => {
     for (const { method, path } of paths) {
-        table.find(method, path)._unsafeUnwrap();
+        table.find({ method, host: "", path })._unsafeUnwrap();
     }
 });
-measure("compile routes", () => new RouteTable(configuration));
+measure("compile routes", () => new PatternRouteTable(configuration));
--- a/measure/detection/build_request.ts
+++ b/measure/detection/build_request.ts
@@ -11,6 +11,7 @@
     return {
         requestId,
         method: route.method,
+        host: "",
         path: route.path,
         target: route.path,
         headers: [],
--- a/measure/detection/build_service.ts
+++ b/measure/detection/build_service.ts
@@ -46,5 +46,9 @@
         maxAnswerBytes: 65_536,
         expect: { statuses: [200], contentType: "application/json" },
         shedStatuses: [503],
+        priority: 0,
+        maxAttempts: 3,
+        targetMs: 0,
+        split: new Map(),
     };
 }
--- a/measure/detection/fake_owner.ts
+++ b/measure/detection/fake_owner.ts
@@ -31,6 +31,9 @@
     [UpstreamResultKind.TimedOut]: Code.UpstreamTimeout,
     [UpstreamResultKind.Cancelled]: Code.CallerCancelled,
     [UpstreamResultKind.AnswerTooLarge]: Code.AnswerTooLarge,
+    [UpstreamResultKind.Declined]: Code.UpstreamShed,
+    [UpstreamResultKind.Replaced]: Code.UpstreamReplaced,
+    [UpstreamResultKind.Garbled]: Code.UpstreamGarbled,
 };
 
 /** Owner of one upstream with a bounded queue in order of arrival, and the real evidence path. */
--- a/measure/load/build_systems.ts
+++ b/measure/load/build_systems.ts
@@ -2,6 +2,7 @@
 import { AdmitFilter } from "../../src/admit/admit_filter.ts";
 import { TokenRetryBudget } from "../../src/forward/token_retry_budget.ts";
 import { DaemonState } from "../../src/lifecycle/daemon_state.ts";
+import { ConfiguredUpstreams } from "../../src/queue/configured_upstreams.ts";
 import { QueueFilter } from "../../src/queue/queue_filter.ts";
 import type { QueueFilterOptions } from "../../src/queue/queue_filter_options.ts";
 import { ServiceTimes } from "../../src/queue/service_times.ts";
@@ -36,7 +37,7 @@
             new QueueFilter({
                 clock: time,
                 timers: time,
-                upstreams: [upstream],
+                upstreams: new ConfiguredUpstreams([upstream]),
                 daemonState: { getState: () => DaemonState.Serving },
                 ...policies,
             }),
--- a/measure/load/load_callers.ts
+++ b/measure/load/load_callers.ts
@@ -117,6 +117,7 @@
         return {
             requestId,
             method: route.method,
+            host: "",
             path: route.path,
             target: route.path,
             headers: [],
--- a/measure/spread_fleet.ts
+++ b/measure/spread_fleet.ts
@@ -29,7 +29,7 @@
 import type { SectionResponse } from "../src/gossip/section_response.ts";
 import { ScoreBoard } from "../src/health/score_board.ts";
 import type { Daemon } from "../src/membership/daemon.ts";
-import { ConfigStore } from "../src/platform/config_store.ts";
+import { ConfigStore } from "../src/published/config_store.ts";
 import { computeMessageBytes } from "./compute_message_bytes.ts";
 import { FleetTable } from "./fleet_table.ts";
 import { VersionDocument } from "./version_document.ts";
--- a/measure/version_document.ts
+++ b/measure/version_document.ts
@@ -4,7 +4,7 @@
 import type { DocumentName } from "../src/gossip/document_name.ts";
 import type { GossipDocument } from "../src/gossip/gossip_document.ts";
 import type { Section } from "../src/gossip/section.ts";
-import { computeDigest } from "../src/platform/compute_digest.ts";
+import { computeDigest } from "../src/published/compute_digest.ts";
 
 const sectionsOfVersions = new Map<number, readonly Section[]>();
 
--- a/proof/arbitrary_configuration.ts
+++ b/proof/arbitrary_configuration.ts
@@ -47,6 +47,10 @@
     maxAnswerBytes: fc.integer({ min: 0, max: 16_777_216 }),
     expect: buildRecord({ statuses, contentType: fc.constantFrom("", "application/json", "text/plain") }),
     shedStatuses: statuses,
+    priority: fc.integer({ min: 0, max: 9 }),
+    maxAttempts: fc.integer({ min: 1, max: 10 }),
+    targetMs: fc.integer({ min: 0, max: 600_000 }),
+    split: fc.constant(new Map<string, number>()),
 });
 
 const serviceFields = buildRecord({
--- a/proof/control/configuration_mutation.test.ts
+++ b/proof/control/configuration_mutation.test.ts
@@ -3,7 +3,7 @@
 import { test } from "node:test";
 import { Code } from "../../src/core/code.ts";
 import { createFailure } from "../../src/core/create_failure.ts";
-import { computeDigest } from "../../src/platform/compute_digest.ts";
+import { computeDigest } from "../../src/published/compute_digest.ts";
 import { checkHistory } from "../check_history.ts";
 import { ConfigMonotonicPredicate } from "../predicates/config_monotonic_predicate.ts";
 import { ConfigSpreadPredicate } from "../predicates/config_spread_predicate.ts";
--- a/proof/control/fakes/fake_parser.ts
+++ b/proof/control/fakes/fake_parser.ts
@@ -3,7 +3,7 @@
 import { Code } from "../../../src/core/code.ts";
 import { createFailure } from "../../../src/core/create_failure.ts";
 import type { Failure } from "../../../src/core/failure.ts";
-import type { ConfigurationParser } from "../../../src/platform/configuration_parser.ts";
+import type { ConfigurationParser } from "../../../src/published/configuration_parser.ts";
 
 /** Accepts every text without the word `invalid`; the team of the result is the text. */
 export class FakeParser implements ConfigurationParser {
--- a/proof/control/fakes/lenient_config_store.ts
+++ b/proof/control/fakes/lenient_config_store.ts
@@ -1,6 +1,6 @@
 import { ok, type Result } from "neverthrow";
 import type { Failure } from "../../../src/core/failure.ts";
-import { ConfigStore } from "../../../src/platform/config_store.ts";
+import { ConfigStore } from "../../../src/published/config_store.ts";
 
 /** Mutation: takes any version, also an older one. */
 export class LenientConfigStore extends ConfigStore {
--- a/proof/fakes/build_service.ts
+++ b/proof/fakes/build_service.ts
@@ -42,6 +42,10 @@
             maxAnswerBytes: 65_536,
             expect: { statuses: [200], contentType: "" },
             shedStatuses: [503],
+            priority: 0,
+            maxAttempts: 3,
+            targetMs: 0,
+            split: new Map(),
             ...route,
         })),
     };
--- a/proof/health/build_test_service.ts
+++ b/proof/health/build_test_service.ts
@@ -38,5 +38,9 @@
         maxAnswerBytes: 1_000,
         expect: { statuses: [200], contentType: "application/json" },
         shedStatuses: [503],
+        priority: 0,
+        maxAttempts: 3,
+        targetMs: 0,
+        split: new Map(),
     };
 }
--- a/proof/operations/build_service.ts
+++ b/proof/operations/build_service.ts
@@ -31,6 +31,10 @@
             maxAnswerBytes: 1_000,
             expect: { statuses: [200], contentType: "" },
             shedStatuses: [503],
+            priority: 0,
+            maxAttempts: 3,
+            targetMs: 0,
+            split: new Map(),
         }],
     };
 }
--- a/proof/operations/fake_daemon.ts
+++ b/proof/operations/fake_daemon.ts
@@ -18,6 +18,7 @@
 import { OwnerRevoker } from "../../src/operations/owner_revoker.ts";
 import { RegisterFilter } from "../../src/operations/register_filter.ts";
 import type { Revoker } from "../../src/operations/revoker.ts";
+import { ConfiguredUpstreams } from "../../src/queue/configured_upstreams.ts";
 import type { OwnerRequest } from "../../src/queue/owner_request.ts";
 import { QueueFilter } from "../../src/queue/queue_filter.ts";
 import type { RoutedRequest } from "../../src/route/routed_request.ts";
@@ -63,7 +64,12 @@
         const evidence = { record: () => undefined, getScore: () => 0 };
         const owned = upstreams.filter(({ ownerId }) => ownerId === identity.ownerId)
             .map(({ id, service }) => ({ id, service, address: "", slots: 1 }));
-        const queue = new QueueFilter({ clock: process, timers: process, upstreams: owned, daemonState });
+        const queue = new QueueFilter({
+            clock: process,
+            timers: process,
+            upstreams: new ConfiguredUpstreams(owned),
+            daemonState,
+        });
         const pauses = new PauseDetector({ clock: process, timers: process, turns: process });
         pauses.start();
         const watch = { start: () => undefined, record: () => undefined };
--- a/proof/operations/run_operations.ts
+++ b/proof/operations/run_operations.ts
@@ -164,6 +164,7 @@
                 service,
                 route: service.routes[0]!,
                 method: "POST",
+                host: "",
                 path: "/payments",
                 target: "/payments",
                 headers: [],
--- /dev/null
+++ b/scripts/build_platform.sh
@@ -0,0 +1,9 @@
+#!/bin/sh
+# Builds target/zinniaglade.mjs, the daemon for the users' platform.
+set -eu
+cd "$(dirname "$0")/.."
+sh scripts/install_once.sh
+mkdir -p target
+npx --no-install esbuild platform/main.ts --bundle --platform=node --target=node20 --format=esm --minify-syntax \
+    --external:unix-dgram --log-level=warning --outfile=target/zinniaglade.mjs \
+    --banner:js='import { createRequire } from "node:module"; const require = createRequire(import.meta.url);'
--- a/src/admit/admit_filter.test.ts
+++ b/src/admit/admit_filter.test.ts
@@ -31,7 +31,13 @@
         serviceTimes: { getMeanMs: route => route.serviceMs },
     });
     const service = buildService({ dependsOn: ["accounts"], limits: { entryConcurrency: 2 } });
-    const request = { ...buildOwnerRequest({ service }), path: "/", budgetMs: undefined, configVersion: 1 };
+    const request = {
+        ...buildOwnerRequest({ service }),
+        host: "",
+        path: "/",
+        budgetMs: undefined,
+        configVersion: 1,
+    };
     return admit.apply({ ...request, ...parts });
 }
 
--- a/src/answer/answer_filter.test.ts
+++ b/src/answer/answer_filter.test.ts
@@ -4,6 +4,7 @@
 import { createFailure } from "../core/create_failure.ts";
 import { Outcome } from "../core/outcome.ts";
 import { buildOwnerReply } from "../forward/build_owner_reply.ts";
+import { HeaderCallerCodec } from "../receive/header_caller_codec.ts";
 import { AnswerFilter } from "./answer_filter.ts";
 import { formatProblem } from "./format_problem.ts";
 
@@ -13,7 +14,9 @@
 test("an answer carries the identifier of the caller's request, not one that the upstream chose", () => {
     const headers = [{ name: "x-request-id", value: "upstream's" }];
     const answer = { status: 200, headers, body: new Uint8Array() };
-    const result = new AnswerFilter().apply(buildOwnerReply(identity, id, { code: Code.Ok, answer }));
+    const result = new AnswerFilter(new HeaderCallerCodec()).apply(
+        buildOwnerReply(identity, id, { code: Code.Ok, answer }),
+    );
     const identifiers = result._unsafeUnwrap().headers.filter(header => header.name === "x-request-id");
     assert.deepEqual(identifiers, [{ name: "x-request-id", value: "r1" }]);
 });
@@ -23,7 +26,10 @@
         code: Code.DeadlineExceeded,
         outcome: Outcome.NotExecuted,
     });
-    assert.equal(new AnswerFilter().apply(reply)._unsafeUnwrapErr().outcome, Outcome.NotExecuted);
+    assert.equal(
+        new AnswerFilter(new HeaderCallerCodec()).apply(reply)._unsafeUnwrapErr().outcome,
+        Outcome.NotExecuted,
+    );
 });
 
 test("a problem document states code and outcome in the body and in headers", () => {
--- a/src/answer/caller_handler.ts
+++ b/src/answer/caller_handler.ts
@@ -15,11 +15,12 @@
 import { LogLevel } from "../core/log_level.ts";
 import type { Logger } from "../core/logger.ts";
 import type { Metrics } from "../core/metrics.ts";
+import type { CallerCodec } from "../receive/caller_codec.ts";
 import type { CallerRequest } from "../receive/caller_request.ts";
 import type { IncomingRequest } from "../receive/incoming_request.ts";
-import { formatProblem } from "./format_problem.ts";
 
 interface CallerHandlerOptions {
+    readonly codec: CallerCodec;
     readonly receive: Filter<IncomingRequest, CallerRequest>;
     /** The stages after receipt. */
     readonly serve: Filter<CallerRequest, Answer>;
@@ -36,7 +37,7 @@
         const startMs = this.options.clock.getMonotonicMs();
         const received = await this.options.receive.apply(incoming);
         if (received.isErr()) {
-            return formatProblem(received.error, "");
+            return this.options.codec.encodeProblem(received.error, "");
         }
         const request = received.value;
         const result = await this.options.serve.apply(request);
@@ -53,6 +54,6 @@
             outcome,
             detail,
         });
-        return formatProblem(result.error, request.requestId);
+        return this.options.codec.encodeProblem(result.error, request.requestId);
     }
 }
--- a/src/config/configuration_text_parser.ts
+++ b/src/config/configuration_text_parser.ts
@@ -1,6 +1,6 @@
 import type { Result } from "neverthrow";
 import type { Failure } from "../core/failure.ts";
-import type { ConfigurationParser } from "../platform/configuration_parser.ts";
+import type { ConfigurationParser } from "../published/configuration_parser.ts";
 import { ConfigParser } from "./config_parser.ts";
 import type { Configuration } from "./configuration.ts";
 import { createProblemFailure } from "./create_problem_failure.ts";
--- a/src/config/parse_configuration.test.ts
+++ b/src/config/parse_configuration.test.ts
@@ -51,6 +51,10 @@
         maxAnswerBytes: 1_048_576,
         expect: { statuses: [200], contentType: "" },
         shedStatuses: [],
+        priority: 0,
+        maxAttempts: 3,
+        targetMs: 0,
+        split: new Map(),
     });
 });
 
--- a/src/config/route_config.ts
+++ b/src/config/route_config.ts
@@ -19,4 +19,12 @@
     readonly expect: ExpectConfig;
     /** Statuses by which the upstream declares that it did not run the request. */
     readonly shedStatuses: readonly number[];
+    /** Rank of the work, 0 is the most urgent. */
+    readonly priority: number;
+    /** Upstreams to which one request may be sent; refusals before dispatch do not count. */
+    readonly maxAttempts: number;
+    /** Milliseconds in which an answer should arrive; 0 when only the deadline counts. */
+    readonly targetMs: number;
+    /** Weight of each service that shares the requests of the route; empty when all go to `service`. */
+    readonly split: ReadonlyMap<string, number>;
 }
--- a/src/config/rules/config_rules.ts
+++ b/src/config/rules/config_rules.ts
@@ -5,6 +5,7 @@
 import { EachServiceRule } from "./each_service_rule.ts";
 import { RouteRule } from "./route_rule.ts";
 import { ServiceCountRule } from "./service_count_rule.ts";
+import { SplitRule } from "./split_rule.ts";
 
 /** The rules that each configuration must meet. */
 export const configRules: readonly ConfigRule[] = [
@@ -13,4 +14,5 @@
     new CycleRule(),
     new EachServiceRule(new BoundRule()),
     new RouteRule(),
+    new SplitRule(),
 ];
--- a/src/config/table/route_type.ts
+++ b/src/config/table/route_type.ts
@@ -2,11 +2,13 @@
 import { BooleanType } from "../fields/boolean_type.ts";
 import { ChoiceType } from "../fields/choice_type.ts";
 import { ListType } from "../fields/list_type.ts";
+import { MapType } from "../fields/map_type.ts";
 import { NumberType } from "../fields/number_type.ts";
 import { RecordType } from "../fields/record_type.ts";
 import { TextType } from "../fields/text_type.ts";
 import type { RouteFields } from "../route_fields.ts";
 import { expectType } from "./expect_type.ts";
+import { nameType } from "./name_type.ts";
 
 const durationType = new NumberType({ minimum: 1, maximum: 600_000, integer: true });
 // Bodies are buffered in the 128 MB of one daemon, which bounds the size that a route may allow.
@@ -79,4 +81,33 @@
         defaultValue: [],
         description: "Statuses by which the upstream declares that it did not execute the request.",
     },
+    priority: {
+        type: new NumberType({ minimum: 0, maximum: 9, integer: true }),
+        defaultValue: 0,
+        description:
+            "Rank of the work, 0 is the most urgent. Less urgent work waits behind more urgent work.",
+    },
+    maxAttempts: {
+        type: new NumberType({ minimum: 1, maximum: 10, integer: true }),
+        unit: "upstreams",
+        defaultValue: 3,
+        description: "Upstreams to which one request may be sent. Refusals before dispatch do not count.",
+    },
+    targetMs: {
+        type: new NumberType({ minimum: 0, maximum: 600_000, integer: true }),
+        unit: "ms",
+        defaultValue: 0,
+        description: "Time in which an answer should arrive. 0 when only the deadline counts.",
+    },
+    split: {
+        type: new MapType(
+            nameType,
+            new NumberType({ minimum: 0, maximum: 1_000_000, integer: true }),
+            "service",
+        ),
+        unit: "weight",
+        defaultValue: new Map(),
+        description: "Services that share the requests of the route, each with its weight. "
+            + "All requests go to the service of the route when it is empty.",
+    },
 });
--- a/src/core/upstream.ts
+++ b/src/core/upstream.ts
@@ -8,4 +8,10 @@
     /** Address (IP number and port) of the owner's interface for other daemons. */
     readonly ownerAddress: string;
     readonly leaving: boolean;
+    /** Address (IP number and port) at which its owner reaches it; absent when the owner's settings name it. */
+    readonly address?: string;
+    /** Requests that it runs at once; absent when the owner's settings name them. */
+    readonly slots?: number;
+    /** Milliseconds for which it stayed slow after its start, as of the last report. */
+    readonly coldMs?: number;
 }
--- a/src/daemon.ts
+++ b/src/daemon.ts
@@ -6,6 +6,8 @@
 export interface Daemon {
     /** Opens the ports, learns configuration and instance list, and serves. Fails with PortUnavailable. */
     start(): Promise<Result<void, Failure>>;
+    /** True while the daemon can serve callers. */
+    isReady(): boolean;
     /** Leaves the fleet without cutting a request; the result comes when no work is left. */
     drain(cause: string): Promise<Result<DrainReport, Failure>>;
     /** Resolves when a drain has finished. */
--- a/src/dispatch/upstream_result.ts
+++ b/src/dispatch/upstream_result.ts
@@ -1,4 +1,5 @@
 import type { Answer } from "../core/answer.ts";
+import type { ReportedLoad } from "./reported_load.ts";
 import type { UpstreamResultKind } from "./upstream_result_kind.ts";
 
 /** End of one exchange with an upstream. */
@@ -7,4 +8,6 @@
     /** Present for `Answered`. */
     readonly answer: Answer | undefined;
     readonly detail: string;
+    /** Present when the upstream reported its load. */
+    readonly load?: ReportedLoad;
 }
--- a/src/dispatch/upstream_result_kind.ts
+++ b/src/dispatch/upstream_result_kind.ts
@@ -9,6 +9,12 @@
     TimedOut: "timed-out",
     Cancelled: "cancelled",
     AnswerTooLarge: "answer-too-large",
+    /** The upstream declared that it did not and will not run the request. */
+    Declined: "declined",
+    /** Another upstream has the address and did not run the request. */
+    Replaced: "replaced",
+    /** The bytes are not the whole answer to this request. */
+    Garbled: "garbled",
 } as const;
 
 export type UpstreamResultKind = (typeof UpstreamResultKind)[keyof typeof UpstreamResultKind];
--- a/src/edge/caller_http/create_caller_app.test.ts
+++ b/src/edge/caller_http/create_caller_app.test.ts
@@ -2,6 +2,7 @@
 import { request } from "node:http";
 import { test } from "node:test";
 import type { Answer } from "../../core/answer.ts";
+import { HeaderCallerCodec } from "../../receive/header_caller_codec.ts";
 import type { IncomingRequest } from "../../receive/incoming_request.ts";
 import { HttpListener } from "../http/http_listener.ts";
 import { createCallerApp } from "./create_caller_app.ts";
@@ -9,7 +10,12 @@
 const MAX_REQUEST_BYTES = 10;
 
 async function openApp(handle: (incoming: IncomingRequest) => Promise<Answer>): Promise<HttpListener> {
-    const app = createCallerApp({ handle, lease: (_, next) => next(), maxRequestBytes: MAX_REQUEST_BYTES })
+    const app = createCallerApp({
+        codec: new HeaderCallerCodec(),
+        handle,
+        lease: (_, next) => next(),
+        maxRequestBytes: MAX_REQUEST_BYTES,
+    })
         .callback();
     const listener = await HttpListener.open(
         "127.0.0.1:0",
--- a/src/edge/caller_http/create_caller_app.ts
+++ b/src/edge/caller_http/create_caller_app.ts
@@ -4,10 +4,10 @@
  * @module
  */
 import Koa from "koa";
-import { formatProblem } from "../../answer/format_problem.ts";
 import type { Answer } from "../../core/answer.ts";
 import { Code } from "../../core/code.ts";
 import { createFailure } from "../../core/create_failure.ts";
+import type { CallerCodec } from "../../receive/caller_codec.ts";
 import type { IncomingRequest } from "../../receive/incoming_request.ts";
 import { createAbortSignal } from "../http/create_abort_signal.ts";
 import { formatEndToEndHeaders } from "../http/format_end_to_end_headers.ts";
@@ -15,6 +15,7 @@
 import { readBody } from "../http/read_body.ts";
 
 interface CallerAppOptions {
+    readonly codec: CallerCodec;
     readonly handle: (incoming: IncomingRequest) => Promise<Answer>;
     /** Runs before each request. */
     readonly lease: Koa.Middleware;
@@ -30,9 +31,10 @@
         const declaredLength = context.get("content-length") || undefined;
         const body = await readBody(context.req, options.maxRequestBytes, declaredLength);
         const answer = body.isErr()
-            ? formatProblem(createFailure(Code.RequestTooLarge), "")
+            ? options.codec.encodeProblem(createFailure(Code.RequestTooLarge), "")
             : await options.handle({
                 method: context.method,
+                host: context.get("host"),
                 target: context.url,
                 headers: formatEndToEndHeaders(context.req.headers),
                 body: body.value,
--- a/src/edge/control/create_control_routes.ts
+++ b/src/edge/control/create_control_routes.ts
@@ -15,7 +15,7 @@
 interface ControlRouteOptions {
     readonly identity: OwnerIdentity;
     readonly revoker: Revoker;
-    readonly gossip: GossipHandler;
+    readonly gossip: GossipHandler | undefined;
 }
 
 /** Builds the routes; each handler only translates between messages and typed values. */
@@ -25,13 +25,16 @@
         router.service(Control, {
             exchangeHeads: message => {
                 const exchange = decodeHeadExchange(message.exchange);
+                if (gossip === undefined) {
+                    throw new ConnectError("the daemon exchanges no documents", Code.Unimplemented);
+                }
                 if (exchange === undefined) {
                     throw new ConnectError("the exchange names no daemon", Code.InvalidArgument);
                 }
                 return { exchange: encodeHeadExchange(gossip.handleExchangeHeads(exchange)) };
             },
             fetchSections: message => {
-                const response = gossip.handleFetchSections({
+                const response = gossip?.handleFetchSections({
                     document: message.document as DocumentName,
                     baseVersion: Number(message.baseVersion),
                     baseDigest: message.baseDigest,
--- a/src/edge/control/json_instance_list_codec.ts
+++ b/src/edge/control/json_instance_list_codec.ts
@@ -3,7 +3,7 @@
 import { createFailure } from "../../core/create_failure.ts";
 import type { Failure } from "../../core/failure.ts";
 import type { Upstream } from "../../core/upstream.ts";
-import type { InstanceListCodec } from "../../platform/instance_list_codec.ts";
+import type { InstanceListCodec } from "../../published/instance_list_codec.ts";
 
 /**
  * One line of JSON for each daemon: `[failureDomain, region, ownerId, ownerAddress, [[id, service, leaving]...]]`.
--- a/src/edge/control/line_part_list_reader.ts
+++ b/src/edge/control/line_part_list_reader.ts
@@ -1,5 +1,5 @@
-import type { PartList } from "../../platform/part_list.ts";
-import type { PartListReader } from "../../platform/part_list_reader.ts";
+import type { PartList } from "../../published/part_list.ts";
+import type { PartListReader } from "../../published/part_list_reader.ts";
 
 const firstLine = /^# zinniaglade-parts sha256:([0-9a-f]{64})$/;
 
--- a/src/edge/daemon_servers.ts
+++ b/src/edge/daemon_servers.ts
@@ -5,6 +5,8 @@
  */
 import { err, ok, type Result } from "neverthrow";
 import type { CallerHandler } from "../answer/caller_handler.ts";
+import { Code } from "../core/code.ts";
+import { createFailure } from "../core/create_failure.ts";
 import type { Failure } from "../core/failure.ts";
 import type { Filter } from "../core/filter.ts";
 import type { OwnerReply } from "../forward/owner_reply.ts";
@@ -16,6 +18,7 @@
 import type { OwnerIdentity } from "../operations/owner_identity.ts";
 import type { Revoker } from "../operations/revoker.ts";
 import type { IncomingDispatch } from "../queue/incoming_dispatch.ts";
+import type { CallerCodec } from "../receive/caller_codec.ts";
 import type { ServeSettings } from "../settings/serve_settings.ts";
 import type { DaemonStatus } from "../status/daemon_status.ts";
 import { createAdminApp } from "./admin_http/create_admin_app.ts";
@@ -27,13 +30,15 @@
 import { createPeerApp } from "./peer_http/create_peer_app.ts";
 
 interface Options {
+    readonly callerCodec: CallerCodec;
     readonly settings: ServeSettings;
     readonly identity: OwnerIdentity;
     readonly lifecycle: Lifecycle;
     readonly caller: CallerHandler;
     readonly owner: Filter<IncomingDispatch, OwnerReply>;
     readonly revoker: Revoker;
-    readonly gossip: GossipHandler;
+    /** Undefined when the daemons exchange no documents. */
+    readonly gossip: GossipHandler | undefined;
     readonly buildStatus: () => DaemonStatus;
     readonly drain: (cause: string) => Promise<Result<DrainReport, Failure>>;
 }
@@ -71,8 +76,9 @@
 
     /** Opens the interface for callers. Fails with PortUnavailable. */
     async openCallers(): Promise<Result<void, Failure>> {
-        const { caller, settings } = this.options;
+        const { caller, callerCodec, settings } = this.options;
         const app = createCallerApp({
+            codec: callerCodec,
             lease: this.createLease(() => this.refuseCaller()),
             handle: incoming => caller.handle(incoming),
             maxRequestBytes: settings.maxRequestBytes,
@@ -102,8 +108,9 @@
     }
 
     private createLease(refuse: () => boolean = () => false) {
-        const { lifecycle } = this.options;
+        const { callerCodec, lifecycle } = this.options;
         return createLeaseMiddleware({
+            createRefusal: () => callerCodec.encodeProblem(createFailure(Code.OwnerLeaving), ""),
             refuse,
             registerRequest: () => lifecycle.registerRequest(),
             isDraining: () => lifecycle.getState() === DaemonState.Draining,
--- a/src/edge/http/create_lease_middleware.ts
+++ b/src/edge/http/create_lease_middleware.ts
@@ -1,10 +1,10 @@
 import type { Middleware } from "koa";
-import { formatProblem } from "../../answer/format_problem.ts";
-import { Code } from "../../core/code.ts";
-import { createFailure } from "../../core/create_failure.ts";
+import type { Answer } from "../../core/answer.ts";
 import type { RequestLease } from "../../lifecycle/request_lease.ts";
 
 interface LeaseOptions {
+    /** Builds the answer to a request that is refused. */
+    readonly createRefusal: () => Answer;
     /** Undefined when the daemon has closed. */
     readonly registerRequest: () => RequestLease | undefined;
     /** True when new requests are refused as not executed; never for those of other daemons. */
@@ -18,7 +18,7 @@
     return async (context, next) => {
         const lease = options.refuse() ? undefined : options.registerRequest();
         if (lease === undefined) {
-            const problem = formatProblem(createFailure(Code.OwnerLeaving), "");
+            const problem = options.createRefusal();
             context.status = problem.status;
             problem.headers.forEach(header => context.set(header.name, header.value));
             context.set("connection", "close");
--- a/src/edge/peer_http/decode_dispatch.ts
+++ b/src/edge/peer_http/decode_dispatch.ts
@@ -30,6 +30,11 @@
         baselineMs: head.baselineMs,
         trial: head.trial,
         redirectable: head.redirectable,
+        terms: head.terms === undefined ? undefined : {
+            idempotent: head.terms.idempotent,
+            priority: head.terms.priority,
+            targetMs: head.terms.targetMs,
+        },
         method: head.method,
         target: head.target,
         headers: head.headers,
--- a/src/edge/peer_http/encode_dispatch.ts
+++ b/src/edge/peer_http/encode_dispatch.ts
@@ -1,4 +1,5 @@
 import { create, toBinary } from "@bufbuild/protobuf";
+import type { RouteConfig } from "../../config/route_config.ts";
 import { DispatchHeadSchema } from "../../gen/zinniaglade/v1/control_pb.ts";
 import type { SelectedRequest } from "../../select/selected_request.ts";
 
@@ -21,6 +22,12 @@
         trial: request.trial,
         redirectable: request.redirectable ?? false,
         incarnation: request.ownerIncarnation ?? "",
+        // Routes without a service of their own in the configuration are found by host and prefix at the entry only.
+        ...(request.service.routes.includes(request.route) ? {} : { terms: createTerms(request.route) }),
     });
     return Buffer.from(toBinary(DispatchHeadSchema, head)).toString("base64");
 }
+
+function createTerms({ idempotent, priority, targetMs }: RouteConfig) {
+    return { idempotent, priority, targetMs };
+}
--- a/src/edge/peer_http/undici_forwarder.test.ts
+++ b/src/edge/peer_http/undici_forwarder.test.ts
@@ -45,7 +45,14 @@
     closers.push(() => forwarder.close());
     const place = { failureDomain: "z", region: "r", ownerAddress: `127.0.0.1:${port}`, leaving: false };
     const upstream = { id: "u1", service: "payments", ownerId: "d1", ...place };
-    const selected = { ...request, path: "/payments", budgetMs: undefined, configVersion: 1, upstream };
+    const selected = {
+        ...request,
+        host: "",
+        path: "/payments",
+        budgetMs: undefined,
+        configVersion: 1,
+        upstream,
+    };
     return forwarder.forward(selected, new AbortController().signal);
 }
 
--- a/src/edge/platform_http/got_platform_reader.ts
+++ b/src/edge/published_http/got_platform_reader.ts
@@ -9,9 +9,9 @@
 import { Code } from "../../core/code.ts";
 import { createFailure } from "../../core/create_failure.ts";
 import type { Failure } from "../../core/failure.ts";
-import type { InstanceList } from "../../platform/instance_list.ts";
-import type { PlatformReader } from "../../platform/platform_reader.ts";
-import type { PublishedValue } from "../../platform/published_value.ts";
+import type { InstanceList } from "../../published/instance_list.ts";
+import type { PlatformReader } from "../../published/platform_reader.ts";
+import type { PublishedValue } from "../../published/published_value.ts";
 
 /** The platform answers in milliseconds, so a longer silence means that the link or the platform is down. */
 const RESPONSE_TIMEOUT_MS = 2_000;
--- a/src/edge/upstream_http/undici_upstream_client.test.ts
+++ b/src/edge/upstream_http/undici_upstream_client.test.ts
@@ -3,7 +3,9 @@
 import { createServer, type Server, type Socket } from "node:net";
 import { after, test } from "node:test";
 import { buildOwnerRequest } from "../../../proof/operations/build_owner_request.ts";
+import { HeaderUpstreamCodec } from "../../dispatch/header_upstream_codec.ts";
 import { UpstreamResultKind } from "../../dispatch/upstream_result_kind.ts";
+import { ConfiguredUpstreams } from "../../queue/configured_upstreams.ts";
 import { UndiciUpstreamClient } from "./undici_upstream_client.ts";
 
 interface Upstream {
@@ -35,7 +37,10 @@
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
     const { port } = server.address() as { port: number; };
     const upstream = { id: "u1", service: "payments", address: `127.0.0.1:${port}`, slots: 1 };
-    const client = new UndiciUpstreamClient([upstream]);
+    const client = new UndiciUpstreamClient({
+        upstreams: new ConfiguredUpstreams([upstream]),
+        codec: new HeaderUpstreamCodec(),
+    });
     closers.push(async () => {
         await client.close();
         server.close();
--- a/src/edge/upstream_http/undici_upstream_client.ts
+++ b/src/edge/upstream_http/undici_upstream_client.ts
@@ -3,12 +3,13 @@
  *
  * @module
  */
-import { Pool } from "undici";
-import { RequestHeader } from "../../core/request_header.ts";
+import { type Dispatcher, Pool } from "undici";
 import type { UpstreamClient } from "../../dispatch/upstream_client.ts";
+import type { UpstreamCodec } from "../../dispatch/upstream_codec.ts";
 import type { UpstreamResult } from "../../dispatch/upstream_result.ts";
 import { UpstreamResultKind } from "../../dispatch/upstream_result_kind.ts";
 import type { OwnedUpstream } from "../../queue/owned_upstream.ts";
+import type { OwnedUpstreamReader } from "../../queue/owned_upstream_reader.ts";
 import type { OwnerRequest } from "../../queue/owner_request.ts";
 import { closeBody } from "../http/close_body.ts";
 import { formatEndToEndHeaders } from "../http/format_end_to_end_headers.ts";
@@ -21,59 +22,35 @@
 /** Below the five seconds after which Node.js servers close idle connections, so that none is reused as it closes. */
 const KEEP_ALIVE_TIMEOUT_MS = 4_000;
 
-/** One connection pool for each owned upstream; a connection carries one request at a time and none is sent twice. */
+interface Options {
+    readonly upstreams: OwnedUpstreamReader;
+    readonly codec: UpstreamCodec;
+    /** True when an answer may end with its connection; false when such an answer counts as cut. */
+    readonly allowsCloseDelimited?: boolean;
+}
+
+/** One connection pool for each address; a connection carries one request at a time and none is sent twice. */
 export class UndiciUpstreamClient implements UpstreamClient {
     private readonly pools = new Map<string, Pool>();
 
-    constructor(upstreams: readonly OwnedUpstream[]) {
-        for (const upstream of upstreams) {
-            const pool = new Pool(`http://${upstream.address}`, {
-                connections: upstream.slots,
-                pipelining: 1,
-                connect: { timeout: CONNECT_TIMEOUT_MS },
-                keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
-                keepAliveMaxTimeout: KEEP_ALIVE_TIMEOUT_MS,
-                headersTimeout: 0,
-                bodyTimeout: 0,
-            });
-            this.pools.set(upstream.id, pool);
-        }
-    }
+    constructor(private readonly options: Options) {}
 
     async send(request: OwnerRequest, timeoutMs: number, signal: AbortSignal): Promise<UpstreamResult> {
-        const pool = this.pools.get(request.upstreamId);
-        if (pool === undefined) {
+        const { codec, upstreams } = this.options;
+        const upstream = upstreams.find(request.upstreamId);
+        if (upstream === undefined) {
             return createResult(UpstreamResultKind.NotSent, "the upstream is not owned by this daemon");
         }
         const deadline = new RequestDeadline(signal, Math.max(1, Math.ceil(timeoutMs)));
         try {
-            const response = await pool.request({
+            const response = await this.getPool(upstream).request({
                 method: request.method,
                 path: request.target,
-                headers: createUpstreamHeaders(request, timeoutMs),
+                headers: codec.encode(request, timeoutMs).flatMap(header => [header.name, header.value]),
                 body: request.body.length === 0 ? undefined : request.body,
                 signal: deadline.getSignal(),
             });
-            if (!hasDeclaredEnd(request.method, response.statusCode, response.headers)) {
-                closeBody(response.body);
-                return createResult(
-                    UpstreamResultKind.Cut,
-                    "the response declares neither its length nor chunks",
-                );
-            }
-            const declaredLength = response.headers["content-length"];
-            const bodyLength = request.method === "HEAD" ? undefined : declaredLength;
-            const body = await readBody(response.body, request.route.maxAnswerBytes, bodyLength?.toString());
-            if (body.isErr()) {
-                closeBody(response.body);
-                return createResult(
-                    UpstreamResultKind.AnswerTooLarge,
-                    `more than ${request.route.maxAnswerBytes} bytes`,
-                );
-            }
-            const headers = formatEndToEndHeaders(response.headers);
-            const answer = { status: response.statusCode, headers, body: body.value };
-            return { kind: UpstreamResultKind.Answered, answer, detail: "" };
+            return await this.readAnswer(request, response);
         }
         catch (error) {
             return createErrorResult(error, signal, deadline);
@@ -86,16 +63,48 @@
     async close(): Promise<void> {
         await Promise.all([...this.pools.values()].map(pool => pool.close()));
     }
-}
 
-function createUpstreamHeaders(request: OwnerRequest, timeoutMs: number): string[] {
-    const headers = request.headers.flatMap(header => [header.name, header.value]);
-    headers.push(RequestHeader.Timeout, `${Math.max(1, Math.floor(timeoutMs))}`);
-    headers.push(RequestHeader.RequestId, request.requestId);
-    if (request.idempotencyKey !== undefined) {
-        headers.push(RequestHeader.IdempotencyKey, request.idempotencyKey);
+    private async readAnswer(
+        request: OwnerRequest,
+        response: Dispatcher.ResponseData,
+    ): Promise<UpstreamResult> {
+        const { body: stream, headers, statusCode: status } = response;
+        if (this.options.allowsCloseDelimited !== true && !hasDeclaredEnd(request.method, status, headers)) {
+            closeBody(stream);
+            return createResult(
+                UpstreamResultKind.Cut,
+                "the response declares neither its length nor chunks",
+            );
+        }
+        const declaredLength = request.method === "HEAD" ? undefined : headers["content-length"];
+        const body = await readBody(stream, request.route.maxAnswerBytes, declaredLength?.toString());
+        if (body.isErr()) {
+            closeBody(stream);
+            return createResult(
+                UpstreamResultKind.AnswerTooLarge,
+                `more than ${request.route.maxAnswerBytes} bytes`,
+            );
+        }
+        const answer = { status, headers: formatEndToEndHeaders(headers), body: body.value };
+        return this.options.codec.decode(request, answer);
+    }
+
+    private getPool(upstream: OwnedUpstream): Pool {
+        let pool = this.pools.get(upstream.address);
+        if (pool === undefined) {
+            pool = new Pool(`http://${upstream.address}`, {
+                connections: upstream.slots,
+                pipelining: 1,
+                connect: { timeout: CONNECT_TIMEOUT_MS },
+                keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+                keepAliveMaxTimeout: KEEP_ALIVE_TIMEOUT_MS,
+                headersTimeout: 0,
+                bodyTimeout: 0,
+            });
+            this.pools.set(upstream.address, pool);
+        }
+        return pool;
     }
-    return headers;
 }
 
 function createErrorResult(error: unknown, signal: AbortSignal, deadline: RequestDeadline): UpstreamResult {
--- a/src/forward/attempt_filter.test.ts
+++ b/src/forward/attempt_filter.test.ts
@@ -90,6 +90,7 @@
         const reply = this.filter.apply({
             requestId: "r1",
             method: "POST",
+            host: "",
             path: "/payments",
             target: "/payments",
             headers: [],
--- a/src/forward/transient_codes.ts
+++ b/src/forward/transient_codes.ts
@@ -16,6 +16,8 @@
     Code.UpstreamCut,
     Code.UpstreamTimeout,
     Code.UpstreamUnexpected,
+    Code.UpstreamReplaced,
+    Code.UpstreamGarbled,
     Code.PeerUnreachable,
     Code.PeerCut,
     Code.PeerTimeout,
--- a/src/gossip/document_fetcher.ts
+++ b/src/gossip/document_fetcher.ts
@@ -17,7 +17,7 @@
 import { LogLevel } from "../core/log_level.ts";
 import type { Logger } from "../core/logger.ts";
 import type { Metrics } from "../core/metrics.ts";
-import { computeDigest } from "../platform/compute_digest.ts";
+import { computeDigest } from "../published/compute_digest.ts";
 import { compareHeads } from "./compare_heads.ts";
 import type { DocumentHead } from "./document_head.ts";
 import type { DocumentName } from "./document_name.ts";
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -19,7 +19,7 @@
 import type { HealthReportExchange } from "../health/health_report_exchange.ts";
 import type { LeavingAnnouncer } from "../lifecycle/leaving_announcer.ts";
 import type { DaemonTable } from "../membership/daemon_table.ts";
-import type { ConfigStore } from "../platform/config_store.ts";
+import type { ConfigStore } from "../published/config_store.ts";
 import { compareHeads } from "./compare_heads.ts";
 import type { DaemonNotice } from "./daemon_notice.ts";
 import type { DocumentFetcher } from "./document_fetcher.ts";
--- a/src/gossip/head_exchange.ts
+++ b/src/gossip/head_exchange.ts
@@ -1,5 +1,5 @@
 import type { HealthReport } from "../health/health_report.ts";
-import type { RejectedConfig } from "../platform/rejected_config.ts";
+import type { RejectedConfig } from "../published/rejected_config.ts";
 import type { DaemonNotice } from "./daemon_notice.ts";
 import type { DocumentHead } from "./document_head.ts";
 
--- a/src/gossip/merge_pieces.test.ts
+++ b/src/gossip/merge_pieces.test.ts
@@ -1,7 +1,7 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { computeDigest } from "../platform/compute_digest.ts";
+import { computeDigest } from "../published/compute_digest.ts";
 import { buildPieces } from "./build_pieces.ts";
 import { mergePieces } from "./merge_pieces.ts";
 import type { Section } from "./section.ts";
--- a/src/gossip/reader_election.ts
+++ b/src/gossip/reader_election.ts
@@ -1,6 +1,6 @@
 import type { Clock } from "../core/clock.ts";
 import type { DaemonTable } from "../membership/daemon_table.ts";
-import type { ReaderRole } from "../platform/reader_role.ts";
+import type { ReaderRole } from "../published/reader_role.ts";
 import { computeRankScore } from "./compute_rank_score.ts";
 
 interface Options {
--- a/src/gossip/section_history.ts
+++ b/src/gossip/section_history.ts
@@ -1,4 +1,4 @@
-import { computeDigest } from "../platform/compute_digest.ts";
+import { computeDigest } from "../published/compute_digest.ts";
 import type { Section } from "./section.ts";
 
 interface Version {
--- a/src/gossip/startup_query.test.ts
+++ b/src/gossip/startup_query.test.ts
@@ -7,8 +7,8 @@
 import type { ActiveConfig } from "../config/active_config.ts";
 import { Code } from "../core/code.ts";
 import { createFailure } from "../core/create_failure.ts";
-import type { PlatformReader } from "../platform/platform_reader.ts";
-import type { PublishedValue } from "../platform/published_value.ts";
+import type { PlatformReader } from "../published/platform_reader.ts";
+import type { PublishedValue } from "../published/published_value.ts";
 import { PeerSelector } from "./peer_selector.ts";
 import { StartupQuery } from "./startup_query.ts";
 
--- /dev/null
+++ b/src/membership/listed_upstreams.ts
@@ -0,0 +1,38 @@
+import type { OwnedUpstream } from "../queue/owned_upstream.ts";
+import type { OwnedUpstreamReader } from "../queue/owned_upstream_reader.ts";
+import type { MembershipTable } from "./membership_table.ts";
+
+interface Options {
+    readonly membership: MembershipTable;
+    /** Address of the one upstream beside this daemon. */
+    readonly address: string;
+    /** Service of that upstream when the list does not name it. */
+    readonly service: string;
+}
+
+/** Slots to assume while the list does not name the upstream. */
+const defaultSlots = 1;
+
+/**
+ * The upstream beside this daemon, whatever its identifier. A sender may know a new upstream before this daemon does;
+ * the upstream itself refuses requests that are meant for another.
+ */
+export class ListedUpstreams implements OwnedUpstreamReader {
+    constructor(private readonly options: Options) {}
+
+    find(id: string): OwnedUpstream | undefined {
+        const { address, membership, service } = this.options;
+        const listed = membership.find(id);
+        if (listed !== undefined && listed.address !== address) {
+            return undefined;
+        }
+        return { id, address, service: listed?.service ?? service, slots: listed?.slots ?? defaultSlots };
+    }
+
+    list(): readonly OwnedUpstream[] {
+        const { address, membership } = this.options;
+        return membership.getList().list.upstreams
+            .filter(upstream => upstream.address === address)
+            .flatMap(({ id }) => this.find(id) ?? []);
+    }
+}
--- a/src/membership/membership_table.ts
+++ b/src/membership/membership_table.ts
@@ -22,7 +22,7 @@
 import type { Logger } from "../core/logger.ts";
 import type { Metrics } from "../core/metrics.ts";
 import type { Upstream } from "../core/upstream.ts";
-import type { InstanceList } from "../platform/instance_list.ts";
+import type { InstanceList } from "../published/instance_list.ts";
 import type { Daemon } from "./daemon.ts";
 import type { DaemonTable } from "./daemon_table.ts";
 import type { IncarnationReader } from "./incarnation_reader.ts";
@@ -63,6 +63,11 @@
         return this.index.list(service).filter(upstream => !this.isLeaving(upstream.id));
     }
 
+    /** Undefined when the list does not name the upstream. */
+    find(upstreamId: string): Upstream | undefined {
+        return this.index.getUpstream(upstreamId);
+    }
+
     getFirstSeenMs(upstreamId: string): number | undefined {
         return this.firstSeenMs.get(upstreamId);
     }
--- a/src/membership/merge_instances_filter.ts
+++ b/src/membership/merge_instances_filter.ts
@@ -1,7 +1,7 @@
 import type { Result } from "neverthrow";
 import type { Failure } from "../core/failure.ts";
 import type { Filter } from "../core/filter.ts";
-import type { InstanceCandidate } from "../platform/instance_candidate.ts";
+import type { InstanceCandidate } from "../published/instance_candidate.ts";
 import type { MembershipTable } from "./membership_table.ts";
 
 /** Merges a valid list into the membership table; the output is false when it was in force already. */
--- a/src/membership/owner_upstream_index.ts
+++ b/src/membership/owner_upstream_index.ts
@@ -1,6 +1,6 @@
 import type { Upstream } from "../core/upstream.ts";
 import type { OwnerUpstreamReader } from "../operations/owner_upstream_reader.ts";
-import type { InstanceList } from "../platform/instance_list.ts";
+import type { InstanceList } from "../published/instance_list.ts";
 
 /** Upstreams by owner and service, built once for each instance list. */
 export class OwnerUpstreamIndex implements OwnerUpstreamReader {
--- a/src/membership/upstream_index.ts
+++ b/src/membership/upstream_index.ts
@@ -85,5 +85,5 @@
 function isEqual(left: Upstream, right: Upstream): boolean {
     return left.leaving === right.leaving && left.service === right.service && left.ownerId === right.ownerId
         && left.ownerAddress === right.ownerAddress && left.failureDomain === right.failureDomain
-        && left.region === right.region;
+        && left.region === right.region && left.address === right.address && left.slots === right.slots;
 }
--- /dev/null
+++ b/src/published/listed_upstream_table.ts
@@ -0,0 +1,118 @@
+import type { Clock } from "../core/clock.ts";
+import { LogLevel } from "../core/log_level.ts";
+import type { Logger } from "../core/logger.ts";
+import type { Timers } from "../core/timers.ts";
+import type { Upstream } from "../core/upstream.ts";
+import type { MembershipTable } from "../membership/membership_table.ts";
+import { StoreChangeKind } from "./store_change_kind.ts";
+import type { StorePage } from "./store_page.ts";
+
+interface Options {
+    readonly clock: Clock;
+    readonly timers: Timers;
+    readonly logger: Logger;
+    readonly membership: MembershipTable;
+}
+
+/**
+ * Milliseconds after the return of the platform in which entries that expired while it was away are written again by
+ * upstreams that live.
+ */
+const returnMs = 2_000;
+
+interface Entry {
+    readonly upstream: Upstream | undefined;
+    readonly revision: number;
+}
+
+/** The upstreams that the store lists, with the revision of each, so that an older change never replaces a newer. */
+export class ListedUpstreamTable {
+    private readonly entries = new Map<string, Entry>();
+    /** Counts the lists that were handed on. */
+    private version = 0;
+    private changed = false;
+    private returnedAtMs = -Infinity;
+    /** Upstreams whose entries went while the platform was away. */
+    private readonly missing = new Set<string>();
+
+    constructor(private readonly options: Options) {}
+
+    add(upstream: Upstream, revision: number): void {
+        if (this.isNewer(upstream.id, revision)) {
+            this.set(upstream.id, upstream, revision);
+            this.missing.delete(upstream.id);
+        }
+    }
+
+    remove(upstreamId: string, revision: number): void {
+        if (!this.isNewer(upstreamId, revision)) {
+            return;
+        }
+        const known = this.entries.get(upstreamId);
+        if (known?.upstream !== undefined && !known.upstream.leaving && this.isReturning()) {
+            this.missing.add(upstreamId);
+            this.entries.set(upstreamId, { upstream: known.upstream, revision });
+            return;
+        }
+        this.set(upstreamId, undefined, revision);
+    }
+
+    /** Removes the upstreams that a complete page does not list. */
+    removeExcept(page: StorePage): void {
+        const listed = new Set<string>();
+        for (const change of page.changes) {
+            if (change.kind === StoreChangeKind.Upstream) {
+                listed.add(change.upstream.id);
+            }
+        }
+        for (const id of [...this.entries.keys()]) {
+            if (!listed.has(id)) {
+                this.remove(id, page.revision);
+            }
+        }
+    }
+
+    /** Call when the platform answers again after it did not. */
+    recordReturn(): void {
+        this.returnedAtMs = this.options.clock.getMonotonicMs();
+        this.options.timers.start(returnMs, () => this.removeMissing());
+    }
+
+    /** Hands the list to the membership table, when it has changed. */
+    merge(): void {
+        if (!this.changed) {
+            return;
+        }
+        this.changed = false;
+        this.version += 1;
+        const { version } = this;
+        const upstreams = [...this.entries.values()].flatMap(({ upstream }) => upstream ?? []);
+        const result = this.options.membership.merge({ version, upstreams }, `${version}`, "platform");
+        if (result.isErr()) {
+            const { code, detail } = result.error;
+            this.options.logger.write(LogLevel.Warn, "instance_list_refused", { code, detail });
+        }
+    }
+
+    private removeMissing(): void {
+        for (const id of this.missing) {
+            this.set(id, undefined, this.entries.get(id)?.revision ?? 0);
+        }
+        this.missing.clear();
+        this.merge();
+    }
+
+    private set(upstreamId: string, upstream: Upstream | undefined, revision: number): void {
+        this.entries.set(upstreamId, { upstream, revision });
+        this.changed = true;
+    }
+
+    private isReturning(): boolean {
+        return this.options.clock.getMonotonicMs() - this.returnedAtMs < returnMs;
+    }
+
+    private isNewer(upstreamId: string, revision: number): boolean {
+        const known = this.entries.get(upstreamId);
+        return known === undefined || revision > known.revision;
+    }
+}
--- /dev/null
+++ b/src/published/store_change.ts
@@ -0,0 +1,36 @@
+import type { Configuration } from "../config/configuration.ts";
+import type { Upstream } from "../core/upstream.ts";
+import type { StoreChangeKind } from "./store_change_kind.ts";
+
+interface Change {
+    /** Revision of the store at which the value was written. */
+    readonly revision: number;
+}
+
+/** A configuration that the operators wrote. */
+interface ConfigurationChange extends Change {
+    readonly kind: typeof StoreChangeKind.Configuration;
+    /** Version that the operators gave it. */
+    readonly version: number;
+    readonly source: string;
+    readonly configuration: Configuration;
+}
+
+interface UpstreamChange extends Change {
+    readonly kind: typeof StoreChangeKind.Upstream;
+    readonly upstream: Upstream;
+}
+
+interface UpstreamRemoval extends Change {
+    readonly kind: typeof StoreChangeKind.UpstreamRemoved;
+    readonly upstreamId: string;
+}
+
+interface UnreadableChange extends Change {
+    readonly kind: typeof StoreChangeKind.Unreadable;
+    readonly key: string;
+    readonly detail: string;
+}
+
+/** One value of the platform's store, decoded. */
+export type StoreChange = ConfigurationChange | UpstreamChange | UpstreamRemoval | UnreadableChange;
--- /dev/null
+++ b/src/published/store_follower.ts
@@ -0,0 +1,196 @@
+/**
+ * Follows the platform's store: reads all values once, then watches the changes, and reads all again when the store
+ * has forgotten them.
+ *
+ * @example
+ * ```ts
+ * const follower = new StoreFollower({ store, configs, membership, clock, timers, random, logger, metrics });
+ * await follower.start();
+ * follower.close();
+ * ```
+ *
+ * @module
+ */
+import { err, type Result } from "neverthrow";
+import type { Clock } from "../core/clock.ts";
+import { Code } from "../core/code.ts";
+import { createFailure } from "../core/create_failure.ts";
+import type { Failure } from "../core/failure.ts";
+import { LogLevel } from "../core/log_level.ts";
+import type { Logger } from "../core/logger.ts";
+import type { Metrics } from "../core/metrics.ts";
+import type { RandomSource } from "../core/random_source.ts";
+import type { Timer } from "../core/timer.ts";
+import type { Timers } from "../core/timers.ts";
+import type { MembershipTable } from "../membership/membership_table.ts";
+import { computeDigest } from "./compute_digest.ts";
+import type { ConfigStore } from "./config_store.ts";
+import type { ControlPlane } from "./control_plane.ts";
+import { ListedUpstreamTable } from "./listed_upstream_table.ts";
+import type { PublishedStore } from "./published_store.ts";
+import type { StoreChange } from "./store_change.ts";
+import { StoreChangeKind } from "./store_change_kind.ts";
+import type { StorePage } from "./store_page.ts";
+
+interface Options {
+    readonly store: PublishedStore;
+    readonly configs: ConfigStore;
+    readonly membership: MembershipTable;
+    readonly clock: Clock;
+    readonly timers: Timers;
+    readonly random: RandomSource;
+    readonly logger: Logger;
+    readonly metrics: Metrics;
+    /** Longest time in milliseconds that `start` waits for a configuration. */
+    readonly startWaitMs: number;
+}
+
+/** Milliseconds that one watch waits for a change; each call has a price, also one that brings nothing. */
+const watchMs = 20_000;
+/**
+ * Milliseconds between a change and the next watch. Changes that follow each other closely then cost one call; the
+ * platform grants 2 s from a change until it must be in force.
+ */
+const pauseMs = 400;
+/** Milliseconds in which the store answers a call beyond the time that it waits for a change. */
+const callMs = 2_000;
+/** Back-off in milliseconds after failed calls. */
+const backoffMinMs = 100;
+const backoffMaxMs = 1_000;
+
+/** Control plane of a daemon that reads the store itself. */
+export class StoreFollower implements ControlPlane {
+    private readonly upstreams: ListedUpstreamTable;
+    /** Revision to watch from; undefined when all values must be read. */
+    private revision: number | undefined;
+    private failures = 0;
+    private closed = false;
+    private timer: Timer | undefined;
+    private resolveReady: () => void = () => undefined;
+    private readonly ready = new Promise<void>(resolve => {
+        this.resolveReady = resolve;
+    });
+
+    constructor(private readonly options: Options) {
+        this.upstreams = new ListedUpstreamTable(options);
+    }
+
+    async start(): Promise<void> {
+        void this.run();
+        const limit = this.options.timers.start(this.options.startWaitMs, () => this.resolveReady());
+        await this.ready;
+        limit.close();
+    }
+
+    close(): void {
+        this.closed = true;
+        this.timer?.close();
+        this.options.store.close();
+    }
+
+    private async run(): Promise<void> {
+        while (!this.closed) {
+            const delayMs = await this.runOnce();
+            if (delayMs > 0) {
+                await this.waitMs(delayMs);
+            }
+        }
+    }
+
+    /** Makes one call and returns the delay before the next in milliseconds. */
+    private async runOnce(): Promise<number> {
+        const { revision } = this;
+        const result = revision === undefined
+            ? await this.fetch(this.options.store.fetchAll(), callMs)
+            : await this.fetch(this.options.store.watch(revision, watchMs), watchMs + callMs);
+        if (this.closed) {
+            return 0;
+        }
+        if (result.isErr()) {
+            return this.handleFailure(result.error);
+        }
+        if (this.failures > 0) {
+            this.options.logger.write(LogLevel.Info, "platform_back", { failures: this.failures });
+            this.failures = 0;
+            this.upstreams.recordReturn();
+        }
+        this.apply(result.value, revision === undefined);
+        return result.value.changes.length === 0 ? 0 : pauseMs;
+    }
+
+    private fetch(
+        call: Promise<Result<StorePage, Failure>>,
+        limitMs: number,
+    ): Promise<Result<StorePage, Failure>> {
+        this.options.metrics.addCount("platform.reads", { document: "store" });
+        return new Promise(resolve => {
+            const timer = this.options.timers.start(limitMs, () => {
+                resolve(err(createFailure(Code.PlatformUnreachable, { detail: "the call took too long" })));
+            });
+            void call.then(result => {
+                timer.close();
+                resolve(result);
+            });
+        });
+    }
+
+    private apply(page: StorePage, isComplete: boolean): void {
+        this.revision = page.revision;
+        for (const change of page.changes) {
+            this.applyChange(change);
+        }
+        if (isComplete) {
+            this.upstreams.removeExcept(page);
+        }
+        this.upstreams.merge();
+        if (this.options.configs.getActive() !== undefined) {
+            this.resolveReady();
+        }
+    }
+
+    private applyChange(change: StoreChange): void {
+        const { configs, logger } = this.options;
+        switch (change.kind) {
+            case StoreChangeKind.Configuration: {
+                const { configuration, source, version } = change;
+                configs.update({ version, digest: computeDigest(source), source, configuration }, "platform");
+                break;
+            }
+            case StoreChangeKind.Upstream:
+                this.upstreams.add(change.upstream, change.revision);
+                break;
+            case StoreChangeKind.UpstreamRemoved:
+                this.upstreams.remove(change.upstreamId, change.revision);
+                break;
+            case StoreChangeKind.Unreadable:
+                logger.write(LogLevel.Warn, "platform_value_unreadable", {
+                    key: change.key,
+                    revision: change.revision,
+                    detail: change.detail,
+                });
+        }
+    }
+
+    private handleFailure(failure: Failure): number {
+        const { logger, metrics, random } = this.options;
+        const { code, detail } = failure;
+        metrics.addCount("platform.failures", { document: "store", code: `${code}` });
+        if (code === Code.PlatformHistoryGone) {
+            this.revision = undefined;
+            return 0;
+        }
+        this.failures += 1;
+        if (this.failures === 1) {
+            logger.write(LogLevel.Warn, "platform_failed", { code, detail });
+        }
+        // Jitter between half and all of the delay keeps the daemons from returning together.
+        const delayMs = Math.min(backoffMaxMs, backoffMinMs * 2 ** Math.min(this.failures - 1, 16));
+        return delayMs * (0.5 + random.take() / 2);
+    }
+
+    private waitMs(delayMs: number): Promise<void> {
+        return new Promise(resolve => {
+            this.timer = this.options.timers.start(delayMs, resolve);
+        });
+    }
+}
--- a/src/queue/queue_filter.property.test.ts
+++ b/src/queue/queue_filter.property.test.ts
@@ -7,6 +7,7 @@
 import { Outcome } from "../core/outcome.ts";
 import { WorkClass } from "../core/work_class.ts";
 import { DaemonState } from "../lifecycle/daemon_state.ts";
+import { ConfiguredUpstreams } from "./configured_upstreams.ts";
 import { QueueFilter } from "./queue_filter.ts";
 import type { QueuedRequest } from "./queued_request.ts";
 
@@ -52,7 +53,12 @@
                 const queue = new QueueFilter({
                     clock: time,
                     timers: time,
-                    upstreams: [{ id: "u1", service: "payments", address: "", slots }],
+                    upstreams: new ConfiguredUpstreams([{
+                        id: "u1",
+                        service: "payments",
+                        address: "",
+                        slots,
+                    }]),
                     daemonState: { getState: () => DaemonState.Serving },
                 });
                 const callers: AbortController[] = [];
--- a/src/queue/queue_filter.test.ts
+++ b/src/queue/queue_filter.test.ts
@@ -9,6 +9,7 @@
 import { Outcome } from "../core/outcome.ts";
 import { WorkClass } from "../core/work_class.ts";
 import { DaemonState } from "../lifecycle/daemon_state.ts";
+import { ConfiguredUpstreams } from "./configured_upstreams.ts";
 import { QueueFilter } from "./queue_filter.ts";
 import type { QueuedRequest } from "./queued_request.ts";
 
@@ -18,7 +19,7 @@
     const queue = new QueueFilter({
         clock: time,
         timers: time,
-        upstreams: [{ id: "u1", service: "payments", address: "", slots }],
+        upstreams: new ConfiguredUpstreams([{ id: "u1", service: "payments", address: "", slots }]),
         daemonState: { getState: () => daemon.state },
     });
     return { time, daemon, queue };
--- a/src/queue/queue_filter.ts
+++ b/src/queue/queue_filter.ts
@@ -27,16 +27,12 @@
 
 /** Gives each request a slot of its upstream, or refuses it with outcome not-executed. */
 export class QueueFilter implements Filter<OwnerRequest, QueuedRequest>, QueueStateReader {
-    private readonly queues: ReadonlyMap<string, UpstreamQueue>;
+    private readonly queues = new Map<string, UpstreamQueue>();
 
-    constructor(private readonly options: QueueFilterOptions) {
-        this.queues = new Map(
-            options.upstreams.map(upstream => [upstream.id, new UpstreamQueue(upstream, options)]),
-        );
-    }
+    constructor(private readonly options: QueueFilterOptions) {}
 
     async apply(request: OwnerRequest): Promise<Result<QueuedRequest, Failure>> {
-        const queue = this.queues.get(request.upstreamId);
+        const queue = this.getQueue(request.upstreamId);
         if (queue === undefined) {
             return err(createFailure(Code.NotOwner));
         }
@@ -48,7 +44,7 @@
     }
 
     getState(upstreamId: string): QueueState | undefined {
-        return this.queues.get(upstreamId)?.getState();
+        return this.getQueue(upstreamId)?.getState();
     }
 
     /** Hands back all work that has not started, and refuses later work, with code `OwnerLeaving`. */
@@ -62,4 +58,19 @@
     drainUpstream(upstreamId: string): void {
         this.queues.get(upstreamId)?.drain();
     }
+
+    /** Creates the queue of an owned upstream when it is first needed, and drops those of others when idle. */
+    private getQueue(upstreamId: string): UpstreamQueue | undefined {
+        const upstream = this.options.upstreams.find(upstreamId);
+        const known = this.queues.get(upstreamId);
+        if (upstream === undefined) {
+            if (known?.isIdle() === true) {
+                this.queues.delete(upstreamId);
+            }
+            return undefined;
+        }
+        const queue = known ?? new UpstreamQueue(upstream, this.options);
+        this.queues.set(upstreamId, queue);
+        return queue;
+    }
 }
--- a/src/queue/queue_filter_options.ts
+++ b/src/queue/queue_filter_options.ts
@@ -1,7 +1,7 @@
 import type { Clock } from "../core/clock.ts";
 import type { Timers } from "../core/timers.ts";
 import type { DaemonStateReader } from "../lifecycle/daemon_state_reader.ts";
-import type { OwnedUpstream } from "./owned_upstream.ts";
+import type { OwnedUpstreamReader } from "./owned_upstream_reader.ts";
 import type { ShedPolicy } from "./shed_policy.ts";
 import type { SlotLimit } from "./slot_limit.ts";
 
@@ -9,7 +9,7 @@
 export interface QueueFilterOptions {
     readonly clock: Clock;
     readonly timers: Timers;
-    readonly upstreams: readonly OwnedUpstream[];
+    readonly upstreams: OwnedUpstreamReader;
     readonly daemonState: DaemonStateReader;
     /** Creates the policy of one upstream's queue; `SustainedWaitShedPolicy` by default. */
     readonly createShedPolicy?: () => ShedPolicy;
--- a/src/queue/resolve_filter.ts
+++ b/src/queue/resolve_filter.ts
@@ -1,11 +1,13 @@
 /**
- * First filter of the owner's side: looks up service and route in the configuration in force and starts the
- * deadline on the local clock.
+ * First filter of the owner's side: looks up service and route in the configuration in force, or takes
+ * the terms of the route from the sender, and starts the deadline on the local clock.
  *
  * @module
  */
 import { err, ok, type Result } from "neverthrow";
 import type { ActiveConfigReader } from "../config/active_config_reader.ts";
+import { createDefaultRoute } from "../config/create_default_route.ts";
+import { createDefaultService } from "../config/create_default_service.ts";
 import type { Clock } from "../core/clock.ts";
 import { Code } from "../core/code.ts";
 import { createFailure } from "../core/create_failure.ts";
@@ -24,12 +26,15 @@
     constructor(private readonly options: ResolveFilterOptions) {}
 
     apply(incoming: IncomingDispatch): Result<OwnerRequest, Failure> {
-        const service = this.options.config.getActive()?.configuration.services.get(incoming.service);
-        const route = service?.routes.find(candidate => candidate.name === incoming.route);
+        const { remainingMs, terms, ...rest } = incoming;
+        const service = this.options.config.getActive()?.configuration.services.get(incoming.service)
+            ?? (terms === undefined ? undefined : createDefaultService(incoming.service));
+        const route = terms === undefined
+            ? service?.routes.find(candidate => candidate.name === incoming.route)
+            : createDefaultRoute({ ...terms, name: incoming.route, service: incoming.service });
         if (service === undefined || route === undefined) {
             return err(createFailure(Code.UnknownRouteAtOwner));
         }
-        const { remainingMs, ...rest } = incoming;
         const receivedAtMs = this.options.clock.getMonotonicMs();
         return ok({ ...rest, service, route, receivedAtMs, deadlineMs: receivedAtMs + remainingMs });
     }
--- a/src/queue/service_times.ts
+++ b/src/queue/service_times.ts
@@ -11,6 +11,8 @@
 /** Weights of RFC 6298 for the mean and the mean deviation of a measured time. */
 const meanWeight = 1 / 8;
 const deviationWeight = 1 / 4;
+/** Mean deviations by which the service time of work that had to wait may exceed its mean. */
+const marginDeviations = 2;
 /**
  * Age at which a measurement no longer counts. Without this limit an estimate above all deadlines would refuse all
  * work, so that no new measurement could correct it.
@@ -46,6 +48,15 @@
         return this.getRecent(route, nowMs)?.deviationMs ?? route.serviceMs / 2;
     }
 
+    /**
+     * Time in milliseconds that work needs with a slot. Work that waits displaces other work when it misses its
+     * deadline, so it needs a margin; work that gets a free slot does not.
+     */
+    computeNeededMs(route: RouteConfig, waitMs: number, nowMs: number): number {
+        const marginMs = waitMs > 0 ? marginDeviations * this.getDeviationMs(route, nowMs) : 0;
+        return this.getMeanMs(route, nowMs) + marginMs;
+    }
+
     private getRecent(route: RouteConfig, nowMs: number): Measured | undefined {
         const measured = this.routes.get(route.name);
         return measured === undefined || nowMs - measured.measuredAtMs > staleMs ? undefined : measured;
--- a/src/queue/upstream_queue.ts
+++ b/src/queue/upstream_queue.ts
@@ -32,8 +32,6 @@
 import { SustainedWaitShedPolicy } from "./sustained_wait_shed_policy.ts";
 import { WaitCorrection } from "./wait_correction.ts";
 
-/** Mean deviations by which the service time of work that had to wait may exceed its mean. */
-const marginDeviations = 2;
 /**
  * Multiple of the mean service time above which short work that may be redirected does not wait. A redirect costs one
  * round trip between daemons; docs/measurements.md compares the figures.
@@ -98,6 +96,11 @@
         }
     }
 
+    /** True when no request waits or runs. */
+    isIdle(): boolean {
+        return this.running.count() === 0 && Object.values(this.queues).every(queue => queue.count() === 0);
+    }
+
     getState(): QueueState {
         const nowMs = this.options.clock.getMonotonicMs();
         const { short, long } = this.queues;
@@ -123,7 +126,10 @@
         if (nowMs >= request.deadlineMs) {
             return Code.DeadlineExceeded;
         }
-        if (nowMs + waitMs + this.computeNeededMs(request, waitMs, nowMs) > request.deadlineMs) {
+        if (
+            nowMs + waitMs + this.serviceTimes.computeNeededMs(request.route, waitMs, nowMs) >
+                request.deadlineMs
+        ) {
             return Code.WaitTooLong;
         }
         if (this.isRedirected(request, nowMs, waitMs)) {
@@ -167,17 +173,6 @@
         return entry !== undefined;
     }
 
-    /**
-     * Time in milliseconds that the request needs with a slot. Work that waits displaces other work when it misses
-     * its deadline, so it needs a margin; work that gets a free slot does not.
-     */
-    private computeNeededMs(request: OwnerRequest, waitMs: number, nowMs: number): number {
-        const marginMs = waitMs > 0
-            ? marginDeviations * this.serviceTimes.getDeviationMs(request.route, nowMs)
-            : 0;
-        return this.serviceTimes.getMeanMs(request.route, nowMs) + marginMs;
-    }
-
     private addEntry(arrived: QueueEntry): void {
         const { request } = arrived;
         const queue = this.queues[request.route.workClass];
@@ -226,7 +221,7 @@
         if (nowMs >= request.deadlineMs) {
             return Code.DeadlineExceeded;
         }
-        if (nowMs + this.computeNeededMs(request, waitMs, nowMs) > request.deadlineMs) {
+        if (nowMs + this.serviceTimes.computeNeededMs(request.route, waitMs, nowMs) > request.deadlineMs) {
             return Code.WaitTooLong;
         }
         return shed ? Code.OwnerOverloaded : Code.Ok;
--- a/src/receive/caller_request.ts
+++ b/src/receive/caller_request.ts
@@ -4,6 +4,8 @@
 export interface CallerRequest {
     readonly requestId: string;
     readonly method: string;
+    /** Host in lower case without a port; empty when the request names none. */
+    readonly host: string;
     readonly path: string;
     /** Path and query. */
     readonly target: string;
--- a/src/receive/receive_filter.test.ts
+++ b/src/receive/receive_filter.test.ts
@@ -6,13 +6,25 @@
 import type { MessageHeader } from "../core/message_header.ts";
 import { Outcome } from "../core/outcome.ts";
 import { encodeKey } from "../operations/encode_key.ts";
+import { HeaderCallerCodec } from "./header_caller_codec.ts";
 import { ReceiveFilter } from "./receive_filter.ts";
 
-const filter = new ReceiveFilter({ clock: new VirtualTime(), random: new SeededRandom(1) });
+const filter = new ReceiveFilter({
+    clock: new VirtualTime(),
+    random: new SeededRandom(1),
+    codec: new HeaderCallerCodec(),
+});
 
 function applyHeaders(...headers: MessageHeader[]) {
     const signal = new AbortController().signal;
-    return filter.apply({ method: "GET", target: "/a/b?c=1", headers, body: new Uint8Array(), signal });
+    return filter.apply({
+        method: "GET",
+        host: "",
+        target: "/a/b?c=1",
+        headers,
+        body: new Uint8Array(),
+        signal,
+    });
 }
 
 test("budget, organisation and key come from their headers and are not passed on twice", () => {
--- a/src/route/route_table.test.ts
+++ b/src/route/pattern_route_table.test.ts
@@ -5,10 +5,10 @@
 import type { RouteConfig } from "../config/route_config.ts";
 import type { ServiceConfig } from "../config/service_config.ts";
 import { Code } from "../core/code.ts";
-import { RouteTable } from "./route_table.ts";
+import { PatternRouteTable } from "./pattern_route_table.ts";
 
 const fields = "class: short, idempotent: true, deadlineMs: 1000";
-const table = new RouteTable(
+const table = new PatternRouteTable(
     parseConfiguration(`
 team: test
 services:
@@ -27,7 +27,7 @@
 );
 
 function findName(method: string, path: string): string | Code {
-    return table.find(method, path).match(match => match.route.name, code => code);
+    return table.find({ method, host: "", path }).match(match => match.route.name, code => code);
 }
 
 test("the most specific route wins, so that a pattern never hides a literal path", () => {
@@ -59,7 +59,7 @@
 });
 
 test("the table finds the route that a scan of all routes finds", () => {
-    const configured = table.find("GET", "/bills")._unsafeUnwrap();
+    const configured = table.find({ method: "GET", host: "", path: "/bills" })._unsafeUnwrap();
     const segment = fc.constantFrom("a", "b", "{x}");
     const path = fc.tuple(fc.array(segment, { maxLength: 4 }), fc.constantFrom("", "/", "/*"))
         .map(([segments, end]) => segments.map(text => `/${text}`).join("") + end)
@@ -70,10 +70,13 @@
         fc.property(paths, fc.array(requested, { minLength: 1, maxLength: 8 }), (patterns, requests) => {
             const routes = patterns.map((pattern): RouteConfig => ({ ...configured.route, path: pattern }));
             const service: ServiceConfig = { ...configured.service, routes };
-            const found = new RouteTable({ team: "t", services: new Map([["s", service]]) });
+            const found = new PatternRouteTable({ team: "t", services: new Map([["s", service]]) });
             for (const segments of requests) {
                 const request = `/${segments.join("/")}`;
-                const actual = found.find("GET", request).match(match => match.route.path, () => undefined);
+                const actual = found.find({ method: "GET", host: "", path: request }).match(
+                    match => match.route.path,
+                    () => undefined,
+                );
                 assert.equal(actual, findByScan(patterns, segments), `${patterns.join(" ")} for ${request}`);
             }
         }),
--- a/src/route/route_table.ts
+++ b/src/route/pattern_route_table.ts
@@ -3,8 +3,8 @@
  *
  * @example
  * ```ts
- * const table = new RouteTable(configuration);
- * const match = table.find("GET", "/bills/42");
+ * const table = new PatternRouteTable(configuration);
+ * const match = table.find({ method: "GET", host: "", path: "/bills/42" });
  * ```
  *
  * @module
@@ -12,7 +12,9 @@
 import { err, ok, type Result } from "neverthrow";
 import type { Configuration } from "../config/configuration.ts";
 import { Code } from "../core/code.ts";
+import type { RouteFinder } from "./route_finder.ts";
 import type { RouteMatch } from "./route_match.ts";
+import type { RouteQuery } from "./route_query.ts";
 
 interface SegmentNode {
     // Most nodes have one or two of these, and empty maps would double the time to build the tree.
@@ -28,7 +30,7 @@
  * The routes of one configuration. A literal segment takes precedence over `{name}`, which takes precedence
  * over `*`, from the first segment to the last.
  */
-export class RouteTable {
+export class PatternRouteTable implements RouteFinder {
     private readonly root = createNode();
 
     constructor(configuration: Configuration) {
@@ -40,7 +42,7 @@
     }
 
     /** The error is `NoRoute`, or `MethodNotAllowed` when only the method differs. */
-    find(method: string, path: string): Result<RouteMatch, Code> {
+    find({ method, path }: RouteQuery): Result<RouteMatch, Code> {
         const segments = path.split("/");
         // Upstreams may resolve dot segments, so that another path than the matched one would be executed.
         if (segments[0] !== "" || segments.some(isDotSegment)) {
--- a/src/route/route_filter.test.ts
+++ b/src/route/route_filter.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { readFileSync } from "node:fs";
 import { test } from "node:test";
+import { SeededRandom } from "../../proof/fakes/seeded_random.ts";
 import { VirtualTime } from "../../proof/fakes/virtual_time.ts";
 import type { ActiveConfig } from "../config/active_config.ts";
 import { parseConfiguration } from "../config/parse_configuration.ts";
@@ -17,6 +18,7 @@
     return {
         requestId: "r1",
         method: "GET",
+        host: "",
         path: "/outages",
         target: "/outages",
         headers: [],
@@ -31,14 +33,22 @@
 }
 
 test("without a configuration the request is refused and not lost", () => {
-    const filter = new RouteFilter({ getActive: () => undefined }, new VirtualTime());
+    const filter = new RouteFilter({
+        config: { getActive: () => undefined },
+        clock: new VirtualTime(),
+        random: new SeededRandom(1),
+    });
     assert.equal(filter.apply(createRequest({}))._unsafeUnwrapErr().code, Code.NotReady);
 });
 
 test("the deadline counts from the receipt and takes the smaller of budget and route", async () => {
     const time = new VirtualTime();
     await time.run(100);
-    const filter = new RouteFilter({ getActive: () => active }, time);
+    const filter = new RouteFilter({
+        config: { getActive: () => active },
+        clock: time,
+        random: new SeededRandom(1),
+    });
     const routed = filter.apply(createRequest({ receivedAtMs: 90 }))._unsafeUnwrap();
     assert.deepEqual([routed.route.name, routed.service.name, routed.configVersion], [
         "listOutages",
@@ -55,13 +65,21 @@
 test("a request whose deadline passed before routing is truthfully not executed", async () => {
     const time = new VirtualTime();
     await time.run(50);
-    const filter = new RouteFilter({ getActive: () => active }, time);
+    const filter = new RouteFilter({
+        config: { getActive: () => active },
+        clock: time,
+        random: new SeededRandom(1),
+    });
     const failure = filter.apply(createRequest({ receivedAtMs: 0, budgetMs: 50 }))._unsafeUnwrapErr();
     assert.deepEqual([failure.code, failure.outcome], [Code.DeadlineExceeded, Outcome.NotExecuted]);
 });
 
 test("a body above the limit of its route is refused", () => {
-    const filter = new RouteFilter({ getActive: () => active }, new VirtualTime());
+    const filter = new RouteFilter({
+        config: { getActive: () => active },
+        clock: new VirtualTime(),
+        random: new SeededRandom(1),
+    });
     const body = new Uint8Array(16_385);
     const failure = filter.apply(createRequest({ method: "POST", path: "/payments", body }))
         ._unsafeUnwrapErr();
@@ -70,7 +88,11 @@
 
 test("a new configuration takes effect with the next request", () => {
     let current = active;
-    const filter = new RouteFilter({ getActive: () => current }, new VirtualTime());
+    const filter = new RouteFilter({
+        config: { getActive: () => current },
+        clock: new VirtualTime(),
+        random: new SeededRandom(1),
+    });
     assert.ok(filter.apply(createRequest({})).isOk());
     current = { ...active, version: 8, configuration: { ...configuration, services: new Map() } };
     assert.equal(filter.apply(createRequest({}))._unsafeUnwrapErr().code, Code.NoRoute);
--- /dev/null
+++ b/src/route/route_query.ts
@@ -0,0 +1,8 @@
+/** What decides the route of a request. */
+export interface RouteQuery {
+    readonly method: string;
+    /** Host in lower case without a port; empty when the request names none. */
+    readonly host: string;
+    /** Without the query. */
+    readonly path: string;
+}
--- /dev/null
+++ b/src/route/split_sequence.ts
@@ -0,0 +1,42 @@
+/**
+ * Divides the requests of one route between services in the proportions of their weights.
+ *
+ * @example
+ * ```ts
+ * const sequence = new SplitSequence(random.take());
+ * const service = sequence.take(new Map([["payments", 90], ["accounts", 10]]));
+ * ```
+ *
+ * @module
+ */
+
+/** Fractional part of the golden ratio: its multiples spread evenly over [0, 1) for every number of them. */
+const step = (Math.sqrt(5) - 1) / 2;
+
+/** A low-discrepancy sequence: the shares are near the weights also over few requests. */
+export class SplitSequence {
+    /** `start` in [0, 1) keeps the sequences of several daemons apart. */
+    constructor(private position: number) {}
+
+    /** Undefined when no weight is above 0. */
+    take(weights: ReadonlyMap<string, number>): string | undefined {
+        let total = 0;
+        for (const weight of weights.values()) {
+            total += weight;
+        }
+        this.position = (this.position + step) % 1;
+        let rest = this.position * total;
+        let last: string | undefined;
+        for (const [service, weight] of weights) {
+            if (weight <= 0) {
+                continue;
+            }
+            last = service;
+            rest -= weight;
+            if (rest < 0) {
+                break;
+            }
+        }
+        return last;
+    }
+}
--- a/src/running_daemon.ts
+++ b/src/running_daemon.ts
@@ -1,19 +1,18 @@
 import { ok, type Result } from "neverthrow";
+import type { ActiveConfigReader } from "./config/active_config_reader.ts";
 import type { Failure } from "./core/failure.ts";
 import type { Daemon } from "./daemon.ts";
 import type { PauseDetector } from "./dispatch/pause_detector.ts";
 import type { DaemonServers } from "./edge/daemon_servers.ts";
-import type { Gossip } from "./gossip/gossip.ts";
-import type { StartupQuery } from "./gossip/startup_query.ts";
+import { DaemonState } from "./lifecycle/daemon_state.ts";
 import type { DrainReport } from "./lifecycle/drain_report.ts";
 import type { Lifecycle } from "./lifecycle/lifecycle.ts";
-import type { PlatformWatcher } from "./platform/platform_watcher.ts";
+import type { ControlPlane } from "./published/control_plane.ts";
 
 interface Options {
     readonly servers: DaemonServers;
-    readonly startup: StartupQuery;
-    readonly watcher: PlatformWatcher;
-    readonly gossip: Gossip;
+    readonly store: ActiveConfigReader;
+    readonly controlPlane: ControlPlane;
     readonly lifecycle: Lifecycle;
     readonly pauses: PauseDetector;
     /** Clients to close at the end. */
@@ -32,16 +31,13 @@
     }
 
     async start(): Promise<Result<void, Failure>> {
-        const { gossip, lifecycle, pauses, servers, startup, watcher } = this.options;
+        const { controlPlane, lifecycle, pauses, servers } = this.options;
         const internal = await servers.openInternal();
         if (internal.isErr()) {
             return internal;
         }
         pauses.start();
-        // Without a configuration the daemon serves too: it answers NotReady until the watches bring one.
-        await startup.run();
-        watcher.start();
-        gossip.start();
+        await controlPlane.start();
         const callers = await servers.openCallers();
         if (callers.isErr()) {
             return callers;
@@ -50,6 +46,11 @@
         return ok(undefined);
     }
 
+    isReady(): boolean {
+        const { lifecycle, store } = this.options;
+        return lifecycle.getState() === DaemonState.Serving && store.getActive() !== undefined;
+    }
+
     drain(cause: string): Promise<Result<DrainReport, Failure>> {
         void this.options.lifecycle.waitForClose(cause).then(this.resolveEnded);
         return this.options.lifecycle.drain(cause);
@@ -60,9 +61,8 @@
     }
 
     async close(): Promise<void> {
-        const { closers, gossip, pauses, servers, watcher } = this.options;
-        watcher.close();
-        gossip.close();
+        const { closers, controlPlane, pauses, servers } = this.options;
+        controlPlane.close();
         pauses.close();
         await servers.close();
         await Promise.all(closers.map(async closer => closer.close()));
--- a/src/select/power_of_two_selector.test.ts
+++ b/src/select/power_of_two_selector.test.ts
@@ -41,6 +41,7 @@
         const request: RoutedRequest = {
             requestId: `${this.sent}`,
             method: route.method,
+            host: "",
             path: route.path,
             target: route.path,
             headers: [],
--- a/src/settle/decide_verdict.ts
+++ b/src/settle/decide_verdict.ts
@@ -14,6 +14,9 @@
     [UpstreamResultKind.TimedOut]: Code.UpstreamTimeout,
     [UpstreamResultKind.Cancelled]: Code.CallerCancelled,
     [UpstreamResultKind.AnswerTooLarge]: Code.AnswerTooLarge,
+    [UpstreamResultKind.Declined]: Code.UpstreamShed,
+    [UpstreamResultKind.Replaced]: Code.UpstreamReplaced,
+    [UpstreamResultKind.Garbled]: Code.UpstreamGarbled,
 } as const;
 
 /** Judges the result of an exchange; `not-executed` only when no byte was sent or the upstream declared it. */
@@ -26,7 +29,7 @@
     const code = codeOfKind[result.kind];
     // The status of an answer that was too large is not known to be one that the route expects.
     const outcome = code === Code.AnswerTooLarge ? Outcome.Unknown : codeTable[code].outcome;
-    return buildVerdict(code, { outcome, detail: result.detail });
+    return buildVerdict(code, { outcome, detail: result.detail, shed: code === Code.UpstreamShed });
 }
 
 function decideAnswer(route: RouteConfig, answer: Answer): Verdict {
--- a/src/status/status_builder.ts
+++ b/src/status/status_builder.ts
@@ -8,8 +8,8 @@
 import type { Lifecycle } from "../lifecycle/lifecycle.ts";
 import type { MembershipTable } from "../membership/membership_table.ts";
 import type { OwnerIdentity } from "../operations/owner_identity.ts";
-import type { ConfigStore } from "../platform/config_store.ts";
-import type { OwnedUpstream } from "../queue/owned_upstream.ts";
+import type { ConfigStore } from "../published/config_store.ts";
+import type { OwnedUpstreamReader } from "../queue/owned_upstream_reader.ts";
 import type { UpstreamStateBuilder } from "../settle/upstream_state_builder.ts";
 import type { DaemonStatus } from "./daemon_status.ts";
 import type { ServiceStatus } from "./service_status.ts";
@@ -18,7 +18,7 @@
     readonly identity: OwnerIdentity;
     readonly failureDomain: string;
     readonly region: string;
-    readonly upstreams: readonly OwnedUpstream[];
+    readonly upstreams: OwnedUpstreamReader;
     readonly lifecycle: Lifecycle;
     readonly store: ConfigStore;
     readonly membership: MembershipTable;
@@ -50,7 +50,9 @@
             rejected: store.getRejected(),
             instanceListVersion: membership.getVersion(),
             services: services.map(service => this.buildService(service)),
-            owned: upstreams.map(upstream => states.build(upstream.id)).filter(state => state !== undefined),
+            owned: upstreams.list().map(upstream => states.build(upstream.id)).filter(state =>
+                state !== undefined
+            ),
         };
     }
 
--- /dev/null
+++ b/src/wiring/build_entry.ts
@@ -0,0 +1,93 @@
+import { AdmitFilter } from "../admit/admit_filter.ts";
+import { InFlightFilter } from "../admit/in_flight_filter.ts";
+import { InFlightTable } from "../admit/in_flight_table.ts";
+import { SaturationTable } from "../admit/saturation_table.ts";
+import { AnswerFilter } from "../answer/answer_filter.ts";
+import { CallerHandler } from "../answer/caller_handler.ts";
+import { Pipeline } from "../core/pipeline.ts";
+import type { DaemonAdapters } from "../daemon_adapters.ts";
+import { ConnectRevoker } from "../edge/control/connect_revoker.ts";
+import { UndiciForwarder } from "../edge/peer_http/undici_forwarder.ts";
+import { AttemptExchanger } from "../forward/attempt_exchanger.ts";
+import { AttemptFilter } from "../forward/attempt_filter.ts";
+import { LocalForwarder } from "../forward/local_forwarder.ts";
+import { OwnerForwarder } from "../forward/owner_forwarder.ts";
+import { TokenRetryBudget } from "../forward/token_retry_budget.ts";
+import { OwnerUpstreamIndex } from "../membership/owner_upstream_index.ts";
+import { KeyIssuer } from "../operations/key_issuer.ts";
+import { KeyRequestFilter } from "../operations/key_request_filter.ts";
+import { KeyedOutcomeFilter } from "../operations/keyed_outcome_filter.ts";
+import { KeyedSelector } from "../operations/keyed_selector.ts";
+import { KnownOwnerTable } from "../operations/known_owner_table.ts";
+import { ServiceTimes } from "../queue/service_times.ts";
+import { HeaderCallerCodec } from "../receive/header_caller_codec.ts";
+import { ReceiveFilter } from "../receive/receive_filter.ts";
+import { RouteFilter } from "../route/route_filter.ts";
+import { PowerOfTwoSelector } from "../select/power_of_two_selector.ts";
+import { RotationPreference } from "../select/rotation_preference.ts";
+import type { ServeSettings } from "../settings/serve_settings.ts";
+import type { BaseParts } from "./base_parts.ts";
+import type { ControlParts } from "./control_parts.ts";
+import type { OwnerParts } from "./owner_parts.ts";
+
+/** Where the daemon runs. */
+type Place = Pick<ServeSettings, "failureDomain" | "region">;
+
+/** The entry's side: from a caller's request to its answer. */
+export function buildEntry(
+    place: Place,
+    base: BaseParts,
+    control: ControlParts,
+    owner: OwnerParts,
+    adapters?: DaemonAdapters,
+) {
+    const codec = adapters?.callerCodec ?? new HeaderCallerCodec();
+    const { clock, identity, metrics, random } = base;
+    const { membership, store } = control;
+    const connectRevoker = new ConnectRevoker(control.transports);
+    const remote = new UndiciForwarder({
+        clock,
+        sendRevoke: (address, target) => connectRevoker.revoke(address, target),
+    });
+    const local = new LocalForwarder({ owner: owner.register, revoker: owner.revoker });
+    const forwarder = new OwnerForwarder({ daemonId: identity.ownerId, local, remote });
+    const selector = new PowerOfTwoSelector({
+        ...base,
+        ...place,
+        membership,
+        leaving: membership,
+    });
+    const preference = new RotationPreference({ config: store, selector });
+    const owners = new KnownOwnerTable({ ...base, membership, incarnations: membership, preference });
+    const inFlight = new InFlightTable();
+    const saturation = new SaturationTable(clock, membership);
+    const serviceTimes = new ServiceTimes();
+    const attempt = new AttemptFilter({
+        selector,
+        keyedSelector: new KeyedSelector({
+            upstreams: new OwnerUpstreamIndex(() => membership.getList().list),
+            owners,
+            preference,
+            baselines: selector,
+        }),
+        owners,
+        exchanger: new AttemptExchanger({ ...base, forwarder }),
+        budget: new TokenRetryBudget(clock),
+        leaving: membership,
+        clock,
+    });
+    const forward = Pipeline.start(new RouteFilter({ config: store, clock, random }))
+        .pipe(new AdmitFilter({ clock, config: store, inFlight, saturation, serviceTimes }))
+        .pipe(new InFlightFilter({ clock, inFlight, saturation, serviceTimes, inner: attempt }));
+    const serve = Pipeline.start(new KeyedOutcomeFilter(forward)).pipe(new AnswerFilter(codec));
+    const handler = new CallerHandler({
+        ...base,
+        codec,
+        receive: new ReceiveFilter({ clock, random, codec }),
+        serve: adapters === undefined
+            ? new KeyRequestFilter({ issuer: new KeyIssuer({ owners, clock, random }), inner: serve })
+            : serve,
+        metrics,
+    });
+    return { codec, handler, remote, selector };
+}
--- /dev/null
+++ b/src/wiring/build_owner.ts
@@ -0,0 +1,87 @@
+import { Pipeline } from "../core/pipeline.ts";
+import type { DaemonAdapters } from "../daemon_adapters.ts";
+import { DispatchFilter } from "../dispatch/dispatch_filter.ts";
+import { HeaderUpstreamCodec } from "../dispatch/header_upstream_codec.ts";
+import { ImmediateLoopTurns } from "../dispatch/immediate_loop_turns.ts";
+import { PauseDetector } from "../dispatch/pause_detector.ts";
+import { UndiciUpstreamClient } from "../edge/upstream_http/undici_upstream_client.ts";
+import { DispatchWatch } from "../health/dispatch_watch.ts";
+import { HealthReportFilter } from "../health/health_report_filter.ts";
+import { PauseMeter } from "../health/pause_meter.ts";
+import { SequentialEvidenceRecorder } from "../health/sequential_evidence_recorder.ts";
+import type { DrainableListener } from "../lifecycle/drainable_listener.ts";
+import { Lifecycle } from "../lifecycle/lifecycle.ts";
+import { ListedUpstreams } from "../membership/listed_upstreams.ts";
+import { AttemptTable } from "../operations/attempt_table.ts";
+import { OperationTable } from "../operations/operation_table.ts";
+import { OwnerRevoker } from "../operations/owner_revoker.ts";
+import { RegisterFilter } from "../operations/register_filter.ts";
+import { ConfiguredUpstreams } from "../queue/configured_upstreams.ts";
+import { QueueFilter } from "../queue/queue_filter.ts";
+import { QueueReleaser } from "../queue/queue_releaser.ts";
+import { ResolveFilter } from "../queue/resolve_filter.ts";
+import type { ServeSettings } from "../settings/serve_settings.ts";
+import { SettleFilter } from "../settle/settle_filter.ts";
+import { UpstreamStateBuilder } from "../settle/upstream_state_builder.ts";
+import type { BaseParts } from "./base_parts.ts";
+import type { ControlParts } from "./control_parts.ts";
+
+/** The owner's side: queue, dispatch, settle and the register around them. */
+export function buildOwner(
+    settings: ServeSettings,
+    base: BaseParts,
+    control: ControlParts,
+    adapters?: DaemonAdapters,
+) {
+    const { clock, identity } = base;
+    const upstreams = adapters === undefined
+        ? new ConfiguredUpstreams(settings.upstreams)
+        : new ListedUpstreams({
+            membership: control.membership,
+            address: adapters.upstreamAddress,
+            service: adapters.service,
+        });
+    let getListeners = (): readonly DrainableListener[] => [];
+    const lifecycle: Lifecycle = new Lifecycle({
+        ...base,
+        queue: { releaseQueued: () => new QueueReleaser(queue, upstreams).releaseQueued() },
+        announcer: control.announcer,
+        getListeners: () => getListeners(),
+        graceMs: settings.drainGraceMs,
+        limitMs: settings.drainTimeoutMs,
+        quietMs: settings.drainQuietMs,
+    });
+    const queue = new QueueFilter({ ...base, upstreams, daemonState: lifecycle });
+    const evidence = new SequentialEvidenceRecorder({ config: control.store, board: base.board });
+    const states = new UpstreamStateBuilder({ queues: queue, evidence, daemonState: lifecycle });
+    const attempts = new AttemptTable();
+    const operations = new OperationTable({ clock });
+    const pauses = new PauseDetector({ ...base, turns: new ImmediateLoopTurns() });
+    const client = new UndiciUpstreamClient({
+        upstreams,
+        codec: adapters?.upstreamCodec ?? new HeaderUpstreamCodec(),
+        allowsCloseDelimited: adapters !== undefined,
+    });
+    const meter = new PauseMeter(base);
+    const watch = new DispatchWatch({ ...base, evidence, pauses: meter });
+    const checks = { daemonState: lifecycle, gate: attempts, pauses };
+    const dispatch = new DispatchFilter({ ...checks, client, clock, watch });
+    const inner = Pipeline.start(queue).pipe(dispatch).pipe(new SettleFilter({ identity, watch, states }));
+    const register = new RegisterFilter({
+        identity,
+        attempts,
+        operations,
+        states,
+        daemonState: lifecycle,
+        inner,
+    });
+    const incoming = Pipeline.start(new ResolveFilter({ clock, config: control.store }))
+        .pipe(register)
+        .pipe(new HealthReportFilter(base));
+    const revoker = new OwnerRevoker({ identity, attempts, operations });
+    const setListeners = (get: () => readonly DrainableListener[]) => {
+        getListeners = get;
+    };
+    const closers = [client, meter, watch];
+    return { upstreams, closers, lifecycle, setListeners, states, pauses, register, incoming, revoker };
+}
--- /dev/null
+++ b/src/wiring/control_parts.ts
@@ -0,0 +1,17 @@
+import type { TransportCache } from "../edge/control/transport_cache.ts";
+import type { GossipHandler } from "../gossip/gossip_handler.ts";
+import type { LeavingAnnouncer } from "../lifecycle/leaving_announcer.ts";
+import type { MembershipTable } from "../membership/membership_table.ts";
+import type { ConfigStore } from "../published/config_store.ts";
+import type { ControlPlane } from "../published/control_plane.ts";
+
+/** What the request pipelines need of the control plane. */
+export interface ControlParts {
+    readonly store: ConfigStore;
+    readonly membership: MembershipTable;
+    readonly controlPlane: ControlPlane;
+    readonly announcer: LeavingAnnouncer;
+    readonly gossipHandler: GossipHandler | undefined;
+    readonly transports: TransportCache;
+    readonly closers: readonly { close(): void; }[];
+}
