--- a/measure/capacity/create_control_listener.ts
+++ b/measure/capacity/create_control_listener.ts
@@ -1,4 +1,4 @@
-import Koa from "koa";
+import { connectNodeAdapter } from "@connectrpc/connect-node";
 import type { RequestListener } from "node:http";
 import { SeededRandom } from "../../proof/fakes/seeded_random.ts";
 import { VirtualTime } from "../../proof/fakes/virtual_time.ts";
@@ -6,7 +6,6 @@
 import { parseConfiguration } from "../../src/config/parse_configuration.ts";
 import { Pipeline } from "../../src/core/pipeline.ts";
 import { createControlRoutes } from "../../src/edge/control/create_control_routes.ts";
-import { createPeerListener } from "../../src/edge/control/create_peer_listener.ts";
 import { JsonInstanceListCodec } from "../../src/edge/control/json_instance_list_codec.ts";
 import { ConfigurationDocument } from "../../src/gossip/configuration_document.ts";
 import { DocumentFetcher } from "../../src/gossip/document_fetcher.ts";
@@ -92,5 +91,5 @@
         revoker,
         gossip: new GossipHandler({ gossip, documents, membership }),
     });
-    return { gossip, listener: createPeerListener(new Koa(), routes) };
+    return { gossip, listener: connectNodeAdapter({ routes }) };
 }
--- a/measure/capacity/create_owner_reply.ts
+++ b/measure/capacity/create_owner_reply.ts
@@ -29,6 +29,7 @@
             waitLongMs: 60.5,
             healthScore: 0.5,
             leaving: false,
+            faultProbability: 0,
         },
         keyRecorded: false,
         healthReports: Array.from({ length: reports }, (_, report) => ({
--- a/measure/capacity/dispatch_head_measurement.ts
+++ b/measure/capacity/dispatch_head_measurement.ts
@@ -1,5 +1,7 @@
-import { decodeDispatch } from "../../src/edge/peer_http/decode_dispatch.ts";
-import { encodeDispatch } from "../../src/edge/peer_http/encode_dispatch.ts";
+import { fromBinary, toBinary } from "@bufbuild/protobuf";
+import { decodeDispatch } from "../../src/edge/peer_link/decode_dispatch.ts";
+import { encodeDispatch } from "../../src/edge/peer_link/encode_dispatch.ts";
+import { DispatchHeadSchema } from "../../src/gen/zinniaglade/v1/control_pb.ts";
 import { buildTargetUpstreams } from "./build_target_upstreams.ts";
 import { createRoutedRequest } from "./create_routed_request.ts";
 import { measureProcessorUs } from "./measure_processor_us.ts";
@@ -9,7 +11,7 @@
 const noBody = new Uint8Array();
 const { signal } = new AbortController();
 
-/** Header of a dispatch by the number of caller headers (11 and 24 characters) that it carries. */
+/** Head of a dispatch by the number of caller headers (11 and 24 characters) that it carries. */
 export class DispatchHeadMeasurement implements SlopeMeasurement {
     readonly name = "Dispatch head";
     readonly sizeUnit = "caller headers";
@@ -29,19 +31,19 @@
             trial: false,
             ownerIncarnation: "5f3759df18c2a4b7e31",
         };
-        const encoded = encodeDispatch(request, 950);
+        const encoded = toBinary(DispatchHeadSchema, encodeDispatch(request, 950));
         const encodeUs = await measureProcessorUs(() => {
             for (let round = 0; round < rounds; round += 1) {
-                encodeDispatch(request, 950);
+                toBinary(DispatchHeadSchema, encodeDispatch(request, 950));
             }
         });
         const decodeUs = await measureProcessorUs(() => {
             for (let round = 0; round < rounds; round += 1) {
-                decodeDispatch(encoded, noBody, signal)._unsafeUnwrap();
+                decodeDispatch(fromBinary(DispatchHeadSchema, encoded), noBody, signal);
             }
         });
         return {
-            "header in base64, bytes": encoded.length,
+            "head, bytes": encoded.length,
             "encode, processor µs": encodeUs / rounds,
             "decode, processor µs": decodeUs / rounds,
         };
--- a/measure/capacity/reply_head_measurement.ts
+++ b/measure/capacity/reply_head_measurement.ts
@@ -1,5 +1,7 @@
-import { decodeReply } from "../../src/edge/peer_http/decode_reply.ts";
-import { encodeReply } from "../../src/edge/peer_http/encode_reply.ts";
+import { fromBinary, toBinary } from "@bufbuild/protobuf";
+import { decodeReply } from "../../src/edge/peer_link/decode_reply.ts";
+import { encodeReply } from "../../src/edge/peer_link/encode_reply.ts";
+import { ReplyHeadSchema } from "../../src/gen/zinniaglade/v1/control_pb.ts";
 import { createOwnerReply } from "./create_owner_reply.ts";
 import { measureProcessorUs } from "./measure_processor_us.ts";
 import type { SlopeMeasurement } from "./slope_measurement.ts";
@@ -7,7 +9,7 @@
 const rounds = 1_000;
 const noBody = new Uint8Array();
 
-/** Header of a reply by the number of health reports on it. */
+/** Head of a reply by the number of health reports on it. */
 export class ReplyHeadMeasurement implements SlopeMeasurement {
     readonly name = "Reply head";
     readonly sizeUnit = "health reports";
@@ -16,21 +18,24 @@
 
     async measure(count: number): Promise<Readonly<Record<string, number>>> {
         const reply = createOwnerReply(1, 0, count);
-        const bare = encodeReply({ ...reply, answer: undefined, upstream: undefined });
-        const encoded = encodeReply(reply);
+        const bare = toBinary(
+            ReplyHeadSchema,
+            encodeReply({ ...reply, answer: undefined, upstream: undefined }),
+        );
+        const encoded = toBinary(ReplyHeadSchema, encodeReply(reply));
         const encodeUs = await measureProcessorUs(() => {
             for (let round = 0; round < rounds; round += 1) {
-                encodeReply(reply);
+                toBinary(ReplyHeadSchema, encodeReply(reply));
             }
         });
         const decodeUs = await measureProcessorUs(() => {
             for (let round = 0; round < rounds; round += 1) {
-                decodeReply(encoded, noBody)._unsafeUnwrap();
+                decodeReply(fromBinary(ReplyHeadSchema, encoded), noBody)._unsafeUnwrap();
             }
         });
         return {
-            "header in base64, bytes": encoded.length,
-            "header without queue state and answer, bytes": bare.length,
+            "head, bytes": encoded.length,
+            "head without queue state and answer, bytes": bare.length,
             "encode, processor µs": encodeUs / rounds,
             "decode, processor µs": decodeUs / rounds,
         };
--- a/measure/detection/consecutive_error_selector.ts
+++ b/measure/detection/consecutive_error_selector.ts
@@ -44,6 +44,10 @@
         // Round robin keeps no count of requests in flight.
     }
 
+    recordUnconfirmed(): void {
+        // The owners of the measurement confirm every attempt.
+    }
+
     recordReply(selected: SelectedRequest, reply: OwnerReply): void {
         const { id } = selected.upstream;
         const failed = reply.answer === undefined || !isExpected(reply.answer, selected.route.expect);
--- a/measure/detection/fake_owner.ts
+++ b/measure/detection/fake_owner.ts
@@ -107,6 +107,7 @@
                 waitLongMs: waitMs,
                 healthScore: evidence.getScore(request.upstreamId),
                 leaving: false,
+                faultProbability: 0,
             },
             healthReports: board.listReports(time.getMonotonicMs(), request.upstreamId),
         };
--- a/measure/load/unlimited_retry_budget.ts
+++ b/measure/load/unlimited_retry_budget.ts
@@ -4,6 +4,10 @@
 export class UnlimitedRetryBudget implements RetryBudget {
     add(): void {}
 
+    has(): boolean {
+        return true;
+    }
+
     take(): boolean {
         return true;
     }
--- a/proof/operations/fake_selector.ts
+++ b/proof/operations/fake_selector.ts
@@ -47,6 +47,8 @@
         }
     }
 
+    recordUnconfirmed(): void {}
+
     recordStart(): void {}
 
     recordReply(): void {}
--- a/src/admit/saturation_table.test.ts
+++ b/src/admit/saturation_table.test.ts
@@ -30,6 +30,7 @@
             waitLongMs: waitMs,
             healthScore: 0,
             leaving: false,
+            faultProbability: 0,
         },
     };
 }
--- /dev/null
+++ b/src/beacon/neighbour_filter.ts
@@ -0,0 +1,26 @@
+import type { Result } from "neverthrow";
+import type { Failure } from "../core/failure.ts";
+import type { Filter } from "../core/filter.ts";
+import type { UpstreamState } from "../core/upstream_state.ts";
+import type { OwnerReply } from "../forward/owner_reply.ts";
+import type { OwnerRequest } from "../queue/owner_request.ts";
+
+interface Options {
+    readonly inner: Filter<OwnerRequest, OwnerReply>;
+    /** States of the other upstreams of a service in the failure domain of this daemon, as last heard. */
+    readonly listNeighbours: (service: string, upstreamId: string) => readonly UpstreamState[];
+}
+
+/** Tells a sender in another failure domain, which hears no beacons of this one, about the other upstreams here. */
+export class NeighbourFilter implements Filter<OwnerRequest, OwnerReply> {
+    constructor(private readonly options: Options) {}
+
+    async apply(request: OwnerRequest): Promise<Result<OwnerReply, Failure>> {
+        const result = await this.options.inner.apply(request);
+        if (request.remote !== true) {
+            return result;
+        }
+        const neighbours = this.options.listNeighbours(request.service.name, request.upstreamId);
+        return result.map(reply => ({ ...reply, neighbours }));
+    }
+}
--- a/src/core/code.ts
+++ b/src/core/code.ts
@@ -36,6 +36,7 @@
     OrganisationOverShare: 2019,
     UpstreamReplaced: 2021,
     UpstreamGarbled: 2022,
+    UpstreamSuspected: 2023,
     UpstreamUnexpected: 2030,
     KeyClosed: 2031,
     AttemptRepeated: 2032,
--- a/src/core/code_table.ts
+++ b/src/core/code_table.ts
@@ -43,6 +43,7 @@
     2019: buildEntry(429, NotExecuted, "the organisation has its full share of the queue"),
     2021: buildEntry(503, NotExecuted, "another upstream has the address of the upstream"),
     2022: buildEntry(502, Unknown, "the answer of the upstream is not the whole answer to the request"),
+    2023: buildEntry(503, NotExecuted, "recent results say that the upstream fails"),
     2030: buildEntry(502, Unknown, "the answer of the upstream differs from what the route expects"),
     2031: buildEntry(409, NotExecuted, "the idempotency key was closed without execution; use a new key"),
     2032: buildEntry(409, Unknown, "the owner has already received this attempt"),
--- a/src/core/upstream_state.ts
+++ b/src/core/upstream_state.ts
@@ -11,4 +11,6 @@
     /** Score of the sequential test in nats; grows with evidence of a fault, 0 or more. */
     readonly healthScore: number;
     readonly leaving: boolean;
+    /** Probability that the upstream has a fault, as its owner believes. */
+    readonly faultProbability: number;
 }
--- a/src/daemon_adapters.ts
+++ b/src/daemon_adapters.ts
@@ -11,4 +11,6 @@
     readonly service: string;
     /** Address (IP number and port) of that upstream. */
     readonly upstreamAddress: string;
+    /** Bounds of the platform on attempts after the first, for the whole fleet. */
+    readonly retryBudget: { readonly percent: number; readonly slack: number; readonly windowMs: number; };
 }
--- /dev/null
+++ b/src/edge/beacon_udp/udp_beacon_transport.ts
@@ -0,0 +1,82 @@
+/**
+ * Beacons in UDP datagrams, one protobuf message each.
+ *
+ * @module
+ */
+import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
+import { err, fromThrowable, ok, type Result } from "neverthrow";
+import { createSocket, type Socket } from "node:dgram";
+import type { Beacon } from "../../beacon/beacon.ts";
+import type { BeaconTransport } from "../../beacon/beacon_transport.ts";
+import { Code } from "../../core/code.ts";
+import { createFailure } from "../../core/create_failure.ts";
+import type { Failure } from "../../core/failure.ts";
+import type { Metrics } from "../../core/metrics.ts";
+import { BeaconSchema } from "../../gen/zinniaglade/v1/control_pb.ts";
+import { splitAddress } from "../http/split_address.ts";
+
+const decodeBeacon = fromThrowable((bytes: Uint8Array): Beacon => fromBinary(BeaconSchema, bytes));
+
+/** A socket on the peer address of this daemon. */
+export class UdpBeaconTransport implements BeaconTransport {
+    private readonly socket: Socket = createSocket("udp4");
+    private encoded: { readonly beacon: Beacon; readonly bytes: Uint8Array; } | undefined;
+
+    constructor(private readonly metrics: Metrics) {}
+
+    /** Binds `address`; `handle` runs for each beacon that arrives. Fails with PortUnavailable. */
+    open(address: string, handle: (beacon: Beacon) => void): Promise<Result<void, Failure>> {
+        this.socket.on("message", bytes => {
+            const beacon = decodeBeacon(bytes);
+            if (beacon.isOk()) {
+                handle(beacon.value);
+            }
+            else {
+                this.metrics.addCount("beacon.unreadable");
+            }
+        });
+        const { host, port } = splitAddress(address);
+        return new Promise(resolve => {
+            this.socket.once("error", error => {
+                resolve(err(createFailure(Code.PortUnavailable, { detail: `${address}: ${error.message}` })));
+            });
+            this.socket.bind(port, host, () => {
+                // A beacon that cannot be sent is as good as a lost one.
+                this.socket.on("error", () => this.metrics.addCount("beacon.socket_errors"));
+                resolve(ok(undefined));
+            });
+        });
+    }
+
+    send(address: string, beacon: Beacon): void {
+        // The same beacon goes to many daemons.
+        if (this.encoded?.beacon !== beacon) {
+            this.encoded = { beacon, bytes: encodeBeacon(beacon) };
+        }
+        const { host, port } = splitAddress(address);
+        this.socket.send(this.encoded.bytes, port, host, error => {
+            if (error) {
+                this.metrics.addCount("beacon.send_errors");
+            }
+        });
+    }
+
+    close(): void {
+        this.socket.close();
+    }
+}
+
+function encodeBeacon(beacon: Beacon): Uint8Array {
+    const { counts, daemonId, heard, incarnation, relay, upstreams } = beacon;
+    return toBinary(
+        BeaconSchema,
+        create(BeaconSchema, {
+            daemonId,
+            incarnation,
+            relay,
+            heard: [...heard],
+            counts: counts.map(count => ({ ...count })),
+            upstreams: upstreams.map(state => ({ ...state })),
+        }),
+    );
+}
--- a/src/edge/daemon_servers.ts
+++ b/src/edge/daemon_servers.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { connectNodeAdapter } from "@connectrpc/connect-node";
 import { err, ok, type Result } from "neverthrow";
 import type { CallerHandler } from "../answer/caller_handler.ts";
 import { Code } from "../core/code.ts";
@@ -24,10 +25,9 @@
 import { createAdminApp } from "./admin_http/create_admin_app.ts";
 import { createCallerApp } from "./caller_http/create_caller_app.ts";
 import { createControlRoutes } from "./control/create_control_routes.ts";
-import { createPeerListener } from "./control/create_peer_listener.ts";
 import { createLeaseMiddleware } from "./http/create_lease_middleware.ts";
 import { HttpListener } from "./http/http_listener.ts";
-import { createPeerApp } from "./peer_http/create_peer_app.ts";
+import { LinkListener } from "./peer_link/link_listener.ts";
 
 interface Options {
     readonly callerCodec: CallerCodec;
@@ -47,19 +47,14 @@
 export class DaemonServers {
     private readonly opened: HttpListener[] = [];
     private readonly drainable: HttpListener[] = [];
+    private links: LinkListener | undefined;
 
     constructor(private readonly options: Options) {}
 
     /** Opens the interfaces for administration and for other daemons. Fails with PortUnavailable. */
     async openInternal(): Promise<Result<void, Failure>> {
-        const { settings, owner, identity } = this.options;
+        const { settings, owner, identity, lifecycle } = this.options;
         const admin = createAdminApp(this.options).callback();
-        const app = createPeerApp({
-            lease: this.createLease(),
-            identity,
-            owner,
-            maxRequestBytes: settings.maxRequestBytes,
-        });
         const adminListener = await HttpListener.open(settings.adminAddress, (request, response) => {
             void admin(request, response);
         });
@@ -67,10 +62,20 @@
             return err(adminListener.error);
         }
         this.opened.push(adminListener.value);
+        const links = new LinkListener({
+            identity,
+            owner,
+            registerRequest: () => lifecycle.registerRequest(),
+        });
         const peerListener = await HttpListener.open(
             settings.peerAddress,
-            createPeerListener(app, createControlRoutes(this.options)),
+            connectNodeAdapter({ routes: createControlRoutes(this.options) }),
         );
+        if (peerListener.isErr()) {
+            return err(peerListener.error);
+        }
+        peerListener.value.setUpgradeHandler((...upgrade) => links.handleUpgrade(...upgrade));
+        this.links = links;
         return this.addDrainable(peerListener);
     }
 
@@ -91,10 +96,11 @@
 
     /** The listeners that the drain sequence stops and closes; that for administration stays until the end. */
     getDrainable(): readonly DrainableListener[] {
-        return this.drainable;
+        return this.links === undefined ? this.drainable : [...this.drainable, this.links];
     }
 
     async close(): Promise<void> {
+        await this.links?.close();
         await Promise.all(this.opened.map(listener => listener.close()));
     }
 
--- a/src/edge/http/http_listener.ts
+++ b/src/edge/http/http_listener.ts
@@ -1,6 +1,6 @@
 import { err, ok, type Result } from "neverthrow";
-import { createServer, type RequestListener, type Server } from "node:http";
-import { type AddressInfo, Server as NetServer } from "node:net";
+import { createServer, type IncomingMessage, type RequestListener, type Server } from "node:http";
+import { type AddressInfo, Server as NetServer, type Socket } from "node:net";
 import { Code } from "../../core/code.ts";
 import { createFailure } from "../../core/create_failure.ts";
 import type { Failure } from "../../core/failure.ts";
@@ -40,6 +40,11 @@
         });
     }
 
+    /** Hands connections that change their protocol to `handle`. */
+    setUpgradeHandler(handle: (message: IncomingMessage, socket: Socket, head: Buffer) => void): void {
+        this.server.on("upgrade", (message, socket, head) => handle(message, socket as Socket, head));
+    }
+
     getPort(): number {
         return (this.server.address() as AddressInfo).port;
     }
--- a/src/edge/peer_http/decode_dispatch.ts
+++ b/src/edge/peer_link/decode_dispatch.ts
@@ -1,23 +1,9 @@
-import { fromBinary } from "@bufbuild/protobuf";
-import { fromThrowable, type Result } from "neverthrow";
-import { Code } from "../../core/code.ts";
-import { createFailure } from "../../core/create_failure.ts";
-import type { Failure } from "../../core/failure.ts";
-import { DispatchHeadSchema } from "../../gen/zinniaglade/v1/control_pb.ts";
+import type { DispatchHead } from "../../gen/zinniaglade/v1/control_pb.ts";
 import type { IncomingDispatch } from "../../queue/incoming_dispatch.ts";
 
-const decodeHead = fromThrowable(
-    (encoded: string) => fromBinary(DispatchHeadSchema, Buffer.from(encoded, "base64")),
-    error => createFailure(Code.PeerProtocol, { detail: String(error) }),
-);
-
-/** Reads the dispatch header. Fails with PeerProtocol. */
-export function decodeDispatch(
-    encoded: string,
-    body: Uint8Array,
-    signal: AbortSignal,
-): Result<IncomingDispatch, Failure> {
-    return decodeHead(encoded).map(head => ({
+/** The attempt that an entry daemon sent. */
+export function decodeDispatch(head: DispatchHead, body: Uint8Array, signal: AbortSignal): IncomingDispatch {
+    return {
         requestId: head.requestId,
         attempt: head.attempt,
         upstreamId: head.upstreamId,
@@ -30,6 +16,7 @@
         baselineMs: head.baselineMs,
         trial: head.trial,
         redirectable: head.redirectable,
+        remote: head.remote,
         terms: head.terms === undefined ? undefined : {
             idempotent: head.terms.idempotent,
             priority: head.terms.priority,
@@ -40,5 +27,5 @@
         headers: head.headers,
         body,
         signal,
-    }));
+    };
 }
--- a/src/edge/peer_http/encode_dispatch.ts
+++ b/src/edge/peer_link/encode_dispatch.ts
@@ -1,11 +1,11 @@
-import { create, toBinary } from "@bufbuild/protobuf";
+import { create } from "@bufbuild/protobuf";
 import type { RouteConfig } from "../../config/route_config.ts";
-import { DispatchHeadSchema } from "../../gen/zinniaglade/v1/control_pb.ts";
+import { type DispatchHead, DispatchHeadSchema } from "../../gen/zinniaglade/v1/control_pb.ts";
 import type { SelectedRequest } from "../../select/selected_request.ts";
 
-/** Value of the dispatch header: a DispatchHead in base64. */
-export function encodeDispatch(request: SelectedRequest, remainingMs: number): string {
-    const head = create(DispatchHeadSchema, {
+/** Metadata of an attempt for its owner. */
+export function encodeDispatch(request: SelectedRequest, remainingMs: number): DispatchHead {
+    return create(DispatchHeadSchema, {
         requestId: request.requestId,
         attempt: request.attempt,
         upstreamId: request.upstream.id,
@@ -21,11 +21,11 @@
         configVersion: BigInt(request.configVersion),
         trial: request.trial,
         redirectable: request.redirectable ?? false,
+        remote: request.remote ?? false,
         incarnation: request.ownerIncarnation ?? "",
         // Routes without a service of their own in the configuration are found by host and prefix at the entry only.
         ...(request.service.routes.includes(request.route) ? {} : { terms: createTerms(request.route) }),
     });
-    return Buffer.from(toBinary(DispatchHeadSchema, head)).toString("base64");
 }
 
 function createTerms({ idempotent, priority, targetMs }: RouteConfig) {
--- /dev/null
+++ b/src/edge/peer_link/frame_socket.ts
@@ -0,0 +1,61 @@
+/**
+ * Frames over a TCP connection: protobuf messages, each after its length.
+ *
+ * @example
+ * ```ts
+ * const frames = new FrameSocket(socket, { handleFrame, handleClose });
+ * frames.send(create(LinkFrameSchema, { id: 1, content: { case: "cancel", value: {} } }));
+ * ```
+ *
+ * @module
+ */
+import { sizeDelimitedDecodeStream, sizeDelimitedEncode } from "@bufbuild/protobuf/wire";
+import type { Socket } from "node:net";
+import { type LinkFrame, LinkFrameSchema } from "../../gen/zinniaglade/v1/control_pb.ts";
+
+interface Handlers {
+    readonly handleFrame: (frame: LinkFrame) => void;
+    /** Called once, after the last frame. */
+    readonly handleClose: () => void;
+}
+
+/** Milliseconds after which a silent connection is probed, so that one whose peer is gone does not stay for ever. */
+const keepAliveMs = 5_000;
+
+/** A connection that carries frames in both directions. */
+export class FrameSocket {
+    constructor(private readonly socket: Socket, handlers: Handlers) {
+        socket.setNoDelay(true);
+        socket.setKeepAlive(true, keepAliveMs);
+        socket.setTimeout(0);
+        socket.on("error", () => socket.destroy());
+        void this.read(handlers);
+    }
+
+    send(frame: LinkFrame): void {
+        this.socket.write(sizeDelimitedEncode(LinkFrameSchema, frame));
+    }
+
+    /** Sends what is waiting and closes the connection. */
+    close(): void {
+        this.socket.end();
+    }
+
+    /** Closes the connection at once. */
+    cancel(): void {
+        this.socket.destroy();
+    }
+
+    private async read({ handleClose, handleFrame }: Handlers): Promise<void> {
+        try {
+            for await (const frame of sizeDelimitedDecodeStream(LinkFrameSchema, this.socket)) {
+                handleFrame(frame);
+            }
+        }
+        catch {
+            // A connection that breaks off or carries no frames ends like one that is closed: its owner is told below.
+        }
+        this.socket.destroy();
+        handleClose();
+    }
+}
--- /dev/null
+++ b/src/edge/peer_link/link_forwarder.test.ts
@@ -0,0 +1,203 @@
+import { create } from "@bufbuild/protobuf";
+import { sizeDelimitedEncode } from "@bufbuild/protobuf/wire";
+import { ok } from "neverthrow";
+import assert from "node:assert/strict";
+import { Buffer } from "node:buffer";
+import { createServer, type Socket } from "node:net";
+import { after, test } from "node:test";
+import { VirtualTime } from "../../../proof/fakes/virtual_time.ts";
+import { buildOwnerRequest } from "../../../proof/operations/build_owner_request.ts";
+import { Code } from "../../core/code.ts";
+import { Outcome } from "../../core/outcome.ts";
+import { buildOwnerReply } from "../../forward/build_owner_reply.ts";
+import type { OwnerReply } from "../../forward/owner_reply.ts";
+import { RevokeState } from "../../forward/revoke_state.ts";
+import { LinkFrameSchema } from "../../gen/zinniaglade/v1/control_pb.ts";
+import type { IncomingDispatch } from "../../queue/incoming_dispatch.ts";
+import { HttpListener } from "../http/http_listener.ts";
+import { encodeReply } from "./encode_reply.ts";
+import { LinkForwarder } from "./link_forwarder.ts";
+import { LinkListener } from "./link_listener.ts";
+
+const closers: (() => unknown)[] = [];
+
+after(() => Promise.all(closers.map(close => close())));
+
+const request = buildOwnerRequest();
+const answer = { status: 200, headers: [], body: Buffer.from("receipt") };
+const identity = { ownerId: "d1", incarnation: "i1" };
+const reply = buildOwnerReply(identity, request, { code: Code.Ok, answer });
+const replyFrame = sizeDelimitedEncode(
+    LinkFrameSchema,
+    create(LinkFrameSchema, {
+        id: 1,
+        content: { case: "reply", value: { head: encodeReply(reply), body: answer.body } },
+    }),
+);
+const switching =
+    "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: zinniaglade-link\r\n\r\n";
+
+function createDeferred() {
+    let resolve: () => void = () => undefined;
+    const promise = new Promise<void>(done => {
+        resolve = done;
+    });
+    return { promise, resolve };
+}
+
+function createForwarder() {
+    const forwarder = new LinkForwarder({
+        clock: new VirtualTime(),
+        sendRevoke: () => Promise.resolve(RevokeState.NoReply),
+    });
+    closers.push(() => forwarder.close());
+    return forwarder;
+}
+
+function selectOwner(port: number, attempt = 1) {
+    const place = { failureDomain: "z", region: "r", ownerAddress: `127.0.0.1:${port}`, leaving: false };
+    const upstream = { id: "u1", service: "payments", ownerId: "d1", ...place };
+    const routing = { host: "", path: "/payments", budgetMs: undefined, configVersion: 1 };
+    return { ...request, ...routing, attempt, upstream };
+}
+
+/** An owner that answers the first frame of a link with raw bytes and closes the connection. */
+async function openRawOwner(response: Uint8Array) {
+    let frames = 0;
+    const server = createServer((socket: Socket) => {
+        socket.on("error", () => undefined);
+        socket.once("data", () => {
+            socket.write(switching);
+            socket.on("data", () => {
+                frames += 1;
+                socket.end(response);
+            });
+        });
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    closers.push(() => server.close());
+    const { port } = server.address() as { port: number; };
+    return { port, countFrames: () => frames };
+}
+
+/** An owner whose pipeline is `handle`. */
+async function openOwner(handle: (dispatch: IncomingDispatch) => Promise<OwnerReply>) {
+    const listener = (await HttpListener.open("127.0.0.1:0", (_, response) => response.end()))
+        ._unsafeUnwrap();
+    let leases = 0;
+    const links = new LinkListener({
+        identity,
+        owner: { apply: async dispatch => ok(await handle(dispatch)) },
+        registerRequest: () => {
+            leases += 1;
+            return { close: () => void (leases -= 1) };
+        },
+    });
+    listener.setUpgradeHandler((...upgrade) => links.handleUpgrade(...upgrade));
+    closers.push(() => links.close(), () => listener.close());
+    return { port: listener.getPort(), countLeases: () => leases };
+}
+
+test("a reply that is not whole is unknown, and the attempt is not sent again", async () => {
+    const garbled = Buffer.from("this is no frame, whatever its first byte says about its length");
+    for (
+        const response of [replyFrame.subarray(0, -1), replyFrame.subarray(0, 2), garbled, new Uint8Array()]
+    ) {
+        const owner = await openRawOwner(response);
+        const { answer: got, code, outcome } = await createForwarder()
+            .forward(selectOwner(owner.port), new AbortController().signal);
+        assert.deepEqual([code, outcome, got, owner.countFrames()], [
+            Code.PeerCut,
+            Outcome.Unknown,
+            undefined,
+            1,
+        ]);
+    }
+});
+
+test("a whole reply is returned with its body", async () => {
+    const owner = await openRawOwner(replyFrame);
+    const got = await createForwarder().forward(selectOwner(owner.port), new AbortController().signal);
+    assert.equal(Buffer.from(got.answer!.body).toString(), "receipt");
+});
+
+test("an owner that refuses the connection has not received the attempt", async () => {
+    const { code, outcome } = await createForwarder().forward(selectOwner(1), new AbortController().signal);
+    assert.deepEqual([code, outcome], [Code.PeerUnreachable, Outcome.NotExecuted]);
+});
+
+test("replies of one link find their attempts in any order, so that no caller gets another caller's answer", async () => {
+    const waiting: (() => void)[] = [];
+    const owner = await openOwner(dispatch =>
+        new Promise(resolve => {
+            const body = Buffer.from(`answer ${dispatch.attempt}`);
+            const fields = { code: Code.Ok, answer: { status: 200, headers: [], body } };
+            waiting.push(() => resolve(buildOwnerReply(identity, dispatch, fields)));
+            if (waiting.length === 3) {
+                waiting.reverse().forEach(send => send());
+            }
+        })
+    );
+    const forwarder = createForwarder();
+    const { signal } = new AbortController();
+    const replies = await Promise.all(
+        [1, 2, 3].map(attempt => forwarder.forward(selectOwner(owner.port, attempt), signal)),
+    );
+    assert.deepEqual(replies.map(got => Buffer.from(got.answer!.body).toString()), [
+        "answer 1",
+        "answer 2",
+        "answer 3",
+    ]);
+    assert.equal(owner.countLeases(), 0);
+});
+
+test("an attempt that is abandoned aborts the owner's signal, so that its upstream stops working", async () => {
+    const caller = new AbortController();
+    const aborted = createDeferred();
+    const owner = await openOwner(dispatch => {
+        dispatch.signal.addEventListener("abort", () => aborted.resolve());
+        caller.abort();
+        return new Promise(() => undefined);
+    });
+    const { code } = await createForwarder().forward(selectOwner(owner.port), caller.signal);
+    assert.equal(code, Code.PeerTimeout);
+    await aborted.promise;
+});
+
+test("the end of a link aborts what runs on it, because nobody waits for the replies", async () => {
+    const aborted = createDeferred();
+    const forwarder = createForwarder();
+    const owner = await openOwner(dispatch => {
+        dispatch.signal.addEventListener("abort", () => aborted.resolve());
+        forwarder.close();
+        return new Promise(() => undefined);
+    });
+    const { code, outcome } = await forwarder.forward(selectOwner(owner.port), new AbortController().signal);
+    assert.deepEqual([code, outcome], [Code.PeerCut, Outcome.Unknown]);
+    await aborted.promise;
+});
+
+test("an owner that is silent is reported while its reply may still come, and the next attempt uses a new connection", async () => {
+    let connections = 0;
+    const server = createServer((socket: Socket) => {
+        connections += 1;
+        socket.on("error", () => undefined);
+        socket.once("data", () => {
+            socket.write(switching);
+            socket.once("data", () => setTimeout(() => socket.write(replyFrame), 400));
+        });
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    closers.push(() => server.close());
+    const { port } = server.address() as { port: number; };
+    const forwarder = createForwarder();
+    const { signal } = new AbortController();
+    let unconfirmed = 0;
+    const first = forwarder.forward(selectOwner(port), signal, () => {
+        unconfirmed += 1;
+    });
+    await new Promise(resolve => setTimeout(resolve, 300));
+    assert.equal(unconfirmed, 1);
+    const second = forwarder.forward(selectOwner(port), signal);
+    assert.deepEqual([(await first).code, (await second).code, connections], [Code.Ok, Code.Ok, 2]);
+});
--- /dev/null
+++ b/src/edge/peer_link/link_forwarder.ts
@@ -0,0 +1,123 @@
+/**
+ * Forwards attempts to other daemons over links.
+ *
+ * @module
+ */
+import type { Clock } from "../../core/clock.ts";
+import { Code } from "../../core/code.ts";
+import { createFailure } from "../../core/create_failure.ts";
+import type { Failure } from "../../core/failure.ts";
+import { createHopReply } from "../../forward/create_hop_reply.ts";
+import type { Forwarder } from "../../forward/forwarder.ts";
+import type { OwnerReply } from "../../forward/owner_reply.ts";
+import type { RevokeState } from "../../forward/revoke_state.ts";
+import type { LinkReply } from "../../gen/zinniaglade/v1/control_pb.ts";
+import type { RevokeTarget } from "../../operations/revoke_target.ts";
+import type { SelectedRequest } from "../../select/selected_request.ts";
+import { decodeReply } from "./decode_reply.ts";
+import { encodeDispatch } from "./encode_dispatch.ts";
+import { PeerLink } from "./peer_link.ts";
+
+/** Asks the owner at `address` to revoke an attempt. */
+type SendRevoke = (address: string, target: RevokeTarget) => Promise<RevokeState>;
+
+interface Options {
+    readonly clock: Clock;
+    readonly sendRevoke: SendRevoke;
+}
+
+/**
+ * Milliseconds in which an owner says that it has received an attempt. Round trips take up to 40 ms between regions,
+ * and a busy process reads its sockets some 100 ms later.
+ */
+const confirmMs = 200;
+
+/** One link for each owner. */
+export class LinkForwarder implements Forwarder {
+    private readonly links = new Map<string, PeerLink>();
+
+    constructor(private readonly options: Options) {}
+
+    forward(
+        request: SelectedRequest,
+        signal: AbortSignal,
+        handleUnconfirmed?: () => void,
+    ): Promise<OwnerReply> {
+        const remainingMs = request.deadlineMs - this.options.clock.getMonotonicMs();
+        const { ownerAddress } = request.upstream;
+        const link = this.getLink(ownerAddress);
+        return new Promise(resolve => {
+            const timer = setTimeout(() => {
+                this.removeLink(ownerAddress, link);
+                handleUnconfirmed?.();
+            }, confirmMs);
+            const reportEnd = (reply: OwnerReply): void => {
+                clearTimeout(timer);
+                signal.removeEventListener("abort", cancel);
+                resolve(reply);
+            };
+            const reportFailure = (failure: Failure): void => reportEnd(createHopReply(request, failure));
+            const cancel = (): void => {
+                link.cancel(id);
+                reportFailure(createFailure(Code.PeerTimeout));
+            };
+            const id = link.sendDispatch(encodeDispatch(request, remainingMs), request.body, {
+                handleAccepted: () => clearTimeout(timer),
+                handleReply: reply => reportEnd(readReply(request, reply)),
+                handleFailure: reportFailure,
+            });
+            signal.addEventListener("abort", cancel, { once: true });
+            if (signal.aborted) {
+                cancel();
+            }
+        });
+    }
+
+    revoke(request: SelectedRequest): Promise<RevokeState> {
+        return this.options.sendRevoke(request.upstream.ownerAddress, {
+            requestId: request.requestId,
+            attempt: request.attempt,
+            idempotencyKey: request.idempotencyKey,
+            incarnation: request.ownerIncarnation,
+        });
+    }
+
+    close(): void {
+        for (const link of this.links.values()) {
+            link.close();
+        }
+    }
+
+    /**
+     * Uses a new connection for the next attempts to an owner, because an open one can become silent while new ones
+     * work. Attempts that wait on the old one may still be answered.
+     */
+    private removeLink(address: string, link: PeerLink): void {
+        if (this.links.get(address) === link) {
+            this.links.delete(address);
+        }
+        link.closeWhenIdle();
+    }
+
+    private getLink(address: string): PeerLink {
+        const known = this.links.get(address);
+        if (known !== undefined && !known.isClosed()) {
+            return known;
+        }
+        const link: PeerLink = new PeerLink(address, () => {
+            if (this.links.get(address) === link) {
+                this.links.delete(address);
+            }
+        });
+        this.links.set(address, link);
+        return link;
+    }
+}
+
+function readReply(request: SelectedRequest, { body, head }: LinkReply): OwnerReply {
+    if (head === undefined) {
+        return createHopReply(request, createFailure(Code.PeerProtocol, { detail: "the reply has no head" }));
+    }
+    const reply = decodeReply(head, body);
+    return reply.isOk() ? reply.value : createHopReply(request, reply.error);
+}
--- /dev/null
+++ b/src/edge/peer_link/link_listener.ts
@@ -0,0 +1,119 @@
+/**
+ * Serves the links of other daemons.
+ *
+ * @module
+ */
+import { create, type MessageInitShape } from "@bufbuild/protobuf";
+import type { IncomingMessage } from "node:http";
+import type { Socket } from "node:net";
+import type { Failure } from "../../core/failure.ts";
+import type { Filter } from "../../core/filter.ts";
+import { buildOwnerReply } from "../../forward/build_owner_reply.ts";
+import type { OwnerReply } from "../../forward/owner_reply.ts";
+import { type LinkDispatch, type LinkFrame, LinkFrameSchema } from "../../gen/zinniaglade/v1/control_pb.ts";
+import type { DrainableListener } from "../../lifecycle/drainable_listener.ts";
+import type { RequestLease } from "../../lifecycle/request_lease.ts";
+import type { OwnerIdentity } from "../../operations/owner_identity.ts";
+import type { IncomingDispatch } from "../../queue/incoming_dispatch.ts";
+import { decodeDispatch } from "./decode_dispatch.ts";
+import { encodeReply } from "./encode_reply.ts";
+import { FrameSocket } from "./frame_socket.ts";
+import { linkProtocol } from "./link_protocol.ts";
+
+interface Options {
+    readonly identity: OwnerIdentity;
+    /** Resolves and runs an attempt. */
+    readonly owner: Filter<IncomingDispatch, OwnerReply>;
+    /** Undefined when the daemon has closed. */
+    readonly registerRequest: () => RequestLease | undefined;
+}
+
+type Content = MessageInitShape<typeof LinkFrameSchema>["content"];
+
+/** Runs each attempt through the owner pipeline; the end of its link or a cancel aborts its signal. */
+export class LinkListener implements DrainableListener {
+    private readonly links = new Set<FrameSocket>();
+
+    constructor(private readonly options: Options) {}
+
+    /** Handles the event `upgrade` of an HTTP server; other protocols than the link's are refused. */
+    handleUpgrade(message: IncomingMessage, socket: Socket, head: Buffer): void {
+        if (message.headers.upgrade !== linkProtocol) {
+            socket.end("HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n");
+            return;
+        }
+        socket.write(
+            `HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: ${linkProtocol}\r\n\r\n`,
+        );
+        if (head.length > 0) {
+            socket.unshift(head);
+        }
+        this.open(socket);
+    }
+
+    /** New links are refused with the HTTP server; open ones continue. */
+    stop(): void {}
+
+    async close(): Promise<void> {
+        for (const link of this.links) {
+            link.close();
+        }
+    }
+
+    private open(socket: Socket): void {
+        const running = new Map<number, AbortController>();
+        const link: FrameSocket = new FrameSocket(socket, {
+            handleFrame: frame => this.handleFrame(link, running, frame),
+            handleClose: () => {
+                this.links.delete(link);
+                running.forEach(controller => controller.abort());
+            },
+        });
+        this.links.add(link);
+    }
+
+    private handleFrame(
+        link: FrameSocket,
+        running: Map<number, AbortController>,
+        { content, id }: LinkFrame,
+    ): void {
+        if (content.case === "cancel") {
+            running.get(id)?.abort();
+        }
+        else if (content.case === "dispatch") {
+            void this.run(link, running, id, content.value);
+        }
+    }
+
+    private async run(
+        link: FrameSocket,
+        running: Map<number, AbortController>,
+        id: number,
+        { body, head }: LinkDispatch,
+    ): Promise<void> {
+        const lease = this.options.registerRequest();
+        if (head === undefined || lease === undefined) {
+            // The daemon has closed, or the frame is not one of this version: the entry daemon sees a cut link.
+            lease?.close();
+            link.cancel();
+            return;
+        }
+        const send = (content: Content): void => link.send(create(LinkFrameSchema, { id, content }));
+        send({ case: "accepted", value: {} });
+        const controller = new AbortController();
+        running.set(id, controller);
+        const dispatch = decodeDispatch(head, body, controller.signal);
+        const result = await this.options.owner.apply(dispatch);
+        const reply = result.match(value => value, (failure: Failure) => this.refuse(dispatch, failure));
+        running.delete(id);
+        send({
+            case: "reply",
+            value: { head: encodeReply(reply), body: reply.answer?.body ?? new Uint8Array() },
+        });
+        lease.close();
+    }
+
+    private refuse(dispatch: IncomingDispatch, failure: Failure): OwnerReply {
+        return buildOwnerReply(this.options.identity, dispatch, failure);
+    }
+}
--- /dev/null
+++ b/src/edge/peer_link/link_protocol.ts
@@ -0,0 +1,2 @@
+/** Name of the protocol in the HTTP upgrade that opens a link. */
+export const linkProtocol = "zinniaglade-link";
--- /dev/null
+++ b/src/edge/peer_link/peer_link.ts
@@ -0,0 +1,156 @@
+/**
+ * One link to an owner: a connection that carries many attempts at once.
+ *
+ * @module
+ */
+import { create } from "@bufbuild/protobuf";
+import { request } from "node:http";
+import type { Socket } from "node:net";
+import { Code } from "../../core/code.ts";
+import { createFailure } from "../../core/create_failure.ts";
+import type { Failure } from "../../core/failure.ts";
+import {
+    type DispatchHead,
+    type LinkFrame,
+    LinkFrameSchema,
+    type LinkReply,
+} from "../../gen/zinniaglade/v1/control_pb.ts";
+import { splitAddress } from "../http/split_address.ts";
+import { FrameSocket } from "./frame_socket.ts";
+import { linkProtocol } from "./link_protocol.ts";
+
+/** Takes what the owner sends about one attempt. */
+interface AttemptHandlers {
+    readonly handleAccepted: () => void;
+    readonly handleReply: (reply: LinkReply) => void;
+    /** The link ended first; `PeerUnreachable` when the attempt was not sent. */
+    readonly handleFailure: (failure: Failure) => void;
+}
+
+/** Milliseconds in which a connection opens; the paths between daemons take a few. */
+const connectMs = 500;
+
+/** Attempts that wait for the connection are sent when it is open. */
+export class PeerLink {
+    private readonly attempts = new Map<number, AttemptHandlers>();
+    private readonly waiting: LinkFrame[] = [];
+    private frames: FrameSocket | undefined;
+    private lastId = 0;
+    private closed = false;
+    private ending = false;
+    private detail = "the connection was closed";
+    private readonly abortConnect: () => void;
+
+    constructor(address: string, private readonly handleClose: () => void) {
+        const connecting = request({
+            ...splitAddress(address),
+            path: "/v1/link",
+            headers: { connection: "Upgrade", upgrade: linkProtocol },
+        });
+        const timer = setTimeout(() => connecting.destroy(new Error("connecting took too long")), connectMs);
+        connecting.once("upgrade", (_response, socket, head) => {
+            clearTimeout(timer);
+            this.open(socket, head);
+        });
+        connecting.once("response", response => {
+            response.resume();
+            connecting.destroy(new Error(`the owner opens no link, status ${response.statusCode}`));
+        });
+        connecting.once("error", error => {
+            clearTimeout(timer);
+            this.detail = error.message;
+            this.handleEnd();
+        });
+        connecting.end();
+        this.abortConnect = () => connecting.destroy(new Error("the link was closed"));
+    }
+
+    isClosed(): boolean {
+        return this.closed;
+    }
+
+    /** Sends an attempt and returns its number. */
+    sendDispatch(head: DispatchHead, body: Uint8Array, handlers: AttemptHandlers): number {
+        this.lastId += 1;
+        const id = this.lastId;
+        this.attempts.set(id, handlers);
+        this.sendFrame(create(LinkFrameSchema, { id, content: { case: "dispatch", value: { head, body } } }));
+        return id;
+    }
+
+    /** Stops waiting for the reply to an attempt. */
+    cancel(id: number): void {
+        if (this.attempts.delete(id)) {
+            this.sendFrame(create(LinkFrameSchema, { id, content: { case: "cancel", value: {} } }));
+            this.closeIfIdle();
+        }
+    }
+
+    /** Closes the link as soon as no attempt waits on it. */
+    closeWhenIdle(): void {
+        this.ending = true;
+        this.closeIfIdle();
+    }
+
+    close(): void {
+        if (this.frames === undefined) {
+            this.abortConnect();
+        }
+        else {
+            this.frames.close();
+        }
+    }
+
+    private closeIfIdle(): void {
+        if (this.ending && this.attempts.size === 0) {
+            this.close();
+        }
+    }
+
+    private sendFrame(frame: LinkFrame): void {
+        if (this.frames === undefined) {
+            this.waiting.push(frame);
+        }
+        else {
+            this.frames.send(frame);
+        }
+    }
+
+    private open(socket: Socket, head: Buffer): void {
+        if (head.length > 0) {
+            socket.unshift(head);
+        }
+        const frames = new FrameSocket(socket, {
+            handleFrame: frame => this.handleFrame(frame),
+            handleClose: () => this.handleEnd(),
+        });
+        this.frames = frames;
+        this.waiting.splice(0).forEach(frame => frames.send(frame));
+    }
+
+    private handleFrame({ content, id }: LinkFrame): void {
+        // Frames about attempts that were cancelled are late and dropped.
+        const attempt = this.attempts.get(id);
+        if (content.case === "accepted") {
+            attempt?.handleAccepted();
+        }
+        else if (content.case === "reply") {
+            this.attempts.delete(id);
+            attempt?.handleReply(content.value);
+            this.closeIfIdle();
+        }
+    }
+
+    private handleEnd(): void {
+        if (this.closed) {
+            return;
+        }
+        this.closed = true;
+        const code = this.frames === undefined ? Code.PeerUnreachable : Code.PeerCut;
+        const failure = createFailure(code, { detail: this.detail });
+        const attempts = [...this.attempts.values()];
+        this.attempts.clear();
+        this.handleClose();
+        attempts.forEach(attempt => attempt.handleFailure(failure));
+    }
+}
--- a/src/forward/attempt_exchanger.ts
+++ b/src/forward/attempt_exchanger.ts
@@ -32,20 +32,35 @@
         this.revokeMs = options.revokeMs ?? 50;
     }
 
-    /** Always returns a reply to this attempt, at the deadline at the latest. */
-    async forward(selected: SelectedRequest): Promise<OwnerReply> {
+    /**
+     * Always returns a reply to this attempt, at the deadline at the latest. `handleUnconfirmed` is called when the owner
+     * has not confirmed the receipt of idempotent work in time.
+     */
+    async forward(selected: SelectedRequest, handleUnconfirmed?: () => void): Promise<OwnerReply> {
         const { clock, timers, forwarder } = this.options;
+        const { idempotent } = selected.route;
         const hop = new AbortController();
-        const replied = forwarder.forward(selected, hop.signal).then(reply => this.check(selected, reply));
+        let reportUnconfirmed: (unconfirmed: true) => void = () => undefined;
+        const unconfirmed = new Promise<true>(resolve => {
+            reportUnconfirmed = resolve;
+        });
+        const replied = forwarder.forward(selected, hop.signal, () => {
+            handleUnconfirmed?.();
+            reportUnconfirmed(true);
+        }).then(reply => this.check(selected, reply));
         const cancelled = waitForAbort(selected.signal);
         const remainingMs = selected.deadlineMs - clock.getMonotonicMs();
-        const reserveMs = selected.route.idempotent ? 0 : Math.min(this.revokeMs, remainingMs / 4);
+        const reserveMs = idempotent ? 0 : Math.min(this.revokeMs, remainingMs / 4);
         const expiring = waitForTimer(timers, remainingMs - reserveMs);
-        const reply = await Promise.race([replied, cancelled.done, expiring.done]);
+        const ends = [replied, cancelled.done, expiring.done];
+        let reply = await Promise.race(idempotent ? ends : [...ends, unconfirmed]);
+        if (reply === true) {
+            reply = await this.revokeUnconfirmed(selected, replied) ?? await Promise.race(ends);
+        }
         const result = reply ?? await this.stopWaiting(selected, replied);
         cancelled.close();
         expiring.close();
-        if (reply === undefined) {
+        if (reply === undefined || reply.code === Code.PeerTimeout) {
             hop.abort(abortReason);
         }
         return result;
@@ -64,6 +79,20 @@
         return state ?? RevokeState.NoReply;
     }
 
+    /** A reply when one came meanwhile or the owner says that it will not dispatch the attempt. */
+    private async revokeUnconfirmed(
+        selected: SelectedRequest,
+        replied: Promise<OwnerReply>,
+    ): Promise<OwnerReply | undefined> {
+        const ended = await Promise.race([this.revoke(selected), replied]);
+        if (typeof ended === "object") {
+            return ended;
+        }
+        return ended === RevokeState.Revoked
+            ? this.buildReply(selected, Code.PeerTimeout, Outcome.NotExecuted)
+            : undefined;
+    }
+
     private async stopWaiting(selected: SelectedRequest, replied: Promise<OwnerReply>): Promise<OwnerReply> {
         const { clock, timers } = this.options;
         const code = selected.signal.aborted ? Code.CallerCancelled : Code.DeadlineExceeded;
--- a/src/forward/attempt_filter.test.ts
+++ b/src/forward/attempt_filter.test.ts
@@ -68,6 +68,7 @@
                         ? err(createFailure(Code.NoUpstream))
                         : ok({ ...request, attempt, upstream, baselineMs: 0, trial: false });
                 },
+                recordUnconfirmed: () => undefined,
                 recordStart: () => undefined,
                 recordReply: () => undefined,
             },
@@ -79,9 +80,10 @@
             }),
             owners,
             exchanger,
-            budget: { add: () => undefined, take: () => this.retries-- > 0 },
+            budget: { add: () => undefined, has: () => this.retries > 0, take: () => this.retries-- > 0 },
             leaving: { setLeaving: id => void this.leaving.push(id) },
             clock: this.time,
+            timers: this.time,
         });
     }
 
--- a/src/forward/attempt_filter.ts
+++ b/src/forward/attempt_filter.ts
@@ -15,6 +15,7 @@
 import type { Failure } from "../core/failure.ts";
 import type { Filter } from "../core/filter.ts";
 import { Outcome } from "../core/outcome.ts";
+import type { Timers } from "../core/timers.ts";
 import type { LeavingRecorder } from "../membership/leaving_recorder.ts";
 import type { IdempotencyKey } from "../operations/idempotency_key.ts";
 import type { KeyOwnerReader } from "../operations/key_owner_reader.ts";
@@ -25,15 +26,15 @@
 import type { SelectedRequest } from "../select/selected_request.ts";
 import type { UpstreamSelector } from "../select/upstream_selector.ts";
 import type { AttemptExchanger } from "./attempt_exchanger.ts";
+import type { AttemptObserver } from "./attempt_observer.ts";
+import { AttemptRun } from "./attempt_run.ts";
 import { buildOwnerReply } from "./build_owner_reply.ts";
 import { hopCodes } from "./hop_codes.ts";
-import { IdempotentRetryPolicy } from "./idempotent_retry_policy.ts";
 import { KeyedRetryPolicy } from "./keyed_retry_policy.ts";
 import type { OwnerReply } from "./owner_reply.ts";
 import type { RetryBudget } from "./retry_budget.ts";
 import type { RetryPolicy } from "./retry_policy.ts";
 import { RevokeState } from "./revoke_state.ts";
-import { SingleRunRetryPolicy } from "./single_run_retry_policy.ts";
 import { unloadedCodes } from "./unloaded_codes.ts";
 
 interface Options {
@@ -44,8 +45,8 @@
     readonly budget: RetryBudget;
     readonly leaving: LeavingRecorder;
     readonly clock: Clock;
-    /** Attempts for one request, the first included. */
-    readonly maxAttempts?: number;
+    readonly timers: Timers;
+    readonly observer?: AttemptObserver;
 }
 
 /** Repeats the attempts of a request while that is safe. */
@@ -62,34 +63,12 @@
         return key.isErr() ? err(key.error) : this.runKeyed(request, key.value);
     }
 
-    private async runUnkeyed(request: RoutedRequest): Promise<Result<OwnerReply, Failure>> {
-        const { selector, owners } = this.options;
-        const idempotent = request.route.idempotent;
-        const policy = idempotent ? new IdempotentRetryPolicy() : new SingleRunRetryPolicy();
-        const excluded = new Set<string>();
-        let last: OwnerReply | undefined;
-        let uncertain = false;
-        for (let attempt = 1;; attempt += 1) {
-            const result = selector.select(request, attempt, excluded);
-            if (result.isErr()) {
-                return last === undefined ? err(result.error) : ok(last);
-            }
-            const ownerIncarnation = owners.getIncarnation(result.value.upstream.ownerId);
-            const selected = { ...result.value, ownerIncarnation };
-            excluded.add(selected.upstream.id);
-            last = await this.forward(selected);
-            if (!idempotent && last.outcome === Outcome.Unknown && hopCodes.has(last.code)) {
-                last = await this.revokeLost(selected, last);
-            }
-            if (uncertain && last.outcome === Outcome.NotExecuted) {
-                // An earlier attempt of idempotent work may have run.
-                last = { ...last, outcome: Outcome.Unknown };
-            }
-            uncertain = last.outcome !== Outcome.NotExecuted;
-            if (!this.isRepeatable(selected, last, policy)) {
-                return ok(last);
-            }
-        }
+    private runUnkeyed(request: RoutedRequest): Promise<Result<OwnerReply, Failure>> {
+        return new AttemptRun(request, {
+            ...this.options,
+            forward: (selected, handleUnconfirmed) => this.forward(selected, handleUnconfirmed),
+            revokeLost: (selected, reply) => this.revokeLost(selected, reply),
+        }).run();
     }
 
     private async runKeyed(
@@ -116,12 +95,17 @@
         }
     }
 
-    private async forward(selected: SelectedRequest): Promise<OwnerReply> {
+    private async forward(selected: SelectedRequest, handleUnconfirmed?: () => void): Promise<OwnerReply> {
         const { selector, exchanger, leaving, clock, owners } = this.options;
         const startMs = clock.getMonotonicMs();
         selector.recordStart(selected);
-        const reply = await exchanger.forward(selected);
-        selector.recordReply(selected, reply, clock.getMonotonicMs() - startMs);
+        const reply = await exchanger.forward(selected, () => {
+            selector.recordUnconfirmed(selected);
+            handleUnconfirmed?.();
+        });
+        const roundTripMs = clock.getMonotonicMs() - startMs;
+        selector.recordReply(selected, reply, roundTripMs);
+        this.options.observer?.recordAttempt(selected, reply, { startMs, roundTripMs });
         if (reply.incarnation !== "" && !hopCodes.has(reply.code)) {
             owners.setIncarnation({ ownerId: reply.ownerId, incarnation: reply.incarnation });
         }
@@ -141,8 +125,9 @@
     }
 
     private isRepeatable(selected: SelectedRequest, reply: OwnerReply, policy: RetryPolicy): boolean {
-        const { clock, budget, maxAttempts = 3 } = this.options;
-        return policy.isRetryable(reply) && selected.attempt < maxAttempts && !selected.signal.aborted
+        const { clock, budget } = this.options;
+        return policy.isRetryable(reply) && selected.attempt < selected.route.maxAttempts &&
+            !selected.signal.aborted
             && clock.getMonotonicMs() < selected.deadlineMs
             && (unloadedCodes.has(reply.code) || budget.take(selected.service.name));
     }
--- /dev/null
+++ b/src/forward/attempt_log.ts
@@ -0,0 +1,51 @@
+import { LogLevel } from "../core/log_level.ts";
+import type { Logger } from "../core/logger.ts";
+import type { SelectedRequest } from "../select/selected_request.ts";
+import type { AttemptObserver } from "./attempt_observer.ts";
+import type { OwnerReply } from "./owner_reply.ts";
+
+/** Writes one line for each attempt: what was known, what was chosen, what came back. */
+export class AttemptLog implements AttemptObserver {
+    constructor(private readonly logger: Logger) {}
+
+    recordAttempt(
+        selected: SelectedRequest,
+        reply: OwnerReply,
+        { roundTripMs, startMs }: { readonly startMs: number; readonly roundTripMs: number; },
+    ): void {
+        const { attempt, basis, requestId, route, service, upstream } = selected;
+        this.logger.write(LogLevel.Info, "attempt", {
+            requestId,
+            attempt,
+            service: service.name,
+            route: route.name,
+            idempotent: route.idempotent,
+            upstream: upstream.id,
+            failureDomain: upstream.failureDomain,
+            owner: upstream.ownerId,
+            ...(basis === undefined ? {} : {
+                faultProbability: formatNumber(basis.faultProbability, 3),
+                ageMs: formatNumber(basis.ageMs, 0),
+                load: formatNumber(basis.load, 2),
+                candidates: basis.candidates,
+                learns: basis.learns,
+            }),
+            redirectable: selected.redirectable ?? false,
+            configVersion: selected.configVersion,
+            sinceReceiptMs: formatNumber(startMs - selected.receivedAtMs, 0),
+            leftMs: formatNumber(selected.deadlineMs - startMs, 0),
+            code: reply.code,
+            outcome: reply.outcome,
+            status: reply.answer?.status ?? 0,
+            waitMs: formatNumber(reply.waitMs, 0),
+            serviceMs: formatNumber(reply.serviceMs, 1),
+            roundTripMs: formatNumber(roundTripMs, 0),
+            running: reply.upstream?.running ?? -1,
+            reportedProbability: formatNumber(reply.upstream?.faultProbability ?? -1, 3),
+        });
+    }
+}
+
+function formatNumber(value: number, digits: number): number {
+    return Number.isFinite(value) ? Number(value.toFixed(digits)) : -1;
+}
--- a/src/forward/owner_forwarder.ts
+++ b/src/forward/owner_forwarder.ts
@@ -13,8 +13,12 @@
 export class OwnerForwarder implements Forwarder {
     constructor(private readonly options: OwnerForwarderOptions) {}
 
-    forward(request: SelectedRequest, signal: AbortSignal): Promise<OwnerReply> {
-        return this.select(request).forward(request, signal);
+    forward(
+        request: SelectedRequest,
+        signal: AbortSignal,
+        handleUnconfirmed?: () => void,
+    ): Promise<OwnerReply> {
+        return this.select(request).forward(request, signal, handleUnconfirmed);
     }
 
     revoke(request: SelectedRequest): Promise<RevokeState> {
--- a/src/forward/owner_reply.ts
+++ b/src/forward/owner_reply.ts
@@ -28,4 +28,6 @@
     readonly keyRecorded?: boolean;
     /** Raised scores of any upstreams that the owner's daemon knows; absent when there are none. */
     readonly healthReports?: readonly HealthReport[];
+    /** Other upstreams of the service in the failure domain of the owner, for senders in other ones. */
+    readonly neighbours?: readonly UpstreamState[];
 }
--- a/src/forward/retry_budget.ts
+++ b/src/forward/retry_budget.ts
@@ -1,7 +1,9 @@
 /** Limits the attempts after the first. */
 export interface RetryBudget {
-    /** Counts a first attempt for the service; `percent` of them may be retried. */
+    /** Counts a first attempt for the service; `percent` of them may be retried, unless the budget has its own share. */
     add(service: string, percent: number): void;
+    /** True when one more attempt would be allowed with this share of the budget, 1 by default. */
+    has(service: string, share?: number): boolean;
     /** True when one more attempt is allowed, which is then counted. */
     take(service: string): boolean;
 }
--- a/src/forward/token_retry_budget.ts
+++ b/src/forward/token_retry_budget.ts
@@ -35,13 +35,16 @@
         bucket.tokens = Math.min(maxTokens, bucket.tokens + percent / 100);
     }
 
-    take(service: string): boolean {
-        const bucket = this.update(service);
+    has(service: string): boolean {
         // The margin keeps ten additions of 0.1, whose sum is slightly below 1, worth one token.
-        if (bucket.tokens < 1 - 1e-9) {
+        return this.update(service).tokens >= 1 - 1e-9;
+    }
+
+    take(service: string): boolean {
+        if (!this.has(service)) {
             return false;
         }
-        bucket.tokens -= 1;
+        this.update(service).tokens -= 1;
         return true;
     }
 
--- a/src/forward/transient_codes.ts
+++ b/src/forward/transient_codes.ts
@@ -18,6 +18,7 @@
     Code.UpstreamUnexpected,
     Code.UpstreamReplaced,
     Code.UpstreamGarbled,
+    Code.UpstreamSuspected,
     Code.PeerUnreachable,
     Code.PeerCut,
     Code.PeerTimeout,
--- a/src/forward/unloaded_codes.ts
+++ b/src/forward/unloaded_codes.ts
@@ -13,4 +13,5 @@
     Code.PeerUnreachable,
     // The owner redirects a request twice at most.
     Code.RetryElsewhere,
+    Code.UpstreamSuspected,
 ]);
--- a/src/health/dispatch_watch.ts
+++ b/src/health/dispatch_watch.ts
@@ -56,7 +56,7 @@
         this.baselines.add(request.route.name, request.baselineMs, startedAtMs);
         const baselineMs = request.baselineMs > 0
             ? request.baselineMs
-            : this.baselines.compute(request.route.name, startedAtMs);
+            : this.baselines.compute(request.route.name, startedAtMs) || request.route.targetMs;
         const exchange: Exchange = { request, startedAtMs, baselineMs, timer: undefined, overdue: 0 };
         this.exchanges.set(formatKey(request), exchange);
         if (baselineMs > 0) {
--- /dev/null
+++ b/src/health/fault_belief.ts
@@ -0,0 +1,60 @@
+/**
+ * Probability that an upstream has a fault, from its results one by one.
+ *
+ * @example
+ * ```ts
+ * const belief = new FaultBelief(nowMs);
+ * belief.recordResult(false, nowMs);
+ * belief.getProbability(nowMs + 100);
+ * ```
+ *
+ * @module
+ */
+import { computeDecayedProbability } from "./compute_decayed_probability.ts";
+import { faultModel } from "./fault_model.ts";
+
+/** Bounds that keep the belief able to change within a few results. */
+const minProbability = 0.001;
+const maxProbability = 0.995;
+
+/** Bayesian filter over the two states of `faultModel`. */
+export class FaultBelief {
+    private probability = computePrior();
+
+    constructor(private updatedAtMs: number) {}
+
+    recordResult(failed: boolean, nowMs: number): void {
+        const { failShareFaulty, failShareWorking } = faultModel;
+        this.update(
+            failed ? failShareFaulty : 1 - failShareFaulty,
+            failed ? failShareWorking : 1 - failShareWorking,
+            nowMs,
+        );
+    }
+
+    /** A request failed after it had been worked on, perhaps because of another service. */
+    recordLateFailure(nowMs: number): void {
+        this.update(faultModel.lateFailShareFaulty, faultModel.lateFailShareWorking, nowMs);
+    }
+
+    /** A request takes much longer than it should. */
+    recordSlow(nowMs: number): void {
+        this.update(faultModel.slowShareFaulty, faultModel.slowShareWorking, nowMs);
+    }
+
+    getProbability(nowMs: number): number {
+        return computeDecayedProbability(this.probability, nowMs - this.updatedAtMs);
+    }
+
+    private update(likelihoodFaulty: number, likelihoodWorking: number, nowMs: number): void {
+        const prior = this.getProbability(nowMs);
+        const faulty = prior * likelihoodFaulty;
+        const posterior = faulty / (faulty + (1 - prior) * likelihoodWorking);
+        this.probability = Math.min(maxProbability, Math.max(minProbability, posterior));
+        this.updatedAtMs = nowMs;
+    }
+}
+
+function computePrior(): number {
+    return faultModel.meanFaultMs / (faultModel.meanFaultMs + faultModel.meanWorkingMs);
+}
--- /dev/null
+++ b/src/published/store_follower.test.ts
@@ -0,0 +1,180 @@
+import { err, ok, type Result } from "neverthrow";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { SeededRandom } from "../../proof/fakes/seeded_random.ts";
+import { VirtualTime } from "../../proof/fakes/virtual_time.ts";
+import type { Configuration } from "../config/configuration.ts";
+import { Code } from "../core/code.ts";
+import { createFailure } from "../core/create_failure.ts";
+import type { Failure } from "../core/failure.ts";
+import { MembershipTable } from "../membership/membership_table.ts";
+import { ConfigStore } from "./config_store.ts";
+import type { PublishedStore } from "./published_store.ts";
+import type { StoreChange } from "./store_change.ts";
+import { StoreChangeKind } from "./store_change_kind.ts";
+import { StoreFollower } from "./store_follower.ts";
+import type { StorePage } from "./store_page.ts";
+
+type Reply = Result<StorePage, Failure>;
+
+/** A store whose replies the test gives one by one; without one, a call stays open. */
+class FakeStore implements PublishedStore {
+    readonly calls: string[] = [];
+    private readonly replies: Reply[] = [];
+    private resolve: ((reply: Reply) => void) | undefined;
+
+    fetchAll(): Promise<Reply> {
+        return this.call("all");
+    }
+
+    watch(afterRevision: number): Promise<Reply> {
+        return this.call(`watch ${afterRevision}`);
+    }
+
+    close(): void {}
+
+    reply(...replies: Reply[]): void {
+        this.replies.push(...replies);
+        const resolve = this.resolve;
+        if (resolve !== undefined) {
+            this.resolve = undefined;
+            resolve(this.replies.shift()!);
+        }
+    }
+
+    private call(name: string): Promise<Reply> {
+        this.calls.push(name);
+        const reply = this.replies.shift();
+        return reply !== undefined ? Promise.resolve(reply) : new Promise(resolve => {
+            this.resolve = resolve;
+        });
+    }
+}
+
+function createSetup() {
+    const time = new VirtualTime();
+    const sinks = {
+        record: () => undefined,
+        write: () => undefined,
+        addCount: () => undefined,
+        setGauge: () => undefined,
+        recordTime: () => undefined,
+    };
+    const base = { clock: time, timers: time, audit: sinks, logger: sinks, metrics: sinks };
+    const configs = new ConfigStore(base);
+    const membership = new MembershipTable(base);
+    const store = new FakeStore();
+    const follower = new StoreFollower({
+        ...base,
+        store,
+        configs,
+        membership,
+        random: new SeededRandom(1),
+        startWaitMs: 60_000,
+    });
+    const listIds = () => membership.list("payments").map(({ id }) => id).join();
+    return { time, configs, store, follower, listIds };
+}
+
+function buildUpstream(id: string, revision: number, leaving = false): StoreChange {
+    const place = { failureDomain: "z", region: "r", ownerId: id, ownerAddress: id };
+    return {
+        kind: StoreChangeKind.Upstream,
+        revision,
+        upstream: { id, service: "payments", leaving, ...place },
+    };
+}
+
+function buildRemoval(upstreamId: string, revision: number): StoreChange {
+    return { kind: StoreChangeKind.UpstreamRemoved, revision, upstreamId };
+}
+
+function buildConfiguration(version: number, revision: number): StoreChange {
+    const configuration: Configuration = { team: "", services: new Map() };
+    return { kind: StoreChangeKind.Configuration, revision, version, source: `${version}`, configuration };
+}
+
+function buildPage(revision: number, ...changes: StoreChange[]): Reply {
+    return ok({ revision, changes });
+}
+
+const unreachable: Reply = err(createFailure(Code.PlatformUnreachable));
+
+test("a daemon starts to serve with the first configuration and not before", async () => {
+    const { follower, store, time, configs } = createSetup();
+    let started = false;
+    void follower.start().then(() => {
+        started = true;
+    });
+    store.reply(buildPage(5, buildUpstream("u1", 4)));
+    await time.run(1_000);
+    assert.equal(started, false);
+    store.reply(buildPage(6, buildConfiguration(1, 6)));
+    await time.run(1_000);
+    assert.deepEqual([started, configs.getActive()?.version], [true, 1]);
+});
+
+test("changes are watched from the revision of the last page, and an older change does not replace a newer one", async () => {
+    const { follower, store, time, listIds } = createSetup();
+    void follower.start();
+    store.reply(
+        buildPage(5, buildConfiguration(1, 3), buildUpstream("u1", 4)),
+        buildPage(7, buildRemoval("u1", 6), buildUpstream("u2", 7)),
+        buildPage(8, buildUpstream("u1", 4)),
+    );
+    await time.run(2_000);
+    assert.deepEqual(store.calls, ["all", "watch 5", "watch 7", "watch 8"]);
+    assert.equal(listIds(), "u2");
+});
+
+test("a store that has forgotten its history is read again, and what it no longer lists is gone", async () => {
+    const { follower, store, time, listIds } = createSetup();
+    void follower.start();
+    store.reply(
+        buildPage(5, buildConfiguration(1, 3), buildUpstream("u1", 4), buildUpstream("u2", 5)),
+        err(createFailure(Code.PlatformHistoryGone)),
+        buildPage(9, buildConfiguration(1, 3), buildUpstream("u2", 5)),
+    );
+    await time.run(2_000);
+    assert.deepEqual(store.calls, ["all", "watch 5", "all", "watch 9"]);
+    assert.equal(listIds(), "u2");
+});
+
+test("an outage changes nothing, and a configuration that is older than the one in force is refused", async () => {
+    const { follower, store, time, configs, listIds } = createSetup();
+    void follower.start();
+    store.reply(
+        buildPage(5, buildConfiguration(4, 3), buildUpstream("u1", 4)),
+        unreachable,
+        unreachable,
+        buildPage(6, buildConfiguration(3, 6)),
+    );
+    await time.run(5_000);
+    assert.deepEqual([configs.getActive()?.version, listIds()], [4, "u1"]);
+});
+
+test("entries that went during an outage stay until their upstreams had time to write them again", async () => {
+    const { follower, store, time, listIds } = createSetup();
+    void follower.start();
+    store.reply(
+        buildPage(5, buildConfiguration(1, 3), buildUpstream("u1", 4), buildUpstream("u2", 5)),
+        unreachable,
+        buildPage(8, buildRemoval("u1", 7), buildRemoval("u2", 8)),
+    );
+    await time.run(1_000);
+    assert.equal(listIds(), "u1,u2");
+    store.reply(buildPage(9, buildUpstream("u1", 9)));
+    await time.run(2_500);
+    assert.equal(listIds(), "u1");
+});
+
+test("an upstream that leaves while the store is stable is gone at once", async () => {
+    const { follower, store, time, listIds } = createSetup();
+    void follower.start();
+    store.reply(
+        buildPage(5, buildConfiguration(1, 3), buildUpstream("u1", 4), buildUpstream("u2", 5)),
+        buildPage(8, buildRemoval("u1", 7), buildUpstream("u2", 8, true)),
+    );
+    await time.run(1_000);
+    assert.equal(listIds(), "");
+});
--- a/src/queue/owner_request.ts
+++ b/src/queue/owner_request.ts
@@ -23,6 +23,8 @@
      * no other upstream is left or after two such answers, so that a request is redirected at most twice.
      */
     readonly redirectable?: boolean;
+    /** True when the entry daemon is in another failure domain. */
+    readonly remote?: boolean;
     readonly method: string;
     readonly target: string;
     readonly headers: readonly MessageHeader[];
--- a/src/queue/upstream_queue.ts
+++ b/src/queue/upstream_queue.ts
@@ -17,6 +17,7 @@
 import { WorkClass } from "../core/work_class.ts";
 import { computeQueueLimit } from "./compute_queue_limit.ts";
 import { FairQueue } from "./fair_queue.ts";
+import { isOverShare } from "./is_over_share.ts";
 import type { OwnedUpstream } from "./owned_upstream.ts";
 import type { OwnerRequest } from "./owner_request.ts";
 import type { QueueEntry } from "./queue_entry.ts";
@@ -116,7 +117,6 @@
     }
 
     private checkArrival(request: OwnerRequest, nowMs: number, waitMs: number): Code {
-        const { workClass } = request.route;
         if (this.drained) {
             return Code.OwnerLeaving;
         }
@@ -126,16 +126,21 @@
         if (nowMs >= request.deadlineMs) {
             return Code.DeadlineExceeded;
         }
+        if (this.isRedirected(request, nowMs, waitMs)) {
+            return Code.RetryElsewhere;
+        }
+        return this.checkRoom(request, nowMs, waitMs);
+    }
+
+    private checkRoom(request: OwnerRequest, nowMs: number, waitMs: number): Code {
+        const { workClass } = request.route;
         if (
             nowMs + waitMs + this.serviceTimes.computeNeededMs(request.route, waitMs, nowMs) >
                 request.deadlineMs
         ) {
             return Code.WaitTooLong;
         }
-        if (this.isRedirected(request, nowMs, waitMs)) {
-            return Code.RetryElsewhere;
-        }
-        if (this.isOverShare(request)) {
+        if (isOverShare(request, this.queues[workClass])) {
             return Code.OrganisationOverShare;
         }
         if (this.sheds[workClass].decideArrival(nowMs, waitMs, this.computeTargetMs(request, nowMs))) {
@@ -147,23 +152,21 @@
         return Code.Ok;
     }
 
-    /** A queue that sheds redirects nothing, because then other upstreams have no room either. */
     private isRedirected(request: OwnerRequest, nowMs: number, waitMs: number): boolean {
         return request.redirectable === true && request.route.workClass === WorkClass.Short
-            && !this.sheds.short.isShedding()
             && waitMs > redirectWait * this.serviceTimes.getMeanMs(request.route, nowMs);
     }
 
-    /** The target is at least one service time, which work in a queue behind busy slots waits anyway. */
+    /**
+     * The target is at least one service time, which work in a queue behind busy slots waits anyway, and leaves half of
+     * the time in which the answer should arrive.
+     */
     private computeTargetMs({ service, route }: OwnerRequest, nowMs: number): number {
-        return Math.max(service.limits.targetWaitMs, this.serviceTimes.getMeanMs(route, nowMs));
-    }
-
-    private isOverShare({ service, route, organisation }: OwnerRequest): boolean {
-        const limit = computeQueueLimit(service, route.workClass);
-        const share = limit * service.limits.organisationPercent / 100;
-        const queued = this.queues[route.workClass].countOrganisation(organisation);
-        return queued >= Math.max(1, Math.floor(share));
+        return Math.max(
+            service.limits.targetWaitMs,
+            this.serviceTimes.getMeanMs(route, nowMs),
+            route.targetMs / 2,
+        );
     }
 
     /** Makes room for the request at the cost of the organisation with the most queued work of the class. */
--- /dev/null
+++ b/src/select/belief_selector.ts
@@ -0,0 +1,241 @@
+/**
+ * Selection of one upstream for each attempt by what the owners believe about their upstreams.
+ *
+ * Work that must not be repeated goes where something has just succeeded. Idempotent work goes, while it has attempts
+ * and retry budget left, where a result teaches most: it finds out which upstreams fail at the cost of a retry.
+ *
+ * @example
+ * ```ts
+ * const selected = selector.select(request, 1, new Set());
+ * if (selected.isOk()) {
+ *     selector.recordStart(selected.value);
+ *     selector.recordReply(selected.value, reply, roundTripMs);
+ * }
+ * ```
+ *
+ * @module
+ */
+import { err, ok, type Result } from "neverthrow";
+import type { PathObserver } from "../beacon/path_observer.ts";
+import type { StateObserver } from "../beacon/state_observer.ts";
+import type { Clock } from "../core/clock.ts";
+import { Code } from "../core/code.ts";
+import { createFailure } from "../core/create_failure.ts";
+import type { Failure } from "../core/failure.ts";
+import type { RandomSource } from "../core/random_source.ts";
+import type { Upstream } from "../core/upstream.ts";
+import type { UpstreamState } from "../core/upstream_state.ts";
+import type { OwnerReply } from "../forward/owner_reply.ts";
+import type { RetryBudget } from "../forward/retry_budget.ts";
+import { faultModel } from "../health/fault_model.ts";
+import { isExpected } from "../health/is_expected.ts";
+import { PathTable } from "../health/path_table.ts";
+import type { LeavingRecorder } from "../membership/leaving_recorder.ts";
+import type { MembershipReader } from "../membership/membership_reader.ts";
+import type { RoutedRequest } from "../route/routed_request.ts";
+import { BaselineTable } from "./baseline_table.ts";
+import type { SelectedRequest } from "./selected_request.ts";
+import type { UpstreamSelector } from "./upstream_selector.ts";
+import { UpstreamView } from "./upstream_view.ts";
+
+interface Options {
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly membership: MembershipReader;
+    readonly leaving: LeavingRecorder;
+    readonly budget: RetryBudget;
+    readonly observer: PathObserver;
+    /** Place of this daemon. */
+    readonly failureDomain: string;
+    readonly region: string;
+}
+
+/** Losses are in shares of the value of a request. */
+const otherDomainLoss = 0.02;
+const otherRegionLoss = 0.1;
+/** Loss of an upstream whose slots are all taken, and for each further request per slot. */
+const fullLoss = 0.3;
+const queuedLoss = 0.2;
+/** Loss of an upstream with an overdue request of this sender. */
+const overdueLoss = 0.3;
+/** Largest random part; spreads the choices of senders that know the same. */
+const jitterLoss = 0.005;
+/** Value of a result that would tell everything, for work that can be repeated, and loss of its failure. */
+const learnValue = 0.6;
+const repeatLoss = 0.05;
+/** Share of the retry budget that requests may use to learn; the rest is for requests that fail unexpectedly. */
+const learnShare = 0.6;
+/** Refusals after which a request no longer looks for a free upstream. */
+const maxRefusals = 3;
+/** Milliseconds after which another result of an upstream has its full value. */
+const learnMs = 1_000;
+/** Milliseconds for the two directions of a path and for scheduling before a reply counts as overdue. */
+const pathSlackMs = 100;
+/** Share of the remaining time after which a reply counts as overdue when no baseline is known. */
+const unknownOverdueShare = 0.5;
+/** Codes 3xxx report that the hop between the daemons failed. */
+const firstHopCode = 3_000;
+const lastHopCode = 3_999;
+
+/** Selects the upstream with the smallest expected loss. */
+export class BeliefSelector implements UpstreamSelector, StateObserver {
+    private readonly views = new Map<string, UpstreamView>();
+    private readonly baselines = new BaselineTable();
+    private readonly paths = new PathTable();
+
+    constructor(private readonly options: Options) {}
+
+    select(
+        request: RoutedRequest,
+        attempt: number,
+        excluded: ReadonlySet<string>,
+        sends = 0,
+    ): Result<SelectedRequest, Failure> {
+        const nowMs = this.options.clock.getMonotonicMs();
+        const { budget, membership, observer } = this.options;
+        const { route, service } = request;
+        const members = membership.list(service.name);
+        const reachable = members.filter(({ ownerId }) =>
+            !this.paths.isAvoided(ownerId, route.idempotent, nowMs) && !observer.isSilent(ownerId)
+        );
+        const open = reachable.filter(({ id }) => !excluded.has(id));
+        const free = attempt - sends > maxRefusals ? [] : open.filter(({ id }) => this.isFree(id, nowMs));
+        const isLast = free.length === 0;
+        const candidates = [free, open, reachable, members].find(list => list.length > 0) ?? [];
+        const canLearn = route.idempotent && !isLast && sends + 1 < route.maxAttempts
+            && budget.has(service.name, learnShare);
+        const upstream = this.selectBest(candidates, nowMs, canLearn);
+        if (upstream === undefined) {
+            return err(createFailure(Code.NoUpstream));
+        }
+        const baselineMs = this.baselines.compute(service, route, {
+            upstreamId: upstream.id,
+            excluded: new Set(),
+            nowMs,
+        });
+        const basis = {
+            ...this.getView(upstream.id).buildBasis(nowMs),
+            candidates: candidates.length,
+            learns: canLearn,
+        };
+        const remote = upstream.failureDomain !== this.options.failureDomain;
+        return ok({
+            ...request,
+            attempt,
+            upstream,
+            baselineMs,
+            trial: false,
+            redirectable: !isLast,
+            remote,
+            basis,
+        });
+    }
+
+    recordStart(selected: SelectedRequest): void {
+        const { baselineMs, upstream } = selected;
+        const nowMs = this.options.clock.getMonotonicMs();
+        const view = this.getView(upstream.id);
+        const patienceMs = baselineMs > 0
+            ? baselineMs + 2 * view.load.getWaitMs() + pathSlackMs
+            : (selected.deadlineMs - nowMs) * unknownOverdueShare;
+        view.load.addRequest(formatKey(selected), nowMs + patienceMs);
+        view.recordTry(nowMs);
+    }
+
+    recordUnconfirmed(selected: SelectedRequest): void {
+        this.paths.recordFailure(selected.upstream.ownerId, this.options.clock.getMonotonicMs());
+    }
+
+    recordReply(selected: SelectedRequest, reply: OwnerReply): void {
+        const { route, service, upstream } = selected;
+        const nowMs = this.options.clock.getMonotonicMs();
+        const view = this.getView(upstream.id);
+        view.load.removeRequest(formatKey(selected));
+        if (reply.upstream !== undefined) {
+            view.update(reply.upstream, nowMs);
+            reply.neighbours?.forEach(state => this.getView(state.upstreamId).update(state, nowMs));
+            this.paths.recordSuccess(upstream.ownerId);
+        }
+        else if (reply.code >= firstHopCode && reply.code <= lastHopCode) {
+            this.paths.recordFailure(upstream.ownerId, nowMs);
+        }
+        if (reply.code === Code.OwnerLeaving || reply.upstream?.leaving === true) {
+            this.options.leaving.setLeaving(upstream.id, "reply");
+        }
+        if (reply.answer !== undefined && isExpected(reply.answer, route.expect)) {
+            const sample = { upstreamId: upstream.id, serviceMs: reply.serviceMs, atMs: nowMs };
+            this.baselines.record(service, route, sample);
+        }
+    }
+
+    recordState(state: UpstreamState, nowMs: number): void {
+        this.getView(state.upstreamId).update(state, nowMs);
+        if (state.leaving) {
+            this.options.leaving.setLeaving(state.upstreamId, "beacon");
+        }
+    }
+
+    /** States of the other upstreams of a service in the own failure domain. */
+    listNeighbours(service: string, upstreamId: string): readonly UpstreamState[] {
+        const { clock, failureDomain, membership } = this.options;
+        const nowMs = clock.getMonotonicMs();
+        return membership.list(service)
+            .filter(upstream => upstream.failureDomain === failureDomain && upstream.id !== upstreamId)
+            .flatMap(({ id }) => this.getView(id).getState(nowMs) ?? []);
+    }
+
+    private selectBest(
+        candidates: readonly Upstream[],
+        nowMs: number,
+        canLearn: boolean,
+    ): Upstream | undefined {
+        let best: Upstream | undefined;
+        let bestLoss = Infinity;
+        for (const candidate of candidates) {
+            const loss = this.computeLoss(candidate, nowMs, canLearn);
+            if (loss < bestLoss) {
+                best = candidate;
+                bestLoss = loss;
+            }
+        }
+        return best;
+    }
+
+    private computeLoss(upstream: Upstream, nowMs: number, canLearn: boolean): number {
+        const { failureDomain, random, region } = this.options;
+        const view = this.getView(upstream.id);
+        const probability = view.getFaultProbability(nowMs);
+        const load = view.load.measure(nowMs);
+        const place = upstream.failureDomain === failureDomain
+            ? 0
+            : upstream.region === region
+            ? otherDomainLoss
+            : otherRegionLoss;
+        const busy = load < 1 ? 0 : fullLoss + queuedLoss * (load - 1);
+        const overdue = view.load.hasOverdue(nowMs) ? overdueLoss : 0;
+        // Results of other failure domains are the business of the daemons there.
+        const failure = canLearn && place === 0
+            ? repeatLoss * probability
+                - learnValue * probability * (1 - probability) * Math.min(1, view.getAgeMs(nowMs) / learnMs)
+            : probability * faultModel.failShareFaulty;
+        return failure + place + busy + overdue + jitterLoss * random.take();
+    }
+
+    /** True when a slot is free there as far as this sender knows. */
+    private isFree(upstreamId: string, nowMs: number): boolean {
+        return this.getView(upstreamId).load.measure(nowMs) < 1;
+    }
+
+    private getView(upstreamId: string): UpstreamView {
+        let view = this.views.get(upstreamId);
+        if (view === undefined) {
+            view = new UpstreamView();
+            this.views.set(upstreamId, view);
+        }
+        return view;
+    }
+}
+
+function formatKey(selected: SelectedRequest): string {
+    return `${selected.requestId}/${selected.attempt}`;
+}
--- a/src/select/power_of_two_selector.ts
+++ b/src/select/power_of_two_selector.ts
@@ -118,6 +118,10 @@
         }
     }
 
+    recordUnconfirmed(selected: SelectedRequest): void {
+        this.paths.recordFailure(selected.upstream.ownerId, this.options.clock.getMonotonicMs());
+    }
+
     recordReply(selected: SelectedRequest, reply: OwnerReply, roundTripMs: number): void {
         const { service, route, upstream, trial } = selected;
         const nowMs = this.options.clock.getMonotonicMs();
--- a/src/select/selected_request.ts
+++ b/src/select/selected_request.ts
@@ -1,5 +1,6 @@
 import type { Upstream } from "../core/upstream.ts";
 import type { RoutedRequest } from "../route/routed_request.ts";
+import type { SelectionBasis } from "./selection_basis.ts";
 
 /** One attempt of a request, bound for one upstream. */
 export interface SelectedRequest extends RoutedRequest {
@@ -12,6 +13,10 @@
     readonly trial: boolean;
     /** True when the owner may refuse the attempt because another upstream may serve it sooner. */
     readonly redirectable?: boolean;
+    /** True when the owner is in another failure domain. */
+    readonly remote?: boolean;
     /** Incarnation of the owner that this daemon knew when it sent the attempt; a revocation names it. */
     readonly ownerIncarnation?: string | undefined;
+    /** For the log. */
+    readonly basis?: SelectionBasis;
 }
--- a/src/settle/upstream_state_builder.ts
+++ b/src/settle/upstream_state_builder.ts
@@ -1,5 +1,6 @@
 import type { UpstreamState } from "../core/upstream_state.ts";
 import type { EvidenceRecorder } from "../health/evidence_recorder.ts";
+import type { FaultReader } from "../health/fault_reader.ts";
 import { DaemonState } from "../lifecycle/daemon_state.ts";
 import type { DaemonStateReader } from "../lifecycle/daemon_state_reader.ts";
 import type { QueueStateReader } from "../queue/queue_state_reader.ts";
@@ -8,6 +9,8 @@
     readonly queues: QueueStateReader;
     readonly evidence: EvidenceRecorder;
     readonly daemonState: DaemonStateReader;
+    /** Absent when the owner keeps no belief. */
+    readonly faults?: FaultReader | undefined;
 }
 
 /** Joins what queue, health test and lifecycle know about an upstream. */
@@ -22,6 +25,11 @@
         }
         const state = this.options.daemonState.getState();
         const leaving = state === DaemonState.Draining || state === DaemonState.Closed;
-        return { ...queue, healthScore: this.options.evidence.getScore(upstreamId), leaving };
+        return {
+            ...queue,
+            healthScore: this.options.evidence.getScore(upstreamId),
+            leaving,
+            faultProbability: this.options.faults?.getFaultProbability(upstreamId) ?? 0,
+        };
     }
 }
--- a/src/wiring/build_entry.ts
+++ b/src/wiring/build_entry.ts
@@ -7,9 +7,11 @@
 import { Pipeline } from "../core/pipeline.ts";
 import type { DaemonAdapters } from "../daemon_adapters.ts";
 import { ConnectRevoker } from "../edge/control/connect_revoker.ts";
-import { UndiciForwarder } from "../edge/peer_http/undici_forwarder.ts";
+import { LinkForwarder } from "../edge/peer_link/link_forwarder.ts";
 import { AttemptExchanger } from "../forward/attempt_exchanger.ts";
 import { AttemptFilter } from "../forward/attempt_filter.ts";
+import { AttemptLog } from "../forward/attempt_log.ts";
+import { FleetRetryBudget } from "../forward/fleet_retry_budget.ts";
 import { LocalForwarder } from "../forward/local_forwarder.ts";
 import { OwnerForwarder } from "../forward/owner_forwarder.ts";
 import { TokenRetryBudget } from "../forward/token_retry_budget.ts";
@@ -23,6 +25,7 @@
 import { HeaderCallerCodec } from "../receive/header_caller_codec.ts";
 import { ReceiveFilter } from "../receive/receive_filter.ts";
 import { RouteFilter } from "../route/route_filter.ts";
+import { BeliefSelector } from "../select/belief_selector.ts";
 import { PowerOfTwoSelector } from "../select/power_of_two_selector.ts";
 import { RotationPreference } from "../select/rotation_preference.ts";
 import type { ServeSettings } from "../settings/serve_settings.ts";
@@ -45,25 +48,40 @@
     const { clock, identity, metrics, random } = base;
     const { membership, store } = control;
     const connectRevoker = new ConnectRevoker(control.transports);
-    const remote = new UndiciForwarder({
+    const remote = new LinkForwarder({
         clock,
         sendRevoke: (address, target) => connectRevoker.revoke(address, target),
     });
     const local = new LocalForwarder({ owner: owner.register, revoker: owner.revoker });
     const forwarder = new OwnerForwarder({ daemonId: identity.ownerId, local, remote });
-    const selector = new PowerOfTwoSelector({
-        ...base,
-        ...place,
-        membership,
-        leaving: membership,
+    const fleetBudget = adapters === undefined ? undefined : new FleetRetryBudget({
+        ...adapters.retryBudget,
+        clock,
+        countDomains: () =>
+            new Set([...membership.getDaemons().values()].map(daemon => daemon.failureDomain)).size,
     });
+    const budget = fleetBudget ?? new TokenRetryBudget(clock);
+    const parts = { ...base, ...place, membership, leaving: membership };
+    const selector = new PowerOfTwoSelector(parts);
+    const beliefs = new BeliefSelector({
+        ...parts,
+        budget,
+        observer: control.beacons?.exchange ?? { isSilent: () => false },
+    });
+    if (control.beacons !== undefined && fleetBudget !== undefined) {
+        control.beacons.links.observer = beliefs;
+        control.beacons.links.counts = fleetBudget;
+        control.beacons.links.listNeighbours = (...query) => beliefs.listNeighbours(...query);
+    }
     const preference = new RotationPreference({ config: store, selector });
     const owners = new KnownOwnerTable({ ...base, membership, incarnations: membership, preference });
     const inFlight = new InFlightTable();
     const saturation = new SaturationTable(clock, membership);
     const serviceTimes = new ServiceTimes();
     const attempt = new AttemptFilter({
-        selector,
+        ...base,
+        observer: new AttemptLog(base.logger),
+        selector: adapters === undefined ? selector : beliefs,
         keyedSelector: new KeyedSelector({
             upstreams: new OwnerUpstreamIndex(() => membership.getList().list),
             owners,
@@ -72,9 +90,8 @@
         }),
         owners,
         exchanger: new AttemptExchanger({ ...base, forwarder }),
-        budget: new TokenRetryBudget(clock),
+        budget,
         leaving: membership,
-        clock,
     });
     const forward = Pipeline.start(new RouteFilter({ config: store, clock, random }))
         .pipe(new AdmitFilter({ clock, config: store, inFlight, saturation, serviceTimes }))
--- a/src/wiring/build_gossip_control.ts
+++ b/src/wiring/build_gossip_control.ts
@@ -84,6 +84,7 @@
         announcer: gossip,
         gossipHandler,
         transports,
+        beacons: undefined,
         closers: [transports, platform],
     };
 }
--- a/src/wiring/build_owner.ts
+++ b/src/wiring/build_owner.ts
@@ -1,3 +1,5 @@
+import { AnnounceFilter } from "../beacon/announce_filter.ts";
+import { NeighbourFilter } from "../beacon/neighbour_filter.ts";
 import { Pipeline } from "../core/pipeline.ts";
 import type { DaemonAdapters } from "../daemon_adapters.ts";
 import { DispatchFilter } from "../dispatch/dispatch_filter.ts";
@@ -5,10 +7,12 @@
 import { ImmediateLoopTurns } from "../dispatch/immediate_loop_turns.ts";
 import { PauseDetector } from "../dispatch/pause_detector.ts";
 import { UndiciUpstreamClient } from "../edge/upstream_http/undici_upstream_client.ts";
+import { BeliefRecorder } from "../health/belief_recorder.ts";
 import { DispatchWatch } from "../health/dispatch_watch.ts";
 import { HealthReportFilter } from "../health/health_report_filter.ts";
 import { PauseMeter } from "../health/pause_meter.ts";
 import { SequentialEvidenceRecorder } from "../health/sequential_evidence_recorder.ts";
+import { SuspectFilter } from "../health/suspect_filter.ts";
 import type { DrainableListener } from "../lifecycle/drainable_listener.ts";
 import { Lifecycle } from "../lifecycle/lifecycle.ts";
 import { ListedUpstreams } from "../membership/listed_upstreams.ts";
@@ -52,8 +56,14 @@
         quietMs: settings.drainQuietMs,
     });
     const queue = new QueueFilter({ ...base, upstreams, daemonState: lifecycle });
-    const evidence = new SequentialEvidenceRecorder({ config: control.store, board: base.board });
-    const states = new UpstreamStateBuilder({ queues: queue, evidence, daemonState: lifecycle });
+    const beliefs = adapters === undefined ? undefined : new BeliefRecorder(clock);
+    const evidence = beliefs ?? new SequentialEvidenceRecorder({ config: control.store, board: base.board });
+    const states = new UpstreamStateBuilder({
+        queues: queue,
+        evidence,
+        daemonState: lifecycle,
+        faults: beliefs,
+    });
     const attempts = new AttemptTable();
     const operations = new OperationTable({ clock });
     const pauses = new PauseDetector({ ...base, turns: new ImmediateLoopTurns() });
@@ -66,8 +76,11 @@
     const watch = new DispatchWatch({ ...base, evidence, pauses: meter });
     const checks = { daemonState: lifecycle, gate: attempts, pauses };
     const dispatch = new DispatchFilter({ ...checks, client, clock, watch });
-    const inner = Pipeline.start(queue).pipe(dispatch).pipe(new SettleFilter({ identity, watch, states }));
-    const register = new RegisterFilter({
+    const gate = beliefs === undefined
+        ? queue
+        : Pipeline.start(new SuspectFilter({ clock, faults: beliefs })).pipe(queue);
+    const inner = Pipeline.start(gate).pipe(dispatch).pipe(new SettleFilter({ identity, watch, states }));
+    const registered = new RegisterFilter({
         identity,
         attempts,
         operations,
@@ -75,8 +88,19 @@
         daemonState: lifecycle,
         inner,
     });
+    const { beacons } = control;
+    const register = beacons === undefined
+        ? registered
+        : new AnnounceFilter({ recordChange: () => beacons.exchange.recordChange(), inner: registered });
+    if (beacons !== undefined) {
+        beacons.links.listStates = () => upstreams.list().flatMap(({ id }) => states.build(id) ?? []);
+    }
+    const informed = beacons === undefined ? register : new NeighbourFilter({
+        inner: register,
+        listNeighbours: (service, upstreamId) => beacons.links.listNeighbours(service, upstreamId),
+    });
     const incoming = Pipeline.start(new ResolveFilter({ clock, config: control.store }))
-        .pipe(register)
+        .pipe(informed)
         .pipe(new HealthReportFilter(base));
     const revoker = new OwnerRevoker({ identity, attempts, operations });
     const setListeners = (get: () => readonly DrainableListener[]) => {
--- a/src/wiring/build_store_control.ts
+++ b/src/wiring/build_store_control.ts
@@ -1,11 +1,14 @@
+import { BeaconExchange } from "../beacon/beacon_exchange.ts";
 import type { DaemonAdapters } from "../daemon_adapters.ts";
+import { UdpBeaconTransport } from "../edge/beacon_udp/udp_beacon_transport.ts";
 import { TransportCache } from "../edge/control/transport_cache.ts";
-import { SilentAnnouncer } from "../lifecycle/silent_announcer.ts";
 import { MembershipTable } from "../membership/membership_table.ts";
 import { ConfigStore } from "../published/config_store.ts";
+import { StoreControlPlane } from "../published/store_control_plane.ts";
 import { StoreFollower } from "../published/store_follower.ts";
 import type { ServeSettings } from "../settings/serve_settings.ts";
 import type { BaseParts } from "./base_parts.ts";
+import type { BeaconLinks } from "./beacon_links.ts";
 import type { ControlParts } from "./control_parts.ts";
 
 /** Control plane of a daemon that follows the platform's store itself. */
@@ -24,13 +27,39 @@
         membership,
         startWaitMs: settings.startWaitMs,
     });
+    const links: BeaconLinks = {
+        listStates: () => [],
+        observer: { recordState: () => undefined },
+        counts: { listCounts: () => [], recordPeer: () => undefined },
+        listNeighbours: () => [],
+    };
+    const transport = new UdpBeaconTransport(base.metrics);
+    const exchange = new BeaconExchange({
+        ...base,
+        failureDomain: settings.failureDomain,
+        membership,
+        transport,
+        observer: { recordState: (state, nowMs) => links.observer.recordState(state, nowMs) },
+        listStates: () => links.listStates(),
+        counts: {
+            listCounts: () => links.counts.listCounts(),
+            recordPeer: (...peer) => links.counts.recordPeer(...peer),
+        },
+    });
     return {
         store,
         membership,
-        controlPlane: follower,
-        announcer: new SilentAnnouncer(),
+        controlPlane: new StoreControlPlane({
+            ...base,
+            follower,
+            beacons: exchange,
+            openSocket: () => transport.open(settings.peerAddress, beacon => exchange.handleBeacon(beacon)),
+            closeSocket: () => transport.close(),
+        }),
+        announcer: exchange,
         gossipHandler: undefined,
         transports,
+        beacons: { exchange, links },
         closers: [transports],
     };
 }
--- a/src/wiring/control_parts.ts
+++ b/src/wiring/control_parts.ts
@@ -1,9 +1,11 @@
+import type { BeaconExchange } from "../beacon/beacon_exchange.ts";
 import type { TransportCache } from "../edge/control/transport_cache.ts";
 import type { GossipHandler } from "../gossip/gossip_handler.ts";
 import type { LeavingAnnouncer } from "../lifecycle/leaving_announcer.ts";
 import type { MembershipTable } from "../membership/membership_table.ts";
 import type { ConfigStore } from "../published/config_store.ts";
 import type { ControlPlane } from "../published/control_plane.ts";
+import type { BeaconLinks } from "./beacon_links.ts";
 
 /** What the request pipelines need of the control plane. */
 export interface ControlParts {
@@ -13,5 +15,7 @@
     readonly announcer: LeavingAnnouncer;
     readonly gossipHandler: GossipHandler | undefined;
     readonly transports: TransportCache;
+    /** Undefined when the daemons send no beacons. */
+    readonly beacons: { readonly exchange: BeaconExchange; readonly links: BeaconLinks; } | undefined;
     readonly closers: readonly { close(): void; }[];
 }
