Serve urgent work first, keep sheds apart from faults, and tell a reset answer from a whole one

Change: queues serve by priority and keep the last slot for more urgent work that needs it; a shed is no evidence and does not count as an attempt; on the platform the slots are those of the list; attempts that reach no upstream go back to the retry budget. Connections to upstreams notice a reset.

Ruled out: a spent retry budget alone as cause of the collapse (a third of what is allowed was used).

--- a/measure/load/unlimited_retry_budget.ts
+++ b/measure/load/unlimited_retry_budget.ts
@@ -8,6 +8,8 @@
         return true;
     }
 
+    release(): void {}
+
     take(): boolean {
         return true;
     }
--- a/src/cli/run_serve.ts
+++ b/src/cli/run_serve.ts
@@ -2,16 +2,24 @@
 import { ExitCode } from "./exit_code.ts";
 import { formatFailure } from "./format_failure.ts";
 
+interface RunOptions {
+    readonly writeError: (line: string) => void;
+    /** True when the process ends at the time limit of the drain, because it would be killed soon after. */
+    readonly endsAtLimit?: boolean;
+}
+
 /** Runs a daemon until it has been drained by a signal or by an operator; a second signal ends it at once. */
-export async function runServe(daemon: Daemon, writeError: (line: string) => void): Promise<ExitCode> {
+export async function runServe(daemon: Daemon, options: RunOptions): Promise<ExitCode> {
     const started = await daemon.start();
     if (started.isErr()) {
-        writeError(formatFailure(started.error));
+        options.writeError(formatFailure(started.error));
         await daemon.close();
         return ExitCode.Failed;
     }
     await Promise.race([waitForSignal().then(signal => daemon.drain(signal)), daemon.waitForClose()]);
-    await daemon.waitForClose();
+    if (options.endsAtLimit !== true) {
+        await daemon.waitForClose();
+    }
     await daemon.close();
     return ExitCode.Ok;
 }
--- a/src/cli/serve_command.ts
+++ b/src/cli/serve_command.ts
@@ -29,6 +29,6 @@
             writeAudit: line => void process.stdout.write(line),
             writeLog: line => void process.stderr.write(line),
         });
-        process.exitCode = await runServe(daemon, line => void process.stderr.write(line));
+        process.exitCode = await runServe(daemon, { writeError: line => void process.stderr.write(line) });
     },
 });
--- a/src/edge/upstream_http/undici_upstream_client.ts
+++ b/src/edge/upstream_http/undici_upstream_client.ts
@@ -3,12 +3,11 @@
  *
  * @module
  */
-import { type Dispatcher, Pool } from "undici";
+import type { Dispatcher } from "undici";
 import type { UpstreamClient } from "../../dispatch/upstream_client.ts";
 import type { UpstreamCodec } from "../../dispatch/upstream_codec.ts";
 import type { UpstreamResult } from "../../dispatch/upstream_result.ts";
 import { UpstreamResultKind } from "../../dispatch/upstream_result_kind.ts";
-import type { OwnedUpstream } from "../../queue/owned_upstream.ts";
 import type { OwnedUpstreamReader } from "../../queue/owned_upstream_reader.ts";
 import type { OwnerRequest } from "../../queue/owner_request.ts";
 import { closeBody } from "../http/close_body.ts";
@@ -17,10 +16,7 @@
 import { isConnectError } from "../http/is_connect_error.ts";
 import { readBody } from "../http/read_body.ts";
 import { RequestDeadline } from "../http/request_deadline.ts";
-
-const CONNECT_TIMEOUT_MS = 1_000;
-/** Below the five seconds after which Node.js servers close idle connections, so that none is reused as it closes. */
-const KEEP_ALIVE_TIMEOUT_MS = 4_000;
+import { UpstreamConnection } from "./upstream_connection.ts";
 
 interface Options {
     readonly upstreams: OwnedUpstreamReader;
@@ -29,9 +25,11 @@
     readonly allowsCloseDelimited?: boolean;
 }
 
-/** One connection pool for each address; a connection carries one request at a time and none is sent twice. */
+/** Connections by address; a connection carries one request at a time and none is sent twice. */
 export class UndiciUpstreamClient implements UpstreamClient {
-    private readonly pools = new Map<string, Pool>();
+    /** Connections that carry no request. */
+    private readonly idle = new Map<string, UpstreamConnection[]>();
+    private readonly connections = new Set<UpstreamConnection>();
 
     constructor(private readonly options: Options) {}
 
@@ -41,18 +39,27 @@
         if (upstream === undefined) {
             return createResult(UpstreamResultKind.NotSent, "the upstream is not owned by this daemon");
         }
+        const connection = this.takeConnection(upstream.address);
         const deadline = new RequestDeadline(signal, Math.max(1, Math.ceil(timeoutMs)));
         try {
-            const response = await this.getPool(upstream).request({
+            const response = await connection.send({
                 method: request.method,
                 path: request.target,
                 headers: codec.encode(request, timeoutMs).flatMap(header => [header.name, header.value]),
                 body: request.body.length === 0 ? undefined : request.body,
                 signal: deadline.getSignal(),
             });
-            return await this.readAnswer(request, response);
+            const result = await this.readAnswer(request, response, connection);
+            if (result.kind === UpstreamResultKind.Garbled) {
+                this.removeConnection(connection);
+            }
+            else {
+                this.releaseConnection(upstream.address, connection);
+            }
+            return result;
         }
         catch (error) {
+            this.removeConnection(connection);
             return createErrorResult(error, signal, deadline);
         }
         finally {
@@ -61,15 +68,17 @@
     }
 
     async close(): Promise<void> {
-        await Promise.all([...this.pools.values()].map(pool => pool.close()));
+        await Promise.all([...this.connections].map(connection => connection.close()));
     }
 
     private async readAnswer(
         request: OwnerRequest,
         response: Dispatcher.ResponseData,
+        connection: UpstreamConnection,
     ): Promise<UpstreamResult> {
         const { body: stream, headers, statusCode: status } = response;
-        if (this.options.allowsCloseDelimited !== true && !hasDeclaredEnd(request.method, status, headers)) {
+        const isDeclared = hasDeclaredEnd(request.method, status, headers);
+        if (this.options.allowsCloseDelimited !== true && !isDeclared) {
             closeBody(stream);
             return createResult(
                 UpstreamResultKind.Cut,
@@ -85,25 +94,36 @@
                 `more than ${request.route.maxAnswerBytes} bytes`,
             );
         }
+        if (!isDeclared && connection.hasFailed()) {
+            return createResult(UpstreamResultKind.Cut, "the connection was reset before the response ended");
+        }
         const answer = { status, headers: formatEndToEndHeaders(headers), body: body.value };
         return this.options.codec.decode(request, answer);
     }
 
-    private getPool(upstream: OwnedUpstream): Pool {
-        let pool = this.pools.get(upstream.address);
-        if (pool === undefined) {
-            pool = new Pool(`http://${upstream.address}`, {
-                connections: upstream.slots,
-                pipelining: 1,
-                connect: { timeout: CONNECT_TIMEOUT_MS },
-                keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
-                keepAliveMaxTimeout: KEEP_ALIVE_TIMEOUT_MS,
-                headersTimeout: 0,
-                bodyTimeout: 0,
-            });
-            this.pools.set(upstream.address, pool);
+    private takeConnection(address: string): UpstreamConnection {
+        const known = this.idle.get(address)?.pop();
+        if (known !== undefined) {
+            return known;
         }
-        return pool;
+        const connection = new UpstreamConnection(address);
+        this.connections.add(connection);
+        return connection;
+    }
+
+    private releaseConnection(address: string, connection: UpstreamConnection): void {
+        const idle = this.idle.get(address);
+        if (idle === undefined) {
+            this.idle.set(address, [connection]);
+        }
+        else {
+            idle.push(connection);
+        }
+    }
+
+    private removeConnection(connection: UpstreamConnection): void {
+        this.connections.delete(connection);
+        connection.cancel();
     }
 }
 
--- a/src/forward/attempt_run.ts
+++ b/src/forward/attempt_run.ts
@@ -26,6 +26,7 @@
 import type { RetryPolicy } from "./retry_policy.ts";
 import { SingleRunRetryPolicy } from "./single_run_retry_policy.ts";
 import { unloadedCodes } from "./unloaded_codes.ts";
+import { unrunCodes } from "./unrun_codes.ts";
 import { unsentCodes } from "./unsent_codes.ts";
 
 interface Options {
@@ -43,6 +44,8 @@
     readonly selected: SelectedRequest;
     readonly controller: AbortController;
     readonly done: Promise<Ended>;
+    /** True when the retry budget was charged for the attempt. */
+    readonly isRepeat: boolean;
 }
 
 interface Ended {
@@ -62,7 +65,7 @@
     private readonly excluded = new Set<string>();
     private readonly policy: RetryPolicy;
     private attempts = 0;
-    /** Attempts that an upstream may have received. */
+    /** Attempts that an upstream may have run. */
     private sends = 0;
     private refusals = 0;
     private uncertain = false;
@@ -78,7 +81,7 @@
     }
 
     async run(): Promise<Result<OwnerReply, Failure>> {
-        const started = this.start();
+        const started = this.start(false);
         if (started.isErr()) {
             return err(started.error);
         }
@@ -90,7 +93,7 @@
                 continue;
             }
             const reply = await this.recordEnd(ended);
-            if (this.isFinal(reply)) {
+            if (this.isFinal(reply, ended.running)) {
                 lateTimer?.close();
                 this.cancelRunning();
                 return ok(reply);
@@ -99,7 +102,7 @@
     }
 
     /** Starts an attempt at the upstream that the selector prefers. */
-    private start(): Result<Running, Failure> {
+    private start(isRepeat: boolean): Result<Running, Failure> {
         const { forward, owners, selector } = this.options;
         const result = selector.select(this.request, this.attempts + 1, this.excluded, this.sends);
         if (result.isErr()) {
@@ -121,7 +124,7 @@
             signal.removeEventListener("abort", cancel);
             return { running, reply };
         });
-        const running: Running = { selected, controller, done };
+        const running: Running = { selected, controller, done, isRepeat };
         this.running.add(running);
         return ok(running);
     }
@@ -149,8 +152,10 @@
 
     private startSecond(): void {
         this.hasSecond = true;
-        if (this.start().isOk()) {
-            this.options.budget.take(this.request.service.name);
+        const { budget } = this.options;
+        const { name } = this.request.service;
+        if (budget.take(name) && this.start(true).isErr()) {
+            budget.release(name);
         }
     }
 
@@ -160,10 +165,13 @@
         const { idempotent } = this.request.route;
         const lost = !idempotent && reply.outcome === Outcome.Unknown && hopCodes.has(reply.code);
         const known = lost ? await this.options.revokeLost(running.selected, reply) : reply;
-        if (unsentCodes.has(known.code)) {
+        if (unsentCodes.has(known.code) || unrunCodes.has(known.code)) {
             this.sends -= 1;
             this.refusals += 1;
         }
+        if (unsentCodes.has(known.code) && running.isRepeat) {
+            this.options.budget.release(this.request.service.name);
+        }
         // An earlier attempt of idempotent work may have run.
         const told = this.uncertain && known.outcome === Outcome.NotExecuted
             ? { ...known, outcome: Outcome.Unknown }
@@ -173,7 +181,7 @@
     }
 
     /** Starts the next attempt unless the reply stands. */
-    private isFinal(reply: OwnerReply): boolean {
+    private isFinal(reply: OwnerReply, ended: Running): boolean {
         const { budget, clock } = this.options;
         const { deadlineMs, route, service, signal } = this.request;
         if (!this.policy.isRetryable(reply) || signal.aborted || clock.getMonotonicMs() >= deadlineMs) {
@@ -185,10 +193,12 @@
         if (this.sends >= route.maxAttempts || this.refusals >= maxRefusals) {
             return true;
         }
-        if (!unloadedCodes.has(reply.code) && !budget.take(service.name)) {
+        // A refusal before dispatch leaves the budget as it was for the attempt that follows.
+        const isFree = unloadedCodes.has(reply.code) && !ended.isRepeat;
+        if (!isFree && !budget.take(service.name)) {
             return true;
         }
-        return this.start().isErr();
+        return this.start(!isFree).isErr();
     }
 
     private cancelRunning(): void {
--- a/src/forward/fleet_retry_budget.ts
+++ b/src/forward/fleet_retry_budget.ts
@@ -44,7 +44,7 @@
  * Part of the allowed attempts that the daemons use. The rest covers what they learn too late, and calls that a
  * repeated request makes again.
  */
-const usedShare = 0.8;
+const usedShare = 0.9;
 
 /** Counts the attempts of a failure domain over a sliding window. */
 export class FleetRetryBudget implements RetryBudget, CountExchange {
@@ -76,6 +76,11 @@
         return true;
     }
 
+    release(service: string): void {
+        this.getOwn(service).repeats -= 1;
+        this.getWindow(service).repeats.add(-1, this.options.clock.getMonotonicMs());
+    }
+
     /** What this daemon has sent, for the other daemons of its failure domain. */
     listCounts(): readonly ServiceCount[] {
         return [...this.own].map(([service, counts]) => ({ service, ...counts }));
@@ -89,12 +94,9 @@
         for (const { repeats, requests, service } of counts) {
             const before = known.get(service) ?? { requests: 0, repeats: 0 };
             const window = this.getWindow(service);
-            window.requests.add(Math.max(0, requests - before.requests), nowMs);
-            window.repeats.add(Math.max(0, repeats - before.repeats), nowMs);
-            known.set(service, {
-                requests: Math.max(requests, before.requests),
-                repeats: Math.max(repeats, before.repeats),
-            });
+            window.requests.add(requests - before.requests, nowMs);
+            window.repeats.add(repeats - before.repeats, nowMs);
+            known.set(service, { requests, repeats });
         }
         if (!this.peers.has(key)) {
             this.removePeer(daemonId);
--- a/src/forward/retry_budget.ts
+++ b/src/forward/retry_budget.ts
@@ -6,4 +6,6 @@
     has(service: string, share?: number): boolean;
     /** True when one more attempt is allowed, which is then counted. */
     take(service: string): boolean;
+    /** Gives back an attempt that was taken and reached no upstream. */
+    release(service: string): void;
 }
--- a/src/forward/token_retry_budget.ts
+++ b/src/forward/token_retry_budget.ts
@@ -48,6 +48,10 @@
         return true;
     }
 
+    release(service: string): void {
+        this.update(service).tokens += 1;
+    }
+
     private update(service: string): Bucket {
         const nowMs = this.clock.getMonotonicMs();
         const bucket = this.buckets.get(service) ?? { tokens: 0, updatedAtMs: nowMs };
--- /dev/null
+++ b/src/forward/unrun_codes.ts
@@ -0,0 +1,4 @@
+import { Code } from "../core/code.ts";
+
+/** Results of attempts that an upstream received and did not run. */
+export const unrunCodes: ReadonlySet<Code> = new Set<Code>([Code.UpstreamShed, Code.UpstreamReplaced]);
--- a/src/health/belief_recorder.ts
+++ b/src/health/belief_recorder.ts
@@ -19,7 +19,8 @@
 
     record(evidence: Evidence): void {
         const { atMs, baselineMs, expected, kind, serviceMs, upstreamId } = evidence;
-        if (kind === UpstreamResultKind.Cancelled) {
+        // A refusal costs a retry and loses no work, so it is no reason to keep work away.
+        if (kind === UpstreamResultKind.Cancelled || kind === UpstreamResultKind.Declined) {
             return;
         }
         const belief = this.getBelief(upstreamId);
--- /dev/null
+++ b/src/queue/create_watched_entry.ts
@@ -0,0 +1,26 @@
+import { Code } from "../core/code.ts";
+import type { Timers } from "../core/timers.ts";
+import type { QueueEntry } from "./queue_entry.ts";
+
+/**
+ * The entry with its deadline and its caller watched: `cancel` is called when the deadline passes or the caller goes.
+ * Both watches end with the wait.
+ */
+export function createWatchedEntry(
+    arrived: QueueEntry,
+    timers: Timers,
+    cancel: (code: Code) => void,
+): QueueEntry {
+    const { queuedAtMs, request } = arrived;
+    const handleAbort = (): void => cancel(Code.CallerCancelled);
+    const timer = timers.start(request.deadlineMs - queuedAtMs, () => cancel(Code.DeadlineExceeded));
+    request.signal.addEventListener("abort", handleAbort);
+    return {
+        ...arrived,
+        resolve: result => {
+            timer.close();
+            request.signal.removeEventListener("abort", handleAbort);
+            arrived.resolve(result);
+        },
+    };
+}
--- a/src/queue/upstream_queue.ts
+++ b/src/queue/upstream_queue.ts
@@ -16,7 +16,7 @@
 import { Outcome } from "../core/outcome.ts";
 import { WorkClass } from "../core/work_class.ts";
 import { computeQueueLimit } from "./compute_queue_limit.ts";
-import { FairQueue } from "./fair_queue.ts";
+import { createWatchedEntry } from "./create_watched_entry.ts";
 import { isOverShare } from "./is_over_share.ts";
 import type { OwnedUpstream } from "./owned_upstream.ts";
 import type { OwnerRequest } from "./owner_request.ts";
@@ -24,6 +24,7 @@
 import type { QueueFilterOptions } from "./queue_filter_options.ts";
 import type { QueueState } from "./queue_state.ts";
 import type { QueuedRequest } from "./queued_request.ts";
+import { RankedQueue } from "./ranked_queue.ts";
 import { RunningWork } from "./running_work.ts";
 import { ServiceTimes } from "./service_times.ts";
 import type { ShedPolicy } from "./shed_policy.ts";
@@ -31,6 +32,7 @@
 import type { SlotLease } from "./slot_lease.ts";
 import type { SlotLimit } from "./slot_limit.ts";
 import { SustainedWaitShedPolicy } from "./sustained_wait_shed_policy.ts";
+import { UrgentLoad } from "./urgent_load.ts";
 import { WaitCorrection } from "./wait_correction.ts";
 
 /**
@@ -39,12 +41,16 @@
  */
 const redirectWait = 0.5;
 
+/** Load of more urgent work, in slots, from which on the last free slot is kept for it. */
+const keptSlotLoad = 0.2;
+
 /** Gives the slots of one upstream to requests. All refusals happen before dispatch. */
 export class UpstreamQueue {
-    private readonly queues = { [WorkClass.Short]: new FairQueue(), [WorkClass.Long]: new FairQueue() };
+    private readonly queues = { [WorkClass.Short]: new RankedQueue(), [WorkClass.Long]: new RankedQueue() };
     private readonly running = new RunningWork();
     private readonly serviceTimes = new ServiceTimes();
     private readonly correction = new WaitCorrection();
+    private readonly urgent = new UrgentLoad();
     private readonly sheds: Readonly<Record<WorkClass, ShedPolicy>>;
     private readonly limit: SlotLimit;
     private reserveShort = 0;
@@ -67,6 +73,7 @@
         this.reserveShort = request.service.limits.reserveShort;
         const costMs = this.serviceTimes.getMeanMs(request.route, nowMs);
         const estimatedWaitMs = this.computeArrivalWaitMs(request, costMs, nowMs);
+        this.urgent.record(request.route.priority, costMs, nowMs);
         const code = this.checkArrival(request, nowMs, this.correction.apply(estimatedWaitMs));
         if (code !== Code.Ok) {
             return this.refuse(code);
@@ -74,15 +81,8 @@
         const { organisation, route } = request;
         const firstOfOrganisation = this.queues[route.workClass].countOrganisation(organisation) === 0;
         return new Promise(resolve => {
-            const entry = {
-                request,
-                queuedAtMs: nowMs,
-                costMs,
-                estimatedWaitMs,
-                firstOfOrganisation,
-                resolve,
-            };
-            this.addEntry(entry);
+            const estimates = { queuedAtMs: nowMs, costMs, estimatedWaitMs, firstOfOrganisation };
+            this.addEntry({ request, ...estimates, resolve });
         });
     }
 
@@ -154,7 +154,8 @@
 
     private isRedirected(request: OwnerRequest, nowMs: number, waitMs: number): boolean {
         return request.redirectable === true && request.route.workClass === WorkClass.Short
-            && waitMs > redirectWait * this.serviceTimes.getMeanMs(request.route, nowMs);
+            && (waitMs > redirectWait * this.serviceTimes.getMeanMs(request.route, nowMs)
+                || this.isLastSlotKept(request.route.priority, nowMs));
     }
 
     /**
@@ -171,33 +172,18 @@
 
     /** Makes room for the request at the cost of the organisation with the most queued work of the class. */
     private refuseLargest(request: OwnerRequest): boolean {
-        const entry = this.queues[request.route.workClass].takeFromLargest(request.organisation);
+        const entry = this.queues[request.route.workClass].takeFor(request);
         entry?.resolve(this.refuse(Code.OrganisationOverShare));
         return entry !== undefined;
     }
 
     private addEntry(arrived: QueueEntry): void {
-        const { request } = arrived;
-        const queue = this.queues[request.route.workClass];
-        const cancel = (code: Code): void => {
+        const queue = this.queues[arrived.request.route.workClass];
+        const entry = createWatchedEntry(arrived, this.options.timers, code => {
             if (queue.remove(entry)) {
                 entry.resolve(this.refuse(code));
             }
-        };
-        const handleAbort = (): void => cancel(Code.CallerCancelled);
-        const timer = this.options.timers.start(
-            request.deadlineMs - arrived.queuedAtMs,
-            () => cancel(Code.DeadlineExceeded),
-        );
-        const entry: QueueEntry = {
-            ...arrived,
-            resolve: result => {
-                timer.close();
-                request.signal.removeEventListener("abort", handleAbort);
-                arrived.resolve(result);
-            },
-        };
-        request.signal.addEventListener("abort", handleAbort);
+        });
         queue.add(entry);
         this.startNext();
     }
@@ -232,11 +218,16 @@
 
     /** Takes the next request that may have a slot. The classes alternate on slots that both can use. */
     private takeNext(): QueueEntry | undefined {
-        const slots = this.limit.getSlots(this.options.clock.getMonotonicMs());
+        const nowMs = this.options.clock.getMonotonicMs();
+        const slots = this.limit.getSlots(nowMs);
         if (this.running.count() >= slots) {
             return undefined;
         }
         const { short, long } = this.queues;
+        const priority = Math.min(short.getFirstPriority() ?? Infinity, long.getFirstPriority() ?? Infinity);
+        if (this.isLastSlotKept(priority, nowMs)) {
+            return undefined;
+        }
         const longAllowed = long.count() > 0 &&
             this.running.countClass(WorkClass.Long) < this.computeLongSlots(slots);
         const entry = longAllowed && (this.longNext || short.count() === 0) ? long.take() : short.take();
@@ -244,6 +235,13 @@
         return entry;
     }
 
+    /** True when the only free slot is kept for more urgent work, which has needed a good part of it lately. */
+    private isLastSlotKept(priority: number, nowMs: number): boolean {
+        const slots = this.limit.getSlots(nowMs);
+        return slots > 1 && this.running.count() === slots - 1
+            && this.urgent.getAbove(priority, nowMs) >= keptSlotLoad;
+    }
+
     private createLease(request: OwnerRequest, nowMs: number): SlotLease {
         const { route } = request;
         const running = {
@@ -277,7 +275,7 @@
     }
 
     private computeArrivalWaitMs(request: OwnerRequest, costMs: number, nowMs: number): number {
-        const aheadMs = this.queues[request.route.workClass].computeWorkAheadMs(request.organisation, costMs);
+        const aheadMs = this.queues[request.route.workClass].computeWorkAheadMs(request, costMs);
         return this.computeWaitMs(request.route.workClass, aheadMs, nowMs);
     }
 
--- a/src/wiring/build_owner.ts
+++ b/src/wiring/build_owner.ts
@@ -21,6 +21,7 @@
 import { OwnerRevoker } from "../operations/owner_revoker.ts";
 import { RegisterFilter } from "../operations/register_filter.ts";
 import { ConfiguredUpstreams } from "../queue/configured_upstreams.ts";
+import { NominalSlotLimit } from "../queue/nominal_slot_limit.ts";
 import { QueueFilter } from "../queue/queue_filter.ts";
 import { QueueReleaser } from "../queue/queue_releaser.ts";
 import { ResolveFilter } from "../queue/resolve_filter.ts";
@@ -55,7 +56,13 @@
         limitMs: settings.drainTimeoutMs,
         quietMs: settings.drainQuietMs,
     });
-    const queue = new QueueFilter({ ...base, upstreams, daemonState: lifecycle });
+    const queue = new QueueFilter({
+        ...base,
+        upstreams,
+        daemonState: lifecycle,
+        // On the platform an upstream queues what exceeds its slots, so it sheds for reasons of its own.
+        ...(adapters === undefined ? {} : { createSlotLimit: nominal => new NominalSlotLimit(nominal) }),
+    });
     const beliefs = adapters === undefined ? undefined : new BeliefRecorder(clock);
     const evidence = beliefs ?? new SequentialEvidenceRecorder({ config: control.store, board: base.board });
     const states = new UpstreamStateBuilder({
