Reload settings, check leaving and faults again before dispatch, and admit only work that can be answered in time

SIGHUP and a silent change of the settings file had no effect. An upstream that crashes ends its connection in order, so an answer without length or chunks cannot be told from a cut one.

Change: attempts carry the probability of a fault that they accept; owners check it, and the list, again before dispatch. Queues on the platform refuse at once what would miss the target of its route, in order of arrival within a priority. Senders skip upstreams whose owners would refuse and wait at the best one when none is free. Settings are watched. Answers without declared end count as cut.

--- a/src/cli/run_serve.ts
+++ b/src/cli/run_serve.ts
@@ -4,7 +4,7 @@
 
 interface RunOptions {
     readonly writeError: (line: string) => void;
-    /** True when the process ends at the time limit of the drain, because it would be killed soon after. */
+    /** True when the process ends at the time limit of the drain, with what is left, because it would be killed then. */
     readonly endsAtLimit?: boolean;
 }
 
@@ -17,9 +17,10 @@
         return ExitCode.Failed;
     }
     await Promise.race([waitForSignal().then(signal => daemon.drain(signal)), daemon.waitForClose()]);
-    if (options.endsAtLimit !== true) {
-        await daemon.waitForClose();
+    if (options.endsAtLimit === true) {
+        return ExitCode.Ok;
     }
+    await daemon.waitForClose();
     await daemon.close();
     return ExitCode.Ok;
 }
--- a/src/config/create_default_service.ts
+++ b/src/config/create_default_service.ts
@@ -10,7 +10,8 @@
         dependsOn: [],
         members: 1,
         floor: 0,
-        limits: limitsType.buildDefault(),
+        // All routes have one class, so no slot is reserved for another.
+        limits: { ...limitsType.buildDefault(), reserveShort: 0 },
         health: healthType.buildDefault(),
         routes: [],
     };
--- a/src/daemon.ts
+++ b/src/daemon.ts
@@ -1,6 +1,8 @@
 import type { Result } from "neverthrow";
 import type { Failure } from "./core/failure.ts";
 import type { DrainReport } from "./lifecycle/drain_report.ts";
+import type { SettingsSource } from "./settings/settings_source.ts";
+import type { SettingsWatch } from "./settings/settings_watch.ts";
 
 /** A wired daemon. */
 export interface Daemon {
@@ -8,6 +10,8 @@
     start(): Promise<Result<void, Failure>>;
     /** True while the daemon can serve callers. */
     isReady(): boolean;
+    /** Watches settings that can change while the daemon runs; the caller starts the watch. */
+    watchSettings(source: SettingsSource): SettingsWatch;
     /** Leaves the fleet without cutting a request; the result comes when no work is left. */
     drain(cause: string): Promise<Result<DrainReport, Failure>>;
     /** Resolves when a drain has finished. */
--- a/src/daemon_adapters.ts
+++ b/src/daemon_adapters.ts
@@ -1,4 +1,5 @@
 import type { UpstreamCodec } from "./dispatch/upstream_codec.ts";
+import type { RetryBounds } from "./forward/retry_bounds.ts";
 import type { PublishedStore } from "./published/published_store.ts";
 import type { CallerCodec } from "./receive/caller_codec.ts";
 
@@ -7,10 +8,10 @@
     readonly callerCodec: CallerCodec;
     readonly upstreamCodec: UpstreamCodec;
     readonly store: PublishedStore;
-    /** Service of the upstream beside the daemon. */
-    readonly service: string;
-    /** Address (IP number and port) of that upstream. */
+    /** Address (IP number and port) of the upstream beside the daemon. */
     readonly upstreamAddress: string;
-    /** Bounds of the platform on attempts after the first, for the whole fleet. */
-    readonly retryBudget: { readonly percent: number; readonly slack: number; readonly windowMs: number; };
+    /** Service of that upstream; changes with the settings. */
+    getService(): string;
+    /** Bounds on attempts after the first; change with the settings. */
+    getRetryBounds(): RetryBounds;
 }
--- a/src/dispatch/dispatch_filter.ts
+++ b/src/dispatch/dispatch_filter.ts
@@ -20,6 +20,7 @@
 import type { DaemonStateReader } from "../lifecycle/daemon_state_reader.ts";
 import type { DispatchGate } from "../operations/dispatch_gate.ts";
 import type { QueuedRequest } from "../queue/queued_request.ts";
+import type { DispatchCheck } from "./dispatch_check.ts";
 import type { DispatchedRequest } from "./dispatched_request.ts";
 import type { ExchangeWatch } from "./exchange_watch.ts";
 import type { PauseGuard } from "./pause_guard.ts";
@@ -32,6 +33,8 @@
     readonly gate: DispatchGate;
     readonly pauses: PauseGuard;
     readonly watch: ExchangeWatch;
+    /** Further checks, in order. */
+    readonly checks?: readonly DispatchCheck[];
 }
 
 /** Dispatches an attempt at most once. */
@@ -68,6 +71,12 @@
                 detail: "the deadline passed before dispatch",
             });
         }
+        for (const check of this.options.checks ?? []) {
+            const failure = check.check(request, request.waitMs);
+            if (failure !== undefined) {
+                return failure;
+            }
+        }
         return gate.recordDispatch(request).match(() => undefined, failure => failure);
     }
 }
--- a/src/edge/peer_link/decode_dispatch.ts
+++ b/src/edge/peer_link/decode_dispatch.ts
@@ -17,6 +17,8 @@
         trial: head.trial,
         redirectable: head.redirectable,
         remote: head.remote,
+        faultLimit: head.faultLimit === 0 ? undefined : head.faultLimit,
+        elapsedMs: head.elapsedMs,
         terms: head.terms === undefined ? undefined : {
             idempotent: head.terms.idempotent,
             priority: head.terms.priority,
--- a/src/edge/peer_link/encode_dispatch.ts
+++ b/src/edge/peer_link/encode_dispatch.ts
@@ -3,8 +3,8 @@
 import { type DispatchHead, DispatchHeadSchema } from "../../gen/zinniaglade/v1/control_pb.ts";
 import type { SelectedRequest } from "../../select/selected_request.ts";
 
-/** Metadata of an attempt for its owner. */
-export function encodeDispatch(request: SelectedRequest, remainingMs: number): DispatchHead {
+/** Metadata of an attempt for its owner; `nowMs` is monotonic. */
+export function encodeDispatch(request: SelectedRequest, nowMs: number): DispatchHead {
     return create(DispatchHeadSchema, {
         requestId: request.requestId,
         attempt: request.attempt,
@@ -13,7 +13,8 @@
         route: request.route.name,
         organisation: request.organisation,
         idempotencyKey: request.idempotencyKey ?? "",
-        remainingMs: Math.max(0, Math.floor(remainingMs)),
+        remainingMs: Math.max(0, Math.floor(request.deadlineMs - nowMs)),
+        elapsedMs: Math.max(0, Math.floor(nowMs - request.receivedAtMs)),
         baselineMs: request.baselineMs,
         method: request.method,
         target: request.target,
@@ -22,6 +23,7 @@
         trial: request.trial,
         redirectable: request.redirectable ?? false,
         remote: request.remote ?? false,
+        faultLimit: request.faultLimit ?? 0,
         incarnation: request.ownerIncarnation ?? "",
         // Routes without a service of their own in the configuration are found by host and prefix at the entry only.
         ...(request.service.routes.includes(request.route) ? {} : { terms: createTerms(request.route) }),
--- a/src/edge/peer_link/link_forwarder.ts
+++ b/src/edge/peer_link/link_forwarder.ts
@@ -43,7 +43,7 @@
         signal: AbortSignal,
         handleUnconfirmed?: () => void,
     ): Promise<OwnerReply> {
-        const remainingMs = request.deadlineMs - this.options.clock.getMonotonicMs();
+        const nowMs = this.options.clock.getMonotonicMs();
         const { ownerAddress } = request.upstream;
         const link = this.getLink(ownerAddress);
         return new Promise(resolve => {
@@ -61,7 +61,7 @@
                 link.cancel(id);
                 reportFailure(createFailure(Code.PeerTimeout));
             };
-            const id = link.sendDispatch(encodeDispatch(request, remainingMs), request.body, {
+            const id = link.sendDispatch(encodeDispatch(request, nowMs), request.body, {
                 handleAccepted: () => clearTimeout(timer),
                 handleReply: reply => reportEnd(readReply(request, reply)),
                 handleFailure: reportFailure,
--- a/src/edge/peer_link/peer_link.ts
+++ b/src/edge/peer_link/peer_link.ts
@@ -27,8 +27,11 @@
     readonly handleFailure: (failure: Failure) => void;
 }
 
-/** Milliseconds in which a connection opens; the paths between daemons take a few. */
-const connectMs = 500;
+/**
+ * Milliseconds in which a connection opens. A round trip takes up to 40 ms between regions; a longer silence means that
+ * the path is cut, and the attempt, which was not sent, goes elsewhere.
+ */
+const connectMs = 250;
 
 /** Attempts that wait for the connection are sent when it is open. */
 export class PeerLink {
--- a/src/edge/upstream_http/undici_upstream_client.ts
+++ b/src/edge/upstream_http/undici_upstream_client.ts
@@ -21,8 +21,6 @@
 interface Options {
     readonly upstreams: OwnedUpstreamReader;
     readonly codec: UpstreamCodec;
-    /** True when an answer may end with its connection; false when such an answer counts as cut. */
-    readonly allowsCloseDelimited?: boolean;
 }
 
 /** Connections by address; a connection carries one request at a time and none is sent twice. */
@@ -49,7 +47,7 @@
                 body: request.body.length === 0 ? undefined : request.body,
                 signal: deadline.getSignal(),
             });
-            const result = await this.readAnswer(request, response, connection);
+            const result = await this.readAnswer(request, response);
             if (result.kind === UpstreamResultKind.Garbled) {
                 this.removeConnection(connection);
             }
@@ -74,11 +72,10 @@
     private async readAnswer(
         request: OwnerRequest,
         response: Dispatcher.ResponseData,
-        connection: UpstreamConnection,
     ): Promise<UpstreamResult> {
         const { body: stream, headers, statusCode: status } = response;
-        const isDeclared = hasDeclaredEnd(request.method, status, headers);
-        if (this.options.allowsCloseDelimited !== true && !isDeclared) {
+        // An upstream that crashes ends its connection in order, so the end of one does not tell a whole response.
+        if (!hasDeclaredEnd(request.method, status, headers)) {
             closeBody(stream);
             return createResult(
                 UpstreamResultKind.Cut,
@@ -94,9 +91,6 @@
                 `more than ${request.route.maxAnswerBytes} bytes`,
             );
         }
-        if (!isDeclared && connection.hasFailed()) {
-            return createResult(UpstreamResultKind.Cut, "the connection was reset before the response ended");
-        }
         const answer = { status, headers: formatEndToEndHeaders(headers), body: body.value };
         return this.options.codec.decode(request, answer);
     }
--- a/src/forward/attempt_run.ts
+++ b/src/forward/attempt_run.ts
@@ -11,12 +11,14 @@
  */
 import { err, ok, type Result } from "neverthrow";
 import type { Clock } from "../core/clock.ts";
+import { Code } from "../core/code.ts";
 import type { Failure } from "../core/failure.ts";
 import { Outcome } from "../core/outcome.ts";
 import type { Timer } from "../core/timer.ts";
 import type { Timers } from "../core/timers.ts";
 import type { KeyOwnerReader } from "../operations/key_owner_reader.ts";
 import type { RoutedRequest } from "../route/routed_request.ts";
+import type { AttemptProgress } from "../select/attempt_progress.ts";
 import type { SelectedRequest } from "../select/selected_request.ts";
 import type { UpstreamSelector } from "../select/upstream_selector.ts";
 import { hopCodes } from "./hop_codes.ts";
@@ -59,14 +61,18 @@
 const maxRefusals = 8;
 const abortReason = new Error("another attempt has answered");
 
+/** Refusals of an owner that would let the request wait if there were no other upstream. */
+const redirectCodes: ReadonlySet<Code> = new Set<Code>([Code.RetryElsewhere, Code.UpstreamSuspected]);
+
 /** State of one request at its entry daemon. */
-export class AttemptRun {
+export class AttemptRun implements AttemptProgress {
     private readonly running = new Set<Running>();
     private readonly excluded = new Set<string>();
+    readonly redirected = new Set<string>();
     private readonly policy: RetryPolicy;
     private attempts = 0;
     /** Attempts that an upstream may have run. */
-    private sends = 0;
+    sends = 0;
     private refusals = 0;
     private uncertain = false;
     private resolveLate: () => void = () => undefined;
@@ -104,7 +110,7 @@
     /** Starts an attempt at the upstream that the selector prefers. */
     private start(isRepeat: boolean): Result<Running, Failure> {
         const { forward, owners, selector } = this.options;
-        const result = selector.select(this.request, this.attempts + 1, this.excluded, this.sends);
+        const result = selector.select(this.request, this.attempts + 1, this.excluded, this);
         if (result.isErr()) {
             return err(result.error);
         }
@@ -169,6 +175,12 @@
             this.sends -= 1;
             this.refusals += 1;
         }
+        if (redirectCodes.has(known.code)) {
+            this.redirected.add(running.selected.upstream.id);
+        }
+        else {
+            this.redirected.delete(running.selected.upstream.id);
+        }
         if (unsentCodes.has(known.code) && running.isRepeat) {
             this.options.budget.release(this.request.service.name);
         }
--- a/src/forward/fleet_retry_budget.ts
+++ b/src/forward/fleet_retry_budget.ts
@@ -7,7 +7,8 @@
  *
  * @example
  * ```ts
- * const budget = new FleetRetryBudget({ clock, percent: 20, slack: 64, windowMs: 10_000, countDomains: () => 3 });
+ * const getBounds = () => ({ percent: 20, slack: 64, windowMs: 10_000 });
+ * const budget = new FleetRetryBudget({ clock, getBounds, countDomains: () => 3 });
  * budget.recordPeer("daemon-2", "incarnation", counts);
  * ```
  *
@@ -15,17 +16,14 @@
  */
 import type { CountExchange } from "../beacon/count_exchange.ts";
 import type { Clock } from "../core/clock.ts";
+import type { RetryBounds } from "./retry_bounds.ts";
 import type { RetryBudget } from "./retry_budget.ts";
 import type { ServiceCount } from "./service_count.ts";
 import { SlidingCount } from "./sliding_count.ts";
 
 interface Options {
     readonly clock: Clock;
-    /** Attempts after the first in percent of the requests. */
-    readonly percent: number;
-    /** Further attempts of the fleet in each window. */
-    readonly slack: number;
-    readonly windowMs: number;
+    readonly getBounds: () => RetryBounds;
     readonly countDomains: () => number;
 }
 
@@ -60,7 +58,8 @@
     }
 
     has(service: string, share = 1): boolean {
-        const { clock, countDomains, percent, slack } = this.options;
+        const { clock, countDomains, getBounds } = this.options;
+        const { percent, slack } = getBounds();
         const nowMs = clock.getMonotonicMs();
         const { repeats, requests } = this.getWindow(service);
         const allowed = requests.get(nowMs) * percent / 100 + slack / Math.max(1, countDomains());
@@ -114,7 +113,7 @@
     private getWindow(service: string): Window {
         let window = this.windows.get(service);
         if (window === undefined) {
-            const { windowMs } = this.options;
+            const { windowMs } = this.options.getBounds();
             window = { requests: new SlidingCount(windowMs), repeats: new SlidingCount(windowMs) };
             this.windows.set(service, window);
         }
--- a/src/membership/listed_upstreams.ts
+++ b/src/membership/listed_upstreams.ts
@@ -6,8 +6,8 @@
     readonly membership: MembershipTable;
     /** Address of the one upstream beside this daemon. */
     readonly address: string;
-    /** Service of that upstream when the list does not name it. */
-    readonly service: string;
+    /** Gives the service of that upstream when the list does not name it. */
+    readonly getService: () => string;
 }
 
 /** Slots to assume while the list does not name the upstream. */
@@ -21,12 +21,17 @@
     constructor(private readonly options: Options) {}
 
     find(id: string): OwnedUpstream | undefined {
-        const { address, membership, service } = this.options;
+        const { address, getService, membership } = this.options;
         const listed = membership.find(id);
         if (listed !== undefined && listed.address !== address) {
             return undefined;
         }
-        return { id, address, service: listed?.service ?? service, slots: listed?.slots ?? defaultSlots };
+        return {
+            id,
+            address,
+            service: listed?.service ?? getService(),
+            slots: listed?.slots ?? defaultSlots,
+        };
     }
 
     list(): readonly OwnedUpstream[] {
--- a/src/queue/incoming_dispatch.ts
+++ b/src/queue/incoming_dispatch.ts
@@ -8,6 +8,8 @@
     readonly route: string;
     /** Present when the owner shall not look the route up in its own configuration, which may be older. */
     readonly terms?: RouteTerms | undefined;
+    /** Milliseconds since the entry daemon received the request. */
+    readonly elapsedMs?: number;
     /** Time budget in milliseconds at receipt. */
     readonly remainingMs: number;
 }
--- /dev/null
+++ b/src/queue/no_shed_policy.ts
@@ -0,0 +1,16 @@
+import type { ShedPolicy } from "./shed_policy.ts";
+
+/** Sheds nothing: work is refused only when it cannot end before its deadline. */
+export class NoShedPolicy implements ShedPolicy {
+    isShedding(): boolean {
+        return false;
+    }
+
+    decideArrival(): boolean {
+        return false;
+    }
+
+    decideStart(): boolean {
+        return false;
+    }
+}
--- a/src/queue/owner_request.ts
+++ b/src/queue/owner_request.ts
@@ -11,7 +11,7 @@
     readonly route: RouteConfig;
     readonly organisation: string;
     readonly idempotencyKey: string | undefined;
-    /** Monotonic milliseconds of this process. */
+    /** Receipt by the entry daemon, in monotonic milliseconds of this process. */
     readonly receivedAtMs: number;
     readonly deadlineMs: number;
     /** Incarnation of the owner that the sender addressed; undefined when it knew none. */
@@ -23,6 +23,8 @@
      * no other upstream is left or after two such answers, so that a request is redirected at most twice.
      */
     readonly redirectable?: boolean;
+    /** Probability of a fault above which the attempt is refused before dispatch; undefined when it never is. */
+    readonly faultLimit?: number | undefined;
     /** True when the entry daemon is in another failure domain. */
     readonly remote?: boolean;
     readonly method: string;
--- a/src/queue/ranked_queue.ts
+++ b/src/queue/ranked_queue.ts
@@ -24,12 +24,18 @@
 
     /** Removes the next entry in order of service. */
     take(): QueueEntry | undefined {
-        return this.findFirst()?.[1].take();
+        return this.ranks.get(this.getFirstPriority() ?? -1)?.take();
     }
 
     /** Priority of the next entry; undefined when nothing waits. */
     getFirstPriority(): number | undefined {
-        return this.findFirst()?.[0];
+        let first: number | undefined;
+        for (const [priority, queue] of this.ranks) {
+            if (queue.count() > 0 && (first === undefined || priority < first)) {
+                first = priority;
+            }
+        }
+        return first;
     }
 
     /**
@@ -37,12 +43,14 @@
      * of the organisation that holds the most of the same priority.
      */
     takeFor({ organisation, route }: OwnerRequest): QueueEntry | undefined {
-        const occupied = [...this.ranks].filter(([, queue]) => queue.count() > 0);
-        const lower = occupied.filter(([priority]) => priority > route.priority);
-        const last = lower.sort(([left], [right]) => right - left)[0]?.[1].list().at(-1);
-        if (last !== undefined) {
-            this.remove(last);
-            return last;
+        const lower = [...this.ranks].filter(([priority]) => priority > route.priority)
+            .sort(([left], [right]) => right - left);
+        for (const [, queue] of lower) {
+            const last = queue.list().at(-1);
+            if (last !== undefined) {
+                queue.remove(last);
+                return last;
+            }
         }
         return this.getRank(route.priority).takeFromLargest(organisation);
     }
@@ -78,16 +86,6 @@
         return aheadMs;
     }
 
-    private findFirst(): readonly [number, FairQueue] | undefined {
-        let first: readonly [number, FairQueue] | undefined;
-        for (const rank of this.ranks) {
-            if (rank[1].count() > 0 && (first === undefined || rank[0] < first[0])) {
-                first = rank;
-            }
-        }
-        return first;
-    }
-
     private getRank(priority: number): FairQueue {
         let queue = this.ranks.get(priority);
         if (queue === undefined) {
@@ -98,10 +96,10 @@
     }
 
     private compute(measure: (queue: FairQueue) => number): number {
-        let total = 0;
+        let sum = 0;
         for (const queue of this.ranks.values()) {
-            total += measure(queue);
+            sum += measure(queue);
         }
-        return total;
+        return sum;
     }
 }
--- a/src/queue/resolve_filter.ts
+++ b/src/queue/resolve_filter.ts
@@ -26,7 +26,7 @@
     constructor(private readonly options: ResolveFilterOptions) {}
 
     apply(incoming: IncomingDispatch): Result<OwnerRequest, Failure> {
-        const { remainingMs, terms, ...rest } = incoming;
+        const { elapsedMs = 0, remainingMs, terms, ...rest } = incoming;
         const service = this.options.config.getActive()?.configuration.services.get(incoming.service)
             ?? (terms === undefined ? undefined : createDefaultService(incoming.service));
         const route = terms === undefined
@@ -35,7 +35,8 @@
         if (service === undefined || route === undefined) {
             return err(createFailure(Code.UnknownRouteAtOwner));
         }
-        const receivedAtMs = this.options.clock.getMonotonicMs();
-        return ok({ ...rest, service, route, receivedAtMs, deadlineMs: receivedAtMs + remainingMs });
+        const nowMs = this.options.clock.getMonotonicMs();
+        const receivedAtMs = nowMs - elapsedMs;
+        return ok({ ...rest, service, route, receivedAtMs, deadlineMs: nowMs + remainingMs });
     }
 }
--- a/src/queue/upstream_queue.ts
+++ b/src/queue/upstream_queue.ts
@@ -16,8 +16,10 @@
 import { Outcome } from "../core/outcome.ts";
 import { WorkClass } from "../core/work_class.ts";
 import { computeQueueLimit } from "./compute_queue_limit.ts";
+import { computeTargetWait } from "./compute_target_wait.ts";
 import { createWatchedEntry } from "./create_watched_entry.ts";
 import { isOverShare } from "./is_over_share.ts";
+import { isTooLate } from "./is_too_late.ts";
 import type { OwnedUpstream } from "./owned_upstream.ts";
 import type { OwnerRequest } from "./owner_request.ts";
 import type { QueueEntry } from "./queue_entry.ts";
@@ -111,8 +113,12 @@
             running: this.running.count(),
             queuedShort: short.count(),
             queuedLong: long.count(),
-            waitShortMs: this.correction.apply(this.computeWaitMs(WorkClass.Short, short.getWorkMs(), nowMs)),
-            waitLongMs: this.correction.apply(this.computeWaitMs(WorkClass.Long, long.getWorkMs(), nowMs)),
+            waitShortMs: this.correction.apply(
+                this.computeWaitMs(WorkClass.Short, short.getWorkMs(), nowMs),
+            ),
+            waitLongMs: this.correction.apply(
+                this.computeWaitMs(WorkClass.Long, long.getWorkMs(), nowMs),
+            ),
         };
     }
 
@@ -134,16 +140,20 @@
 
     private checkRoom(request: OwnerRequest, nowMs: number, waitMs: number): Code {
         const { workClass } = request.route;
+        const serviceMs = this.serviceTimes.getMeanMs(request.route, nowMs);
         if (
             nowMs + waitMs + this.serviceTimes.computeNeededMs(request.route, waitMs, nowMs) >
                 request.deadlineMs
         ) {
             return Code.WaitTooLong;
         }
+        if (isTooLate(request, waitMs, serviceMs, nowMs)) {
+            return Code.WaitTooLong;
+        }
         if (isOverShare(request, this.queues[workClass])) {
             return Code.OrganisationOverShare;
         }
-        if (this.sheds[workClass].decideArrival(nowMs, waitMs, this.computeTargetMs(request, nowMs))) {
+        if (this.sheds[workClass].decideArrival(nowMs, waitMs, computeTargetWait(request, serviceMs))) {
             return this.refuseLargest(request) ? Code.Ok : Code.OwnerOverloaded;
         }
         if (this.queues[workClass].count() >= computeQueueLimit(request.service, workClass)) {
@@ -158,18 +168,6 @@
                 || this.isLastSlotKept(request.route.priority, nowMs));
     }
 
-    /**
-     * The target is at least one service time, which work in a queue behind busy slots waits anyway, and leaves half of
-     * the time in which the answer should arrive.
-     */
-    private computeTargetMs({ service, route }: OwnerRequest, nowMs: number): number {
-        return Math.max(
-            service.limits.targetWaitMs,
-            this.serviceTimes.getMeanMs(route, nowMs),
-            route.targetMs / 2,
-        );
-    }
-
     /** Makes room for the request at the cost of the organisation with the most queued work of the class. */
     private refuseLargest(request: OwnerRequest): boolean {
         const entry = this.queues[request.route.workClass].takeFor(request);
@@ -206,7 +204,11 @@
 
     private checkStart(request: OwnerRequest, nowMs: number, waitMs: number): Code {
         const shed = this.sheds[request.route.workClass]
-            .decideStart(nowMs, waitMs, this.computeTargetMs(request, nowMs));
+            .decideStart(
+                nowMs,
+                waitMs,
+                computeTargetWait(request, this.serviceTimes.getMeanMs(request.route, nowMs)),
+            );
         if (nowMs >= request.deadlineMs) {
             return Code.DeadlineExceeded;
         }
@@ -230,7 +232,7 @@
         }
         const longAllowed = long.count() > 0 &&
             this.running.countClass(WorkClass.Long) < this.computeLongSlots(slots);
-        const entry = longAllowed && (this.longNext || short.count() === 0) ? long.take() : short.take();
+        const entry = (longAllowed && (this.longNext || short.count() === 0) ? long : short).take();
         this.longNext = longAllowed && entry?.request.route.workClass === WorkClass.Short;
         return entry;
     }
--- a/src/running_daemon.ts
+++ b/src/running_daemon.ts
@@ -1,6 +1,8 @@
 import { ok, type Result } from "neverthrow";
 import type { ActiveConfigReader } from "./config/active_config_reader.ts";
 import type { Failure } from "./core/failure.ts";
+import type { Logger } from "./core/logger.ts";
+import type { Timers } from "./core/timers.ts";
 import type { Daemon } from "./daemon.ts";
 import type { PauseDetector } from "./dispatch/pause_detector.ts";
 import type { DaemonServers } from "./edge/daemon_servers.ts";
@@ -8,10 +10,14 @@
 import type { DrainReport } from "./lifecycle/drain_report.ts";
 import type { Lifecycle } from "./lifecycle/lifecycle.ts";
 import type { ControlPlane } from "./published/control_plane.ts";
+import type { SettingsSource } from "./settings/settings_source.ts";
+import { SettingsWatch } from "./settings/settings_watch.ts";
 
 interface Options {
     readonly servers: DaemonServers;
     readonly store: ActiveConfigReader;
+    readonly logger: Logger;
+    readonly timers: Timers;
     readonly controlPlane: ControlPlane;
     readonly lifecycle: Lifecycle;
     readonly pauses: PauseDetector;
@@ -51,6 +57,10 @@
         return lifecycle.getState() === DaemonState.Serving && store.getActive() !== undefined;
     }
 
+    watchSettings(source: SettingsSource): SettingsWatch {
+        return new SettingsWatch({ ...this.options, ...source });
+    }
+
     drain(cause: string): Promise<Result<DrainReport, Failure>> {
         void this.options.lifecycle.waitForClose(cause).then(this.resolveEnded);
         return this.options.lifecycle.drain(cause);
--- a/src/select/belief_selector.ts
+++ b/src/select/belief_selector.ts
@@ -30,10 +30,13 @@
 import { faultModel } from "../health/fault_model.ts";
 import { isExpected } from "../health/is_expected.ts";
 import { PathTable } from "../health/path_table.ts";
+import { suspicion } from "../health/suspicion.ts";
 import type { LeavingRecorder } from "../membership/leaving_recorder.ts";
 import type { MembershipReader } from "../membership/membership_reader.ts";
 import type { RoutedRequest } from "../route/routed_request.ts";
+import type { AttemptProgress } from "./attempt_progress.ts";
 import { BaselineTable } from "./baseline_table.ts";
+import { computeWaitLoss } from "./compute_wait_loss.ts";
 import type { SelectedRequest } from "./selected_request.ts";
 import type { UpstreamSelector } from "./upstream_selector.ts";
 import { UpstreamView } from "./upstream_view.ts";
@@ -53,9 +56,6 @@
 /** Losses are in shares of the value of a request. */
 const otherDomainLoss = 0.02;
 const otherRegionLoss = 0.1;
-/** Loss of an upstream whose slots are all taken, and for each further request per slot. */
-const fullLoss = 0.3;
-const queuedLoss = 0.2;
 /** Loss of an upstream with an overdue request of this sender. */
 const overdueLoss = 0.3;
 /** Largest random part; spreads the choices of senders that know the same. */
@@ -64,9 +64,11 @@
 const learnValue = 0.6;
 const repeatLoss = 0.05;
 /** Share of the retry budget that requests may use to learn; the rest is for requests that fail unexpectedly. */
-const learnShare = 0.6;
+const learnShare = 0.4;
+/** Rise of the probability of a fault that a request accepts while it is on its way. */
+const acceptedRise = 0.15;
 /** Refusals after which a request no longer looks for a free upstream. */
-const maxRefusals = 3;
+const maxRedirects = 3;
 /** Milliseconds after which another result of an upstream has its full value. */
 const learnMs = 1_000;
 /** Milliseconds for the two directions of a path and for scheduling before a reply counts as overdue. */
@@ -77,6 +79,21 @@
 const firstHopCode = 3_000;
 const lastHopCode = 3_999;
 
+/** What a request is selected for. */
+interface Purpose {
+    readonly request: RoutedRequest;
+    readonly nowMs: number;
+    readonly canLearn: boolean;
+}
+
+interface Candidates {
+    readonly candidates: readonly Upstream[];
+    /** True when the request may be sent where it probably fails, to learn. */
+    readonly canLearn: boolean;
+    /** True when the owner shall let the request wait rather than refuse it. */
+    readonly isLast: boolean;
+}
+
 /** Selects the upstream with the smallest expected loss. */
 export class BeliefSelector implements UpstreamSelector, StateObserver {
     private readonly views = new Map<string, UpstreamView>();
@@ -89,46 +106,37 @@
         request: RoutedRequest,
         attempt: number,
         excluded: ReadonlySet<string>,
-        sends = 0,
+        progress: AttemptProgress = { sends: 0, redirected: new Set() },
     ): Result<SelectedRequest, Failure> {
         const nowMs = this.options.clock.getMonotonicMs();
-        const { budget, membership, observer } = this.options;
-        const { route, service } = request;
-        const members = membership.list(service.name);
-        const reachable = members.filter(({ ownerId }) =>
-            !this.paths.isAvoided(ownerId, route.idempotent, nowMs) && !observer.isSilent(ownerId)
-        );
-        const open = reachable.filter(({ id }) => !excluded.has(id));
-        const free = attempt - sends > maxRefusals ? [] : open.filter(({ id }) => this.isFree(id, nowMs));
-        const isLast = free.length === 0;
-        const candidates = [free, open, reachable, members].find(list => list.length > 0) ?? [];
-        const canLearn = route.idempotent && !isLast && sends + 1 < route.maxAttempts
-            && budget.has(service.name, learnShare);
-        const upstream = this.selectBest(candidates, nowMs, canLearn);
+        const { failureDomain } = this.options;
+        const { candidates, canLearn, isLast } = this.findCandidates(request, excluded, progress, nowMs);
+        const upstream = this.selectBest(candidates, { request, nowMs, canLearn });
         if (upstream === undefined) {
             return err(createFailure(Code.NoUpstream));
         }
-        const baselineMs = this.baselines.compute(service, route, {
+        const baselineMs = this.baselines.compute(request.service, request.route, {
             upstreamId: upstream.id,
             excluded: new Set(),
             nowMs,
         });
-        const basis = {
-            ...this.getView(upstream.id).buildBasis(nowMs),
-            candidates: candidates.length,
-            learns: canLearn,
-        };
-        const remote = upstream.failureDomain !== this.options.failureDomain;
-        return ok({
-            ...request,
+        const view = this.getView(upstream.id);
+        const basis = { ...view.buildBasis(nowMs), candidates: candidates.length, learns: canLearn };
+        const remote = upstream.failureDomain !== failureDomain;
+        const usualLimit = request.route.idempotent ? suspicion.idempotentLimit : suspicion.singleRunLimit;
+        // A request that has no better place accepts the risk that is known, and no greater one.
+        const faultLimit = isLast ? Math.max(usualLimit, basis.faultProbability + acceptedRise) : usualLimit;
+        const fields = {
             attempt,
             upstream,
             baselineMs,
             trial: false,
             redirectable: !isLast,
             remote,
+            faultLimit,
             basis,
-        });
+        };
+        return ok({ ...request, ...fields });
     }
 
     recordStart(selected: SelectedRequest): void {
@@ -184,15 +192,41 @@
             .flatMap(({ id }) => this.getView(id).getState(nowMs) ?? []);
     }
 
-    private selectBest(
-        candidates: readonly Upstream[],
+    /**
+     * The upstreams that may take the request at once, or all that it has not failed at when there is none: the best of
+     * those may let it wait.
+     */
+    private findCandidates(
+        request: RoutedRequest,
+        excluded: ReadonlySet<string>,
+        { redirected, sends }: AttemptProgress,
         nowMs: number,
-        canLearn: boolean,
-    ): Upstream | undefined {
+    ): Candidates {
+        const { budget, membership, observer } = this.options;
+        const { route, service } = request;
+        const members = membership.list(service.name);
+        const reachable = members.filter(({ ownerId }) =>
+            !this.paths.isAvoided(ownerId, route.idempotent, nowMs) && !observer.isSilent(ownerId)
+        );
+        const canLearn = route.idempotent && sends + 1 < route.maxAttempts
+            && budget.has(service.name, learnShare);
+        const open = redirected.size >= maxRedirects ?
+            [] :
+            reachable.filter(({ id }) => !excluded.has(id) && this.isFit(id, request, { nowMs, canLearn }));
+        if (open.length > 0) {
+            return { candidates: open, canLearn, isLast: false };
+        }
+        const patient = reachable.filter(({ id }) => !excluded.has(id) || redirected.has(id));
+        // A first attempt is made even where the paths seem cut.
+        const candidates = patient.length > 0 || excluded.size > 0 ? patient : members;
+        return { candidates, canLearn: false, isLast: true };
+    }
+
+    private selectBest(candidates: readonly Upstream[], purpose: Purpose): Upstream | undefined {
         let best: Upstream | undefined;
         let bestLoss = Infinity;
         for (const candidate of candidates) {
-            const loss = this.computeLoss(candidate, nowMs, canLearn);
+            const loss = this.computeLoss(candidate, purpose);
             if (loss < bestLoss) {
                 best = candidate;
                 bestLoss = loss;
@@ -201,29 +235,37 @@
         return best;
     }
 
-    private computeLoss(upstream: Upstream, nowMs: number, canLearn: boolean): number {
+    private computeLoss(upstream: Upstream, { canLearn, nowMs, request }: Purpose): number {
         const { failureDomain, random, region } = this.options;
         const view = this.getView(upstream.id);
         const probability = view.getFaultProbability(nowMs);
-        const load = view.load.measure(nowMs);
         const place = upstream.failureDomain === failureDomain
             ? 0
             : upstream.region === region
             ? otherDomainLoss
             : otherRegionLoss;
-        const busy = load < 1 ? 0 : fullLoss + queuedLoss * (load - 1);
         const overdue = view.load.hasOverdue(nowMs) ? overdueLoss : 0;
         // Results of other failure domains are the business of the daemons there.
         const failure = canLearn && place === 0
             ? repeatLoss * probability
                 - learnValue * probability * (1 - probability) * Math.min(1, view.getAgeMs(nowMs) / learnMs)
             : probability * faultModel.failShareFaulty;
-        return failure + place + busy + overdue + jitterLoss * random.take();
+        return failure + place + computeWaitLoss(view.load, request, nowMs) + overdue +
+            jitterLoss * random.take();
     }
 
-    /** True when a slot is free there as far as this sender knows. */
-    private isFree(upstreamId: string, nowMs: number): boolean {
-        return this.getView(upstreamId).load.measure(nowMs) < 1;
+    /** True when a slot is free there and the owner will not refuse, as far as this sender knows. */
+    private isFit(
+        upstreamId: string,
+        { route }: RoutedRequest,
+        { canLearn, nowMs }: Pick<Purpose, "canLearn" | "nowMs">,
+    ): boolean {
+        const view = this.getView(upstreamId);
+        const probability = view.getFaultProbability(nowMs);
+        const isTrusted =
+            probability <= (route.idempotent ? suspicion.idempotentLimit : suspicion.singleRunLimit);
+        return view.load.measure(nowMs) < 1
+            && (isTrusted || (canLearn && view.getAgeMs(nowMs) >= suspicion.trialMs));
     }
 
     private getView(upstreamId: string): UpstreamView {
--- a/src/select/selected_request.ts
+++ b/src/select/selected_request.ts
@@ -13,6 +13,8 @@
     readonly trial: boolean;
     /** True when the owner may refuse the attempt because another upstream may serve it sooner. */
     readonly redirectable?: boolean;
+    /** Probability of a fault above which the owner shall refuse the attempt before dispatch. */
+    readonly faultLimit?: number | undefined;
     /** True when the owner is in another failure domain. */
     readonly remote?: boolean;
     /** Incarnation of the owner that this daemon knew when it sent the attempt; a revocation names it. */
--- a/src/select/upstream_selector.ts
+++ b/src/select/upstream_selector.ts
@@ -2,19 +2,19 @@
 import type { Failure } from "../core/failure.ts";
 import type { OwnerReply } from "../forward/owner_reply.ts";
 import type { RoutedRequest } from "../route/routed_request.ts";
+import type { AttemptProgress } from "./attempt_progress.ts";
 import type { SelectedRequest } from "./selected_request.ts";
 
 /** Selects the upstream of each attempt and learns from the replies. */
 export interface UpstreamSelector {
     /**
-     * `excluded` holds the identifiers of upstreams that earlier attempts have tried, `sends` is the number of those
-     * attempts that an upstream may have received.
+     * `excluded` holds the identifiers of upstreams that earlier attempts have tried.
      */
     select(
         request: RoutedRequest,
         attempt: number,
         excluded: ReadonlySet<string>,
-        sends?: number,
+        progress?: AttemptProgress,
     ): Result<SelectedRequest, Failure>;
     /** Counts the attempt as in flight. Call once for each selected attempt that is forwarded. */
     recordStart(selected: SelectedRequest): void;
--- /dev/null
+++ b/src/settings/settings_watch.ts
@@ -0,0 +1,73 @@
+/**
+ * Notices changes of a settings file, announced by a signal or not.
+ *
+ * @example
+ * ```ts
+ * const watch = new SettingsWatch({ timers, logger, read: () => readFile(path, "utf8"), apply: parse });
+ * watch.start(initialText);
+ * await watch.check();
+ * watch.close();
+ * ```
+ *
+ * @module
+ */
+import { LogLevel } from "../core/log_level.ts";
+import type { Logger } from "../core/logger.ts";
+import type { Timer } from "../core/timer.ts";
+import type { Timers } from "../core/timers.ts";
+import type { SettingsSource } from "./settings_source.ts";
+
+interface Options extends SettingsSource {
+    readonly timers: Timers;
+    readonly logger: Logger;
+}
+
+/** Milliseconds between two looks at the file. Reading it costs less than a tenth of a millisecond. */
+const periodMs = 1_000;
+
+/** Applies each new content once. */
+export class SettingsWatch {
+    private text = "";
+    private timer: Timer | undefined;
+
+    constructor(private readonly options: Options) {}
+
+    /** `text` is the content that is in force already. */
+    start(text: string): void {
+        this.text = text;
+        this.startTimer();
+    }
+
+    /** Looks at the file now, for example after a signal. */
+    async check(): Promise<void> {
+        const { apply, logger, read } = this.options;
+        let text: string;
+        try {
+            text = await read();
+        }
+        catch (error) {
+            // A file that is being replaced is read again at the next look.
+            logger.write(LogLevel.Warn, "settings_unreadable", { detail: String(error) });
+            return;
+        }
+        if (text === this.text) {
+            return;
+        }
+        this.text = text;
+        apply(text).match(
+            () => logger.write(LogLevel.Info, "settings_reloaded"),
+            ({ code, detail }) => logger.write(LogLevel.Error, "settings_rejected", { code, detail }),
+        );
+    }
+
+    close(): void {
+        this.timer?.close();
+    }
+
+    private startTimer(): void {
+        this.timer = this.options.timers.start(periodMs, () => {
+            void this.check();
+            this.startTimer();
+        });
+    }
+}
--- a/src/wiring/build_entry.ts
+++ b/src/wiring/build_entry.ts
@@ -55,8 +55,8 @@
     const local = new LocalForwarder({ owner: owner.register, revoker: owner.revoker });
     const forwarder = new OwnerForwarder({ daemonId: identity.ownerId, local, remote });
     const fleetBudget = adapters === undefined ? undefined : new FleetRetryBudget({
-        ...adapters.retryBudget,
         clock,
+        getBounds: () => adapters.getRetryBounds(),
         countDomains: () =>
             new Set([...membership.getDaemons().values()].map(daemon => daemon.failureDomain)).size,
     });
--- a/src/wiring/build_owner.ts
+++ b/src/wiring/build_owner.ts
@@ -15,12 +15,14 @@
 import { SuspectFilter } from "../health/suspect_filter.ts";
 import type { DrainableListener } from "../lifecycle/drainable_listener.ts";
 import { Lifecycle } from "../lifecycle/lifecycle.ts";
+import { LeavingCheck } from "../membership/leaving_check.ts";
 import { ListedUpstreams } from "../membership/listed_upstreams.ts";
 import { AttemptTable } from "../operations/attempt_table.ts";
 import { OperationTable } from "../operations/operation_table.ts";
 import { OwnerRevoker } from "../operations/owner_revoker.ts";
 import { RegisterFilter } from "../operations/register_filter.ts";
 import { ConfiguredUpstreams } from "../queue/configured_upstreams.ts";
+import { NoShedPolicy } from "../queue/no_shed_policy.ts";
 import { NominalSlotLimit } from "../queue/nominal_slot_limit.ts";
 import { QueueFilter } from "../queue/queue_filter.ts";
 import { QueueReleaser } from "../queue/queue_releaser.ts";
@@ -31,6 +33,15 @@
 import type { BaseParts } from "./base_parts.ts";
 import type { ControlParts } from "./control_parts.ts";
 
+/**
+ * On the platform an upstream queues what exceeds its slots, so it sheds for reasons of its own. Routes have targets
+ * there, and a queue that admits what it can answer in time sheds nothing else.
+ */
+const platformPolicies = {
+    createSlotLimit: (nominal: number) => new NominalSlotLimit(nominal),
+    createShedPolicy: () => new NoShedPolicy(),
+};
+
 /** The owner's side: queue, dispatch, settle and the register around them. */
 export function buildOwner(
     settings: ServeSettings,
@@ -44,7 +55,7 @@
         : new ListedUpstreams({
             membership: control.membership,
             address: adapters.upstreamAddress,
-            service: adapters.service,
+            getService: () => adapters.getService(),
         });
     let getListeners = (): readonly DrainableListener[] => [];
     const lifecycle: Lifecycle = new Lifecycle({
@@ -60,8 +71,7 @@
         ...base,
         upstreams,
         daemonState: lifecycle,
-        // On the platform an upstream queues what exceeds its slots, so it sheds for reasons of its own.
-        ...(adapters === undefined ? {} : { createSlotLimit: nominal => new NominalSlotLimit(nominal) }),
+        ...(adapters === undefined ? {} : platformPolicies),
     });
     const beliefs = adapters === undefined ? undefined : new BeliefRecorder(clock);
     const evidence = beliefs ?? new SequentialEvidenceRecorder({ config: control.store, board: base.board });
@@ -77,15 +87,20 @@
     const client = new UndiciUpstreamClient({
         upstreams,
         codec: adapters?.upstreamCodec ?? new HeaderUpstreamCodec(),
-        allowsCloseDelimited: adapters !== undefined,
     });
     const meter = new PauseMeter(base);
     const watch = new DispatchWatch({ ...base, evidence, pauses: meter });
-    const checks = { daemonState: lifecycle, gate: attempts, pauses };
-    const dispatch = new DispatchFilter({ ...checks, client, clock, watch });
-    const gate = beliefs === undefined
-        ? queue
-        : Pipeline.start(new SuspectFilter({ clock, faults: beliefs })).pipe(queue);
+    const suspects = beliefs && new SuspectFilter({ clock, faults: beliefs });
+    const dispatch = new DispatchFilter({
+        daemonState: lifecycle,
+        gate: attempts,
+        pauses,
+        client,
+        clock,
+        watch,
+        checks: [new LeavingCheck(control.membership), ...suspects ? [suspects] : []],
+    });
+    const gate = suspects === undefined ? queue : Pipeline.start(suspects).pipe(queue);
     const inner = Pipeline.start(gate).pipe(dispatch).pipe(new SettleFilter({ identity, watch, states }));
     const registered = new RegisterFilter({
         identity,
