--- a/src/queue/queue_filter.test.ts
+++ b/src/queue/queue_filter.test.ts
@@ -149,3 +149,12 @@
     };
     assert.deepEqual([await countAccepted(10), await countAccepted(90)], [1, 0]);
 });
+
+test("work whose turn has come starts with little time left, so that its wait was not in vain", async () => {
+    const { queue, time } = openQueue(1);
+    const first = (await queue.apply(buildOwnerRequest()))._unsafeUnwrap();
+    const waiting = queue.apply(buildOwnerRequest({ requestId: "r2", deadlineMs: 1_000 }));
+    await time.run(940);
+    first.lease.close(undefined);
+    assert.equal((await waiting).isOk(), true);
+});
--- a/src/queue/upstream_queue.ts
+++ b/src/queue/upstream_queue.ts
@@ -206,7 +206,8 @@
         if (nowMs >= deadlineMs) {
             return Code.DeadlineExceeded;
         }
-        if (nowMs + this.serviceTimes.computeNeededMs(route, waitMs, nowMs) > deadlineMs) {
+        // The slot is free now, so the margin for the uncertain wait is not needed any more.
+        if (nowMs + this.serviceTimes.getMeanMs(route, nowMs) > deadlineMs) {
             return Code.WaitTooLong;
         }
         return isShed ? Code.OwnerOverloaded : Code.Ok;
