--- /dev/null
+++ b/scripts/list_failed_tests.test.ts
@@ -0,0 +1,13 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { listFailedTests } from "./list_failed_tests.ts";
+import { listKnownRed } from "./list_known_red.ts";
+
+test("failed tests of both reports are named, so that only listed ones are passed over", () => {
+    const unit =
+        "✔ works (1.5ms)\n✖ breaks, twice (20.25ms)\nℹ fail 1\n✖ failing tests:\n✖ breaks, twice (20.25ms)\n";
+    const features =
+        "Failures:\n\n1) Scenario: a drain cuts nothing # features/a.feature:3\n   ✖ Then it holds # b.ts:1\n";
+    assert.deepEqual(listFailedTests(unit, features), ["breaks, twice", "a drain cuts nothing"]);
+    assert.deepEqual(listKnownRed("# comment\ntest: breaks, twice\nseen: once\n"), ["breaks, twice"]);
+});
