Serve without metrics when their port is taken

Cause: the metrics port is fixed in the deploy file, while ports differ on each installation. A port that is taken there made the start of every daemon fail.

Change: the failure is logged and the daemon serves.

Ruled out: a port of the range for messages between daemons, since the deploy file names the metrics port by number.

Conclusion: nothing open.

--- a/src/build_daemon.ts
+++ b/src/build_daemon.ts
@@ -39,6 +39,7 @@
         settings,
         callerCodec: entry.codec,
         identity: base.identity,
+        logger: base.logger,
         lifecycle: owner.lifecycle,
         caller: entry.handler,
         owner: owner.incoming,
--- a/src/edge/daemon_servers.ts
+++ b/src/edge/daemon_servers.ts
@@ -4,12 +4,15 @@
  * @module
  */
 import { connectNodeAdapter } from "@connectrpc/connect-node";
+import type Koa from "koa";
 import { err, ok, type Result } from "neverthrow";
 import type { CallerHandler } from "../answer/caller_handler.ts";
 import { Code } from "../core/code.ts";
 import { createFailure } from "../core/create_failure.ts";
 import type { Failure } from "../core/failure.ts";
 import type { Filter } from "../core/filter.ts";
+import { LogLevel } from "../core/log_level.ts";
+import type { Logger } from "../core/logger.ts";
 import type { OwnerReply } from "../forward/owner_reply.ts";
 import type { GossipHandler } from "../gossip/gossip_handler.ts";
 import { DaemonState } from "../lifecycle/daemon_state.ts";
@@ -35,6 +38,7 @@
     readonly callerCodec: CallerCodec;
     readonly settings: ServeSettings;
     readonly identity: OwnerIdentity;
+    readonly logger: Logger;
     readonly lifecycle: Lifecycle;
     readonly caller: CallerHandler;
     readonly owner: Filter<IncomingDispatch, OwnerReply>;
@@ -106,22 +110,24 @@
 
     /** Opens the interfaces for administration and for metrics. */
     private async openOperatorPorts(): Promise<Result<void, Failure>> {
-        const { metrics, settings } = this.options;
-        const ports = [{ address: settings.adminAddress, app: createAdminApp(this.options) }];
+        const { logger, metrics, settings } = this.options;
         if (metrics !== undefined && settings.metricsListenAddress !== undefined) {
-            ports.push({ address: settings.metricsListenAddress, app: createMetricsApp(metrics) });
-        }
-        for (const { address, app } of ports) {
-            const handle = app.callback();
-            const listener = await HttpListener.open(address, (request, response) => {
-                void handle(request, response);
-            });
-            if (listener.isErr()) {
-                return err(listener.error);
+            const opened = await this.openApp(settings.metricsListenAddress, createMetricsApp(metrics));
+            if (opened.isErr()) {
+                // Requests are served without metrics too.
+                const { code, detail } = opened.error;
+                logger.write(LogLevel.Error, "metrics_port_failed", { code, detail });
             }
-            this.opened.push(listener.value);
         }
-        return ok(undefined);
+        return this.openApp(settings.adminAddress, createAdminApp(this.options));
+    }
+
+    private async openApp(address: string, app: Koa): Promise<Result<void, Failure>> {
+        const handle = app.callback();
+        const listener = await HttpListener.open(address, (request, response) => {
+            void handle(request, response);
+        });
+        return listener.map(opened => void this.opened.push(opened));
     }
 
     private refuseCaller(): boolean {
