Use upstreams with a believed fault again when the others have a queue

A belief near 1 says that the upstream is in a fault, not that all of its requests fail; several kinds of faults fail less than half of them, and that capacity was given up.

Work with a free slot, small work and the start of work that waited stay as they are.

Conclusion: a belief that knows the share of failures in a fault would serve both sites; that is open.

--- a/src/select/belief_selector.ts
+++ b/src/select/belief_selector.ts
@@ -27,6 +27,7 @@
 import type { UpstreamState } from "../core/upstream_state.ts";
 import type { OwnerReply } from "../forward/owner_reply.ts";
 import type { RetryBudget } from "../forward/retry_budget.ts";
+import { faultModel } from "../health/fault_model.ts";
 import { isExpected } from "../health/is_expected.ts";
 import { PathTable } from "../health/path_table.ts";
 import { suspicion } from "../health/suspicion.ts";
@@ -55,13 +56,6 @@
 /** Losses are in shares of the value of a request. */
 const otherDomainLoss = 0.02;
 const otherRegionLoss = 0.1;
-/** Loss of work that meets a fault: it fails and is not sent again, while a late answer keeps part of its value. */
-const faultLoss = 0.9;
-/**
- * Probability of a fault above which nothing is sent even when no other upstream is left. The caller of a refused request
- * may come back, that of a failed one may not.
- */
-const refusedProbability = 0.92;
 /** Loss of an upstream with an overdue request of this sender. */
 const overdueLoss = 0.3;
 /** Largest random part; spreads the choices of senders that know the same. */
@@ -222,12 +216,9 @@
         if (open.length > 0) {
             return { candidates: open, canLearn, isLast: false };
         }
-        const patient = reachable.filter(({ id }) =>
-            (!excluded.has(id) || redirected.has(id))
-            && this.getView(id).getFaultProbability(nowMs) <= refusedProbability
-        );
+        const patient = reachable.filter(({ id }) => !excluded.has(id) || redirected.has(id));
         // A first attempt is made even where the paths seem cut.
-        const candidates = reachable.length > 0 || excluded.size > 0 ? patient : members;
+        const candidates = patient.length > 0 || excluded.size > 0 ? patient : members;
         return { candidates, canLearn: false, isLast: true };
     }
 
@@ -258,7 +249,7 @@
         const failure = canLearn && place === 0
             ? repeatLoss * probability
                 - learnValue * probability * (1 - probability) * Math.min(1, view.getAgeMs(nowMs) / learnMs)
-            : probability * faultLoss;
+            : probability * faultModel.failShareFaulty;
         return failure + place + computeWaitLoss(view.load, request, nowMs) + overdue +
             jitterLoss * random.take();
     }
--- a/src/select/compute_wait_loss.ts
+++ b/src/select/compute_wait_loss.ts
@@ -3,7 +3,7 @@
 
 /** Loss of an upstream whose slots are all taken, and of an answer after the target, in shares of a request's value. */
 const fullLoss = 0.05;
-const lateLoss = 0.6;
+const lateLoss = 0.65;
 /** Milliseconds before the target that are always assumed to be left, so that waits stay comparable after it. */
 const minSpareMs = 50;
 /** Share of the target that one request usually takes. */
