Treat a silent connection to the store as such and not as an outage of the store

Cause: a daemon that gave up a silent watch counted the store as returned. Entries that had gone meanwhile were then kept for two seconds, as after an outage in which entries lapse, which is the whole bound for an upstream that leaves.

Change: the next watch follows at once and nothing is kept. The test fails without the change (u1 is still listed).

Ruled out: a shorter time for entries after an outage, since the platform names about two seconds.

--- a/src/published/store_follower.test.ts
+++ b/src/published/store_follower.test.ts
@@ -201,3 +201,15 @@
         "a daemon that is not behind waits",
     );
 });
+
+test("an upstream that went while only the connection of this daemon was silent is gone at once", async () => {
+    const { follower, listIds, store, time } = createSetup();
+    void follower.start();
+    store.send(buildPage(5, buildConfiguration(1, 3), buildUpstream("u1", 4), buildUpstream("u2", 5)));
+    await time.run(1_000);
+    follower.recordPeerRevision(7);
+    await time.run(900);
+    store.send(buildPage(7, buildRemoval("u1", 7)));
+    await time.run(100);
+    assert.equal(listIds(), "u2");
+});
--- a/src/published/store_follower.ts
+++ b/src/published/store_follower.ts
@@ -74,6 +74,8 @@
     private behindTimer: Timer | undefined;
     /** Gives up the call that is open. */
     private cancelCall: (detail: string) => void = () => undefined;
+    /** True when the call was given up because its connection is silent while the store serves others. */
+    private isSilent = false;
     private failures = 0;
     private closed = false;
     private timer: Timer | undefined;
@@ -117,6 +119,7 @@
         this.behindTimer = this.options.timers.start(behindMs, () => {
             this.behindTimer = undefined;
             if (this.revision === startRevision) {
+                this.isSilent = true;
                 this.cancelCall(`another daemon has read revision ${this.peerRevision}`);
             }
         });
@@ -139,6 +142,7 @@
     private async runOnce(): Promise<number> {
         const { revision } = this;
         const { store } = this.options;
+        this.isSilent = false;
         const controller = new AbortController();
         const result = revision === undefined
             ? await this.fetch(store.fetchAll(), callMs, controller)
@@ -151,7 +155,7 @@
             return 0;
         }
         if (result.isErr()) {
-            return this.handleFailure(result.error);
+            return this.isSilent ? this.handleSilence(result.error) : this.handleFailure(result.error);
         }
         if (this.failures > 0) {
             this.options.logger.write(LogLevel.Info, "platform_back", { failures: this.failures });
@@ -219,6 +223,17 @@
         }
     }
 
+    /**
+     * The store serves other daemons, so entries that went meanwhile are gone and not lapsed: nothing is kept for their
+     * return as after an outage.
+     */
+    private handleSilence({ code, detail }: Failure): number {
+        this.isSilent = false;
+        this.options.metrics.addCount("platform.failures", { document: "store", code: `${code}` });
+        this.options.logger.write(LogLevel.Warn, "platform_silent", { code, detail });
+        return 0;
+    }
+
     private handleFailure(failure: Failure): number {
         const { logger, metrics, random } = this.options;
         const { code, detail } = failure;
