Dispatch nothing to an upstream that has gone from the list, and keep entries only after a real outage

The attempt waited in its queue since before; the check at dispatch asked only whether the listed upstream is leaving, and one that is not listed is neither. Found beside it: a watch that was cut once counted as an outage of the store, after which removed entries are kept for 2 s, the whole bound.

Change: work that waited is refused (2003) when its upstream is no longer listed. Entries are kept only after an outage of 1.5 s or a call that took all of its time. The test of the outage now makes one of several seconds, since a single failed call is no outage any more; it checks as much as before. Three new tests fail without the change.

Ruled out: a silent connection to the store (the owner's watch worked), and keeping of entries as the cause of this violation (removed at once in the replay).

--- a/src/membership/leaving_check.ts
+++ b/src/membership/leaving_check.ts
@@ -5,11 +5,14 @@
 import type { OwnerRequest } from "../queue/owner_request.ts";
 import type { MembershipTable } from "./membership_table.ts";
 
-/** Refuses work for an upstream that the list says is leaving, also work that waited for a slot meanwhile. */
+/** Refuses work for an upstream that is leaving or that has gone from the list while the work waited for a slot. */
 export class LeavingCheck implements DispatchCheck {
     constructor(private readonly membership: MembershipTable) {}
 
-    check({ upstreamId }: OwnerRequest): Failure | undefined {
-        return this.membership.isLeaving(upstreamId) ? createFailure(Code.OwnerLeaving) : undefined;
+    check({ upstreamId }: OwnerRequest, waitMs: number): Failure | undefined {
+        // On arrival the queue decides by its own list, which may be ahead of the membership table.
+        const isGone = waitMs > 0 && this.membership.getVersion() > 0
+            && this.membership.find(upstreamId) === undefined;
+        return isGone || this.membership.isLeaving(upstreamId) ? createFailure(Code.OwnerLeaving) : undefined;
     }
 }
--- a/src/published/store_follower.test.ts
+++ b/src/published/store_follower.test.ts
@@ -158,10 +158,11 @@
     void follower.start();
     store.send(
         buildPage(5, buildConfiguration(1, 3), buildUpstream("u1", 4), buildUpstream("u2", 5)),
-        unreachable,
+        ...Array.from({ length: 8 }, () => unreachable),
         buildPage(8, buildRemoval("u1", 7), buildRemoval("u2", 8)),
     );
-    await time.run(1_000);
+    await time.run(5_500);
+    assert.equal(store.calls.length, 11, "all calls of the outage were made");
     assert.equal(listIds(), "u1,u2");
     store.send(buildPage(9, buildUpstream("u1", 9)));
     await time.run(2_500);
@@ -213,3 +214,27 @@
     await time.run(100);
     assert.equal(listIds(), "u2");
 });
+
+test("an upstream that goes while a watch is cut once is gone at once, since no entry lapses in that time", async () => {
+    const { follower, listIds, store, time } = createSetup();
+    void follower.start();
+    store.send(
+        buildPage(5, buildConfiguration(1, 3), buildUpstream("u1", 4), buildUpstream("u2", 5)),
+        unreachable,
+        buildPage(7, buildRemoval("u1", 7)),
+    );
+    await time.run(1_000);
+    assert.equal(listIds(), "u2");
+});
+
+test("entries stay after a call that waited in vain, since the store may have been away from its start", async () => {
+    const { follower, listIds, store, time } = createSetup();
+    void follower.start();
+    store.send(buildPage(5, buildConfiguration(1, 3), buildUpstream("u1", 4)));
+    await time.run(13_000);
+    store.send(buildPage(7, buildRemoval("u1", 7)));
+    await time.run(100);
+    assert.equal(listIds(), "u1");
+    await time.run(2_500);
+    assert.equal(listIds(), "");
+});
--- a/src/published/store_follower.ts
+++ b/src/published/store_follower.ts
@@ -60,6 +60,11 @@
  * pause and a slow answer of the store explain less, and what is left is enough to put a change in force in time.
  */
 const behindMs = 800;
+/**
+ * Shortest outage in milliseconds after which missing entries may return. Upstreams write every 1.5 s and their entries
+ * outlive several missed writes, so that none can lapse in less time; a watch that is cut once is no outage.
+ */
+const minOutageMs = 1_500;
 /** Back-off in milliseconds after failed calls. */
 const backoffMinMs = 100;
 const backoffMaxMs = 1_000;
@@ -77,6 +82,8 @@
     /** True when the call was given up because its connection is silent while the store serves others. */
     private isSilent = false;
     private failures = 0;
+    /** Start of the outage, while calls fail; monotonic milliseconds. */
+    private outageSinceMs = 0;
     private closed = false;
     private timer: Timer | undefined;
     private resolveReady: () => void = () => undefined;
@@ -141,26 +148,32 @@
     /** Makes one call and returns the delay before the next in milliseconds. */
     private async runOnce(): Promise<number> {
         const { revision } = this;
-        const { store } = this.options;
+        const { clock, store } = this.options;
         this.isSilent = false;
         const controller = new AbortController();
-        const result = revision === undefined
-            ? await this.fetch(store.fetchAll(), callMs, controller)
-            : await this.fetch(
-                store.watch(revision, watchMs, controller.signal),
-                watchMs + callMs,
-                controller,
-            );
+        const startedAtMs = clock.getMonotonicMs();
+        const limitMs = revision === undefined ? callMs : watchMs + callMs;
+        const call = revision === undefined
+            ? store.fetchAll()
+            : store.watch(revision, watchMs, controller.signal);
+        const result = await this.fetch(call, limitMs, controller);
+        const endedAtMs = clock.getMonotonicMs();
         if (this.closed) {
             return 0;
         }
         if (result.isErr()) {
+            if (this.failures === 0) {
+                // A call that took all of its time may have waited for a store that was away from the start.
+                this.outageSinceMs = endedAtMs - startedAtMs >= limitMs ? startedAtMs : endedAtMs;
+            }
             return this.isSilent ? this.handleSilence(result.error) : this.handleFailure(result.error);
         }
         if (this.failures > 0) {
             this.options.logger.write(LogLevel.Info, "platform_back", { failures: this.failures });
             this.failures = 0;
-            this.upstreams.recordReturn();
+            if (endedAtMs - this.outageSinceMs >= minOutageMs) {
+                this.upstreams.recordReturn();
+            }
         }
         this.apply(result.value, revision === undefined);
         return result.value.changes.length === 0 ? 0 : pauseMs;
