Close links together with their port, so that a drain ends when its work has ended

Callers saw an instance without a daemon for the whole drain limit (5.5 s on the platform) at every restart, and the operator saw drain_late with 0 requests in flight. On the platform the process then ended at its time limit, where whatever has arrived meanwhile is cut.

Cause: the drain closed its listeners one after another, the port for other daemons first. A port is closed only when all of its connections are, and the links between daemons, which were opened on it, came last in the list.

Evidence: the test opens a link to a daemon without requests and drains it. Ruled out: requests in flight (the count was 0).

All listeners are closed at the same time now, and a link that its peer does not close is cut after 500 ms, so the close depends on no other daemon.

--- a/src/build_daemon.test.ts
+++ b/src/build_daemon.test.ts
@@ -1,34 +1,72 @@
 import assert from "node:assert/strict";
+import { once } from "node:events";
+import { connect, type Socket } from "node:net";
 import { test } from "node:test";
 import { buildDaemon } from "./build_daemon.ts";
 import { LogLevel } from "./core/log_level.ts";
 import { HttpListener } from "./edge/http/http_listener.ts";
+import { linkProtocol } from "./edge/peer_link/link_protocol.ts";
+import type { ServeSettings } from "./settings/serve_settings.ts";
+
+const settings: ServeSettings = {
+    daemonId: "daemon-1",
+    failureDomain: "domain",
+    region: "region",
+    callerAddress: "127.0.0.1:0",
+    peerAddress: "127.0.0.1:0",
+    adminAddress: "127.0.0.1:0",
+    platformUrl: "http://127.0.0.1:1",
+    upstreams: [],
+    peers: [],
+    metricsAddress: undefined,
+    metricsListenAddress: undefined,
+    logLevel: LogLevel.Error,
+    maxRequestBytes: 1_000,
+    gossipIntervalMs: 60_000,
+    watchMs: 1_000,
+    startWaitMs: 0,
+    drainGraceMs: 0,
+    drainQuietMs: 0,
+    drainTimeoutMs: 1_000,
+};
+
+async function findFreePort(): Promise<number> {
+    const listener = (await HttpListener.open("127.0.0.1:0", (_, response) => response.end()))
+        ._unsafeUnwrap();
+    const port = listener.getPort();
+    await listener.close();
+    return port;
+}
+
+/** A link whose peer closes its end only when `allowHalfOpen` is false. */
+async function openLink(port: number, allowHalfOpen: boolean): Promise<Socket> {
+    const socket = connect({ host: "127.0.0.1", port, allowHalfOpen });
+    socket.write(
+        `GET /v1/link HTTP/1.1\r\nHost: test\r\nConnection: Upgrade\r\nUpgrade: ${linkProtocol}\r\n\r\n`,
+    );
+    await once(socket, "data");
+    socket.resume();
+    return socket;
+}
 
 test("a daemon whose metrics port is taken serves all the same, so that a foreign port cannot stop the fleet", async () => {
     const taken = (await HttpListener.open("127.0.0.1:0", (_, response) => response.end()))._unsafeUnwrap();
-    const daemon = buildDaemon({
-        daemonId: "daemon-1",
-        failureDomain: "domain",
-        region: "region",
-        callerAddress: "127.0.0.1:0",
-        peerAddress: "127.0.0.1:0",
-        adminAddress: "127.0.0.1:0",
-        platformUrl: "http://127.0.0.1:1",
-        upstreams: [],
-        peers: [],
-        metricsAddress: undefined,
-        metricsListenAddress: `127.0.0.1:${taken.getPort()}`,
-        logLevel: LogLevel.Error,
-        maxRequestBytes: 1_000,
-        gossipIntervalMs: 60_000,
-        watchMs: 1_000,
-        startWaitMs: 0,
-        drainGraceMs: 0,
-        drainQuietMs: 0,
-        drainTimeoutMs: 1_000,
-    });
+    const daemon = buildDaemon({ ...settings, metricsListenAddress: `127.0.0.1:${taken.getPort()}` });
     const started = await daemon.start();
     await daemon.close();
     await taken.close();
     assert.equal(started.isOk(), true);
 });
+
+test("links that other daemons keep open do not hold a drain until its time limit", async () => {
+    const port = await findFreePort();
+    const daemon = buildDaemon({ ...settings, peerAddress: `127.0.0.1:${port}`, drainTimeoutMs: 3_000 });
+    await daemon.start();
+    await openLink(port, false);
+    const silent = await openLink(port, true);
+    silent.on("error", () => undefined);
+    const drained = await daemon.drain("SIGTERM");
+    silent.destroy();
+    await daemon.close();
+    assert.equal(drained.isOk(), true, "the drain reached its time limit with no request in flight");
+});
--- a/src/edge/peer_link/frame_socket.ts
+++ b/src/edge/peer_link/frame_socket.ts
@@ -24,12 +24,14 @@
 
 /** A connection that carries frames in both directions. */
 export class FrameSocket {
+    private readonly ended: Promise<void>;
+
     constructor(private readonly socket: Socket, handlers: Handlers) {
         socket.setNoDelay(true);
         socket.setKeepAlive(true, keepAliveMs);
         socket.setTimeout(0);
         socket.on("error", () => socket.destroy());
-        void this.read(handlers);
+        this.ended = this.read(handlers);
     }
 
     send(frame: LinkFrame): void {
@@ -41,6 +43,11 @@
         this.socket.end();
     }
 
+    /** Resolves when the peer has closed the connection too, or when it was cancelled. */
+    waitForClose(): Promise<void> {
+        return this.ended;
+    }
+
     /** Closes the connection at once. */
     cancel(): void {
         this.socket.destroy();
--- a/src/edge/peer_link/link_listener.ts
+++ b/src/edge/peer_link/link_listener.ts
@@ -28,6 +28,9 @@
     readonly registerRequest: () => RequestLease | undefined;
 }
 
+/** Milliseconds in which a peer closes its end of a link; a round trip between regions takes up to 40 ms. */
+const closeLimitMs = 500;
+
 type Content = MessageInitShape<typeof LinkFrameSchema>["content"];
 
 /** Runs each attempt through the owner pipeline; the end of its link or a cancel aborts its signal. */
@@ -54,10 +57,13 @@
     /** New links are refused with the HTTP server; open ones continue. */
     stop(): void {}
 
+    /** Sends what is waiting on each link and closes it; cuts those whose peer does not answer in time. */
     async close(): Promise<void> {
-        for (const link of this.links) {
-            link.close();
-        }
+        const links = [...this.links];
+        links.forEach(link => link.close());
+        const timer = setTimeout(() => links.forEach(link => link.cancel()), closeLimitMs);
+        await Promise.all(links.map(link => link.waitForClose()));
+        clearTimeout(timer);
     }
 
     private open(socket: Socket): void {
--- a/src/lifecycle/lifecycle.ts
+++ b/src/lifecycle/lifecycle.ts
@@ -38,7 +38,10 @@
     readonly metrics: Metrics;
     readonly queue: QueuedWorkReleaser;
     readonly announcer: LeavingAnnouncer;
-    /** Read when the drain starts; the listeners are stopped and closed in this order. */
+    /**
+     * Read when the grace period has ended. The listeners are stopped in this order and closed at the same time: a port
+     * is closed only when the links that were opened on it are, and each kind of listener closes its own.
+     */
     readonly getListeners: () => readonly DrainableListener[];
     /** Milliseconds in which callers are still accepted while other daemons learn of the drain. */
     readonly graceMs: number;
@@ -154,9 +157,7 @@
         }
         await this.waitForIdle();
         this.setState(DaemonState.Closed, cause);
-        for (const listener of listeners) {
-            await listener.close();
-        }
+        await Promise.all(listeners.map(listener => listener.close()));
         const durationMs = this.options.clock.getMonotonicMs() - startMs;
         this.options.logger.write(LogLevel.Info, "drain_finished", { released, inFlight, durationMs });
         return { released, inFlight, durationMs };
