End pipelined requests with their connection, so that work for callers that have gone stops

A caller that sent further requests before the first answer and closed its connection left requests behind: their upstreams went on working, and the daemon counted them as in flight for ever. A later drain waited for them until its time limit.

Cause: Node.js announces the end of a connection only to the response that it is writing. Responses that wait behind it get no event, and both the lease and the abort signal of a request listened for that event.

Evidence: three pipelined requests, connection closed by the caller. Before: only the signal of the first was aborted and two leases stayed open. After: three aborted, none open. The test fails on the earlier code with 'not reached within 1 s'. Ruled out: a caller that sends one request at a time, whose signal was always aborted.

A connection of a server now knows its unanswered requests and ends each of them when it closes. The lease and the signal hang on the request and not on an event of its response.

--- a/src/edge/caller_http/create_caller_app.ts
+++ b/src/edge/caller_http/create_caller_app.ts
@@ -9,10 +9,10 @@
 import { createFailure } from "../../core/create_failure.ts";
 import type { CallerCodec } from "../../receive/caller_codec.ts";
 import type { IncomingRequest } from "../../receive/incoming_request.ts";
-import { createAbortSignal } from "../http/create_abort_signal.ts";
 import { formatEndToEndHeaders } from "../http/format_end_to_end_headers.ts";
 import { getBuffer } from "../http/get_buffer.ts";
 import { readBody } from "../http/read_body.ts";
+import { ServerExchange } from "../http/server_exchange.ts";
 
 interface CallerAppOptions {
     readonly codec: CallerCodec;
@@ -38,7 +38,7 @@
                 target: context.url,
                 headers: formatEndToEndHeaders(context.req.headers),
                 body: body.value,
-                signal: createAbortSignal(context.res),
+                signal: ServerExchange.get(context.res).getSignal(),
             });
         sendAnswer(context, answer);
     });
--- /dev/null
+++ b/src/edge/caller_http/pipelined_requests.test.ts
@@ -0,0 +1,85 @@
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { connect, type Socket } from "node:net";
+import { after, test } from "node:test";
+import type { Answer } from "../../core/answer.ts";
+import { Code } from "../../core/code.ts";
+import { createFailure } from "../../core/create_failure.ts";
+import { HeaderCallerCodec } from "../../receive/header_caller_codec.ts";
+import type { IncomingRequest } from "../../receive/incoming_request.ts";
+import { createLeaseMiddleware } from "../http/create_lease_middleware.ts";
+import { HttpListener } from "../http/http_listener.ts";
+import { createCallerApp } from "./create_caller_app.ts";
+
+const closers: (() => unknown)[] = [];
+
+after(() => Promise.all(closers.map(close => close())));
+
+/** A daemon's interface for callers whose upstream answers when the test says so. */
+async function openCallers() {
+    const handed = new Map<string, { incoming: IncomingRequest; sendAnswer: () => void; }>();
+    const state = { draining: false, refusing: false, inFlight: 0 };
+    const codec = new HeaderCallerCodec();
+    const handle = createCallerApp({
+        codec,
+        maxRequestBytes: 1_000,
+        lease: createLeaseMiddleware({
+            createRefusal: () => codec.encodeProblem(createFailure(Code.OwnerLeaving), ""),
+            refuse: () => state.refusing,
+            isDraining: () => state.draining,
+            registerRequest: () => {
+                state.inFlight += 1;
+                return { close: () => void (state.inFlight -= 1) };
+            },
+        }),
+        handle: incoming =>
+            new Promise<Answer>(resolve => {
+                const body = Buffer.from(`answer to ${incoming.target}`);
+                const sendAnswer = () => resolve({ status: 200, headers: [], body });
+                handed.set(incoming.target, { incoming, sendAnswer });
+            }),
+    }).callback();
+    const listener = (await HttpListener.open("127.0.0.1:0", (request, response) => {
+        void handle(request, response);
+    }))._unsafeUnwrap();
+    closers.push(() => listener.close());
+    const sendAnswer = (target: string) => handed.get(target)?.sendAnswer();
+    return { state, handed, port: listener.getPort(), sendAnswer };
+}
+
+async function openCaller(port: number) {
+    const socket = connect(port, "127.0.0.1");
+    let received = "";
+    socket.on("data", chunk => {
+        received += chunk.toString();
+    });
+    socket.on("error", error => {
+        received += error.message;
+    });
+    await once(socket, "connect");
+    const listAnswers = () =>
+        [...received.matchAll(/answer to (\S+)$|answer to (\S+?)(?=HTTP)/gm)]
+            .map(([, last, other]) => last ?? other);
+    return { socket, listAnswers, countCloses: () => received.match(/connection: close/gi)?.length ?? 0 };
+}
+
+function send(socket: Socket, ...targets: string[]): void {
+    socket.write(targets.map(target => `GET ${target} HTTP/1.1\r\nHost: test\r\n\r\n`).join(""));
+}
+
+async function waitFor(condition: () => boolean): Promise<void> {
+    for (let turn = 0; turn < 200 && !condition(); turn += 1) {
+        await new Promise(resolve => setTimeout(resolve, 5));
+    }
+    assert.ok(condition(), `not reached within 1 s: ${condition.toString()}`);
+}
+
+test("a caller that closes its connection abandons all its pipelined requests, so that no upstream goes on working", async () => {
+    const { handed, port, state } = await openCallers();
+    const caller = await openCaller(port);
+    send(caller.socket, "/1", "/2", "/3");
+    await waitFor(() => handed.size === 3);
+    caller.socket.destroy();
+    await waitFor(() => [...handed.values()].every(({ incoming }) => incoming.signal.aborted));
+    await waitFor(() => state.inFlight === 0);
+});
--- a/src/edge/http/create_lease_middleware.ts
+++ b/src/edge/http/create_lease_middleware.ts
@@ -1,6 +1,7 @@
 import type { Middleware } from "koa";
 import type { Answer } from "../../core/answer.ts";
 import type { RequestLease } from "../../lifecycle/request_lease.ts";
+import { ServerExchange } from "./server_exchange.ts";
 
 interface LeaseOptions {
     /** Builds the answer to a request that is refused. */
@@ -25,7 +26,7 @@
             context.body = Buffer.from(problem.body);
             return;
         }
-        context.res.once("close", () => lease.close());
+        ServerExchange.get(context.res).handleEnd(() => lease.close());
         await next();
         if (options.isDraining()) {
             context.set("connection", "close");
--- a/src/edge/http/http_listener.ts
+++ b/src/edge/http/http_listener.ts
@@ -5,6 +5,7 @@
 import { createFailure } from "../../core/create_failure.ts";
 import type { Failure } from "../../core/failure.ts";
 import type { DrainableListener } from "../../lifecycle/drainable_listener.ts";
+import { ServerConnection } from "./server_connection.ts";
 import { splitAddress } from "./split_address.ts";
 
 /** Longer than the keep-alive time of clients, so that the server does not close a connection that is being reused. */
@@ -31,7 +32,10 @@
         const server = createServer({
             keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
             maxHeaderSize: MAX_HEADER_BYTES,
-        }, handler);
+        }, (request, response) => {
+            ServerConnection.get(request.socket).addExchange(response);
+            handler(request, response);
+        });
         return new Promise(resolve => {
             server.once("error", error => {
                 resolve(err(createFailure(Code.PortUnavailable, { detail: `${address}: ${error.message}` })));
--- /dev/null
+++ b/src/edge/http/server_exchange.ts
@@ -0,0 +1,44 @@
+import type { ServerResponse } from "node:http";
+
+/** One for all, because an error with a stack for each request is expensive. */
+const abortReason = new Error("the peer has closed its connection");
+
+/** One request of a peer, until the last byte of its answer was handed to the connection or the connection has closed. */
+export class ServerExchange {
+    private static readonly known = new WeakMap<ServerResponse, ServerExchange>();
+    private readonly controller = new AbortController();
+    private readonly listeners: (() => void)[] = [];
+    private ended = false;
+
+    constructor(private readonly response: ServerResponse) {
+        ServerExchange.known.set(response, this);
+        response.once("close", () => this.close());
+    }
+
+    /** The exchange that a response belongs to. */
+    static get(response: ServerResponse): ServerExchange {
+        return ServerExchange.known.get(response) ?? new ServerExchange(response);
+    }
+
+    /** Aborted when the connection closes before the answer has been sent. */
+    getSignal(): AbortSignal {
+        return this.controller.signal;
+    }
+
+    /** Calls `listener` when the exchange has ended. */
+    handleEnd(listener: () => void): void {
+        this.listeners.push(listener);
+    }
+
+    /** Ends the exchange; further calls do nothing. */
+    close(): void {
+        if (this.ended) {
+            return;
+        }
+        this.ended = true;
+        if (!this.response.writableFinished) {
+            this.controller.abort(abortReason);
+        }
+        this.listeners.forEach(listener => listener());
+    }
+}
