Answer pipelined requests that are with upstreams before a drain closes their connection

Callers that send further requests before the first answer lost those requests at every drain: the connection closed behind the first answer, while the requests behind it had been read and handed to upstreams. Requests that may not be repeated could not be sent again.

Cause: each answer of a draining daemon carried 'Connection: close', and Node.js ends the connection behind the first such answer, whatever has been read of the connection meanwhile. Class of fault: a decision on a connection that was taken for one of its requests.

Evidence: three pipelined requests, drain, answers in any order. Before: only the first was answered. After: all three, with 'Connection: close' on the third only. A request that arrives behind an answer that closes the connection was handed on before and never answered; it is not handed on now, and its caller knows from the close that it was not read. Ruled out: refusals behind a request that is with an upstream; they close the connection behind that answer, and did so before.

The connection decides now: an answer closes it only if no later request has been handed on, and after that none is.

--- a/src/edge/caller_http/pipelined_requests.test.ts
+++ b/src/edge/caller_http/pipelined_requests.test.ts
@@ -74,6 +74,56 @@
     assert.ok(condition(), `not reached within 1 s: ${condition.toString()}`);
 }
 
+test("a drain answers all pipelined requests that are with upstreams before it closes the connection", async () => {
+    const { sendAnswer, handed, port, state } = await openCallers();
+    const caller = await openCaller(port);
+    send(caller.socket, "/1", "/2", "/3");
+    await waitFor(() => handed.size === 3);
+    state.draining = true;
+    const closed = once(caller.socket, "close");
+    sendAnswer("/1");
+    await waitFor(() => caller.listAnswers().length === 1);
+    sendAnswer("/3");
+    sendAnswer("/2");
+    await closed;
+    assert.deepEqual(caller.listAnswers(), ["/1", "/2", "/3"]);
+    assert.equal(caller.countCloses(), 1, "only the last answer closes the connection");
+    assert.equal(state.inFlight, 0);
+});
+
+test("a request behind an answer that closes the connection does not reach an upstream, because its caller sends it again", async () => {
+    const { sendAnswer, handed, port, state } = await openCallers();
+    const caller = await openCaller(port);
+    send(caller.socket, "/1", "/2");
+    await waitFor(() => handed.size === 2);
+    state.draining = true;
+    sendAnswer("/2");
+    await waitFor(() => handed.size === 2);
+    await new Promise(resolve => setImmediate(resolve));
+    send(caller.socket, "/3");
+    await new Promise(resolve => setTimeout(resolve, 50));
+    sendAnswer("/1");
+    await once(caller.socket, "close");
+    assert.deepEqual([...handed.keys()], ["/1", "/2"]);
+    assert.deepEqual(caller.listAnswers(), ["/1", "/2"]);
+    assert.equal(state.inFlight, 0);
+});
+
+test("a refusal behind a request that is with an upstream does not cut its answer", async () => {
+    const { sendAnswer, handed, port, state } = await openCallers();
+    const caller = await openCaller(port);
+    send(caller.socket, "/1");
+    await waitFor(() => handed.size === 1);
+    state.refusing = true;
+    send(caller.socket, "/2", "/3");
+    await new Promise(resolve => setTimeout(resolve, 50));
+    sendAnswer("/1");
+    await once(caller.socket, "close");
+    assert.deepEqual(caller.listAnswers(), ["/1"]);
+    assert.equal(caller.countCloses(), 1);
+    assert.equal(state.inFlight, 0);
+});
+
 test("a caller that closes its connection abandons all its pipelined requests, so that no upstream goes on working", async () => {
     const { handed, port, state } = await openCallers();
     const caller = await openCaller(port);
--- a/src/edge/http/create_lease_middleware.ts
+++ b/src/edge/http/create_lease_middleware.ts
@@ -17,19 +17,20 @@
 /** Keeps each request registered as in flight until the last byte of its response was handed to the connection. */
 export function createLeaseMiddleware(options: LeaseOptions): Middleware {
     return async (context, next) => {
+        const exchange = ServerExchange.get(context.res);
         const lease = options.refuse() ? undefined : options.registerRequest();
         if (lease === undefined) {
             const problem = options.createRefusal();
             context.status = problem.status;
             problem.headers.forEach(header => context.set(header.name, header.value));
-            context.set("connection", "close");
+            exchange.closeConnection();
             context.body = Buffer.from(problem.body);
             return;
         }
-        ServerExchange.get(context.res).handleEnd(() => lease.close());
+        exchange.handleEnd(() => lease.close());
         await next();
         if (options.isDraining()) {
-            context.set("connection", "close");
+            exchange.closeConnection();
         }
     };
 }
--- a/src/edge/http/http_listener.ts
+++ b/src/edge/http/http_listener.ts
@@ -33,8 +33,12 @@
             keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
             maxHeaderSize: MAX_HEADER_BYTES,
         }, (request, response) => {
-            ServerConnection.get(request.socket).addExchange(response);
-            handler(request, response);
+            if (ServerConnection.get(request.socket).addExchange(response)) {
+                handler(request, response);
+            }
+            else {
+                request.resume();
+            }
         });
         return new Promise(resolve => {
             server.once("error", error => {
--- a/src/edge/http/server_connection.ts
+++ b/src/edge/http/server_connection.ts
@@ -9,6 +9,9 @@
 export class ServerConnection {
     private static readonly known = new WeakMap<Socket, ServerConnection>();
     private readonly running = new Set<ServerExchange>();
+    private newest: ServerResponse | undefined;
+    /** True when an answer that closes the connection is ready. */
+    private closing = false;
 
     private constructor(socket: Socket) {
         socket.once("close", () => this.running.forEach(exchange => exchange.close()));
@@ -20,9 +23,21 @@
         return connection;
     }
 
-    addExchange(response: ServerResponse): void {
-        const exchange = new ServerExchange(response);
+    /**
+     * False for a request behind an answer that closes the connection. It will not be answered and its peer sends it
+     * again, so it must not be handed on.
+     */
+    addExchange(response: ServerResponse): boolean {
+        if (this.closing) {
+            return false;
+        }
+        this.newest = response;
+        const exchange = new ServerExchange(response, () => {
+            this.closing ||= this.newest === response;
+            return this.newest === response;
+        });
         this.running.add(exchange);
         exchange.handleEnd(() => this.running.delete(exchange));
+        return true;
     }
 }
--- a/src/edge/http/server_exchange.ts
+++ b/src/edge/http/server_exchange.ts
@@ -10,7 +10,11 @@
     private readonly listeners: (() => void)[] = [];
     private ended = false;
 
-    constructor(private readonly response: ServerResponse) {
+    /** `claimClose` says whether the answer is the last one of its connection, and makes it so. */
+    constructor(
+        private readonly response: ServerResponse,
+        private readonly claimClose: () => boolean = () => true,
+    ) {
         ServerExchange.known.set(response, this);
         response.once("close", () => this.close());
     }
@@ -30,6 +34,16 @@
         this.listeners.push(listener);
     }
 
+    /**
+     * Closes the connection with this answer, unless later requests of the connection have been handed on: Node.js cuts
+     * those. Call it when the answer is ready and before its head is written.
+     */
+    closeConnection(): void {
+        if (this.claimClose()) {
+            this.response.setHeader("connection", "close");
+        }
+    }
+
     /** Ends the exchange; further calls do nothing. */
     close(): void {
         if (this.ended) {
