Read on after an answer that closes its connection, so that no reset drops the answer

A caller that went on sending behind such an answer and read slowly got a part of the answer and then a reset.

Cause: the socket was closed as soon as the answer was in the kernel. The kernel resets a connection that is closed with unread bytes, or that receives some afterwards, and drops what the peer has not received (RFC 9112, section 9.6).

The connection ends its own direction and reads on until the peer has ended its own, for 1 s at most. The close of a listener ends idle connections in the same way.

--- a/src/edge/http/http_listener.test.ts
+++ b/src/edge/http/http_listener.test.ts
@@ -31,6 +31,29 @@
     await listener.close();
 });
 
+test("an answer that closes its connection reaches a slow caller that goes on sending", async () => {
+    // More than the kernel passes on to a caller that does not read.
+    const answerBytes = 1_000_000;
+    const listener = (await HttpListener.open("127.0.0.1:0", (_, response) => {
+        response.setHeader("connection", "close");
+        response.end(Buffer.alloc(answerBytes));
+    }))._unsafeUnwrap();
+    const socket = connect(listener.getPort(), "127.0.0.1");
+    let received = 0;
+    socket.on("data", chunk => {
+        received += chunk.length;
+    });
+    socket.pause();
+    socket.write("GET /1 HTTP/1.1\r\nHost: test\r\n\r\n");
+    await waitForLoop();
+    socket.write("GET /2 HTTP/1.1\r\nHost: test\r\n\r\n");
+    await waitForLoop();
+    socket.resume();
+    await new Promise(resolve => socket.once("close", resolve));
+    assert.ok(received > answerBytes, `${received} bytes were received`);
+    await listener.close();
+});
+
 test("a port that is in use is a failure with its address and not an exception", async () => {
     const listener = (await HttpListener.open("127.0.0.1:0", () => undefined))._unsafeUnwrap();
     const second = await HttpListener.open(`127.0.0.1:${listener.getPort()}`, () => undefined);
--- a/src/edge/http/http_listener.ts
+++ b/src/edge/http/http_listener.ts
@@ -19,9 +19,15 @@
 /** An HTTP/1.1 server on one address. */
 export class HttpListener implements DrainableListener {
     private readonly ended: Promise<void>;
+    private readonly connections = new Set<ServerConnection>();
     private stopped = false;
 
     private constructor(private readonly server: Server) {
+        server.on("connection", socket => {
+            const connection = ServerConnection.get(socket);
+            this.connections.add(connection);
+            socket.once("close", () => this.connections.delete(connection));
+        });
         this.ended = new Promise(resolve => {
             server.once("close", resolve);
         });
@@ -72,7 +78,7 @@
     /** Lets the responses that are being sent finish, for a bounded time. */
     async close(): Promise<void> {
         this.stop();
-        this.server.closeIdleConnections();
+        this.connections.forEach(connection => connection.closeIdle());
         const timer = setTimeout(() => this.server.closeAllConnections(), CLOSE_LIMIT_MS);
         await this.ended;
         clearTimeout(timer);
