--- a/src/edge/http/http_listener.ts
+++ b/src/edge/http/http_listener.ts
@@ -5,6 +5,7 @@
 import { createFailure } from "../../core/create_failure.ts";
 import type { Failure } from "../../core/failure.ts";
 import type { DrainableListener } from "../../lifecycle/drainable_listener.ts";
+import { ServerConnection } from "./server_connection.ts";
 import { splitAddress } from "./split_address.ts";
 
 /** Longer than the keep-alive time of clients, so that the server does not close a connection that is being reused. */
@@ -18,9 +19,15 @@
 /** An HTTP/1.1 server on one address. */
 export class HttpListener implements DrainableListener {
     private readonly ended: Promise<void>;
+    private readonly connections = new Set<ServerConnection>();
     private stopped = false;
 
     private constructor(private readonly server: Server) {
+        server.on("connection", socket => {
+            const connection = ServerConnection.get(socket);
+            this.connections.add(connection);
+            socket.once("close", () => this.connections.delete(connection));
+        });
         this.ended = new Promise(resolve => {
             server.once("close", resolve);
         });
@@ -31,7 +38,14 @@
         const server = createServer({
             keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
             maxHeaderSize: MAX_HEADER_BYTES,
-        }, handler);
+        }, (request, response) => {
+            if (ServerConnection.get(request.socket).addExchange(response)) {
+                handler(request, response);
+            }
+            else {
+                request.resume();
+            }
+        });
         return new Promise(resolve => {
             server.once("error", error => {
                 resolve(err(createFailure(Code.PortUnavailable, { detail: `${address}: ${error.message}` })));
@@ -64,7 +78,7 @@
     /** Lets the responses that are being sent finish, for a bounded time. */
     async close(): Promise<void> {
         this.stop();
-        this.server.closeIdleConnections();
+        this.connections.forEach(connection => connection.closeIdle());
         const timer = setTimeout(() => this.server.closeAllConnections(), CLOSE_LIMIT_MS);
         await this.ended;
         clearTimeout(timer);
