Open no new connection to an upstream whose answer was given up

Callers saw nothing of it, but each answer without length or above the limit of its route opened one more connection to the same upstream, before any request needed it. Upstreams accept few connections and may hold a slot for a new one.

Cause: a body that is given up ends its connection by an error which undici does not count as the end of the request. Its client was kept among the idle ones, found the aborted request in its queue, connected for it and then dropped it.

Ruled out: a repeated request. The raw upstream of the test counts connections; undici skips an aborted request before it writes (read in its code, lib/dispatcher/client.js).

Change: a connection whose answer was cut or too large is removed as one with a garbled answer is.

Measured: the new tests play answers without end against a raw upstream.

--- a/src/edge/upstream_http/undici_upstream_client.ts
+++ b/src/edge/upstream_http/undici_upstream_client.ts
@@ -23,6 +23,13 @@
     readonly codec: UpstreamCodec;
 }
 
+/** Results after which the connection may still carry bytes of the answer. */
+const brokenKinds: ReadonlySet<UpstreamResultKind> = new Set<UpstreamResultKind>([
+    UpstreamResultKind.AnswerTooLarge,
+    UpstreamResultKind.Cut,
+    UpstreamResultKind.Garbled,
+]);
+
 /** Connections by address; a connection carries one request at a time and none is sent twice. */
 export class UndiciUpstreamClient implements UpstreamClient {
     /** Connections that carry no request. */
@@ -48,7 +55,7 @@
                 signal: deadline.getSignal(),
             });
             const result = await this.readAnswer(request, response);
-            if (result.kind === UpstreamResultKind.Garbled) {
+            if (brokenKinds.has(result.kind)) {
                 this.removeConnection(connection);
             }
             else {
--- /dev/null
+++ b/src/edge/upstream_http/upstream_flood.test.ts
@@ -0,0 +1,119 @@
+import assert from "node:assert/strict";
+import { after, test } from "node:test";
+import { buildOwnerRequest } from "../../../proof/operations/build_owner_request.ts";
+import { FloodingServer } from "../../../standin/flooding_server.ts";
+import { Outcome } from "../../core/outcome.ts";
+import { HeaderUpstreamCodec } from "../../dispatch/header_upstream_codec.ts";
+import { UpstreamResultKind } from "../../dispatch/upstream_result_kind.ts";
+import { ConfiguredUpstreams } from "../../queue/configured_upstreams.ts";
+import { decideVerdict } from "../../settle/decide_verdict.ts";
+import { UndiciUpstreamClient } from "./undici_upstream_client.ts";
+
+const { Answered, AnswerTooLarge, Cut, TimedOut } = UpstreamResultKind;
+const ok = "HTTP/1.1 200 OK\r\n";
+const chunked = `${ok}transfer-encoding: chunked\r\n\r\n`;
+
+/** Bytes: the limit for all of an answer but its body, and what can be parsed before it is checked. */
+const maxHeadBytes = 32_768 + 131_072;
+/** Bytes that five bytes of framing for each byte of the largest body, 1,000 bytes here, may add. */
+const maxBodyBytes = 6 * 1_000;
+/** Bytes that wait in the buffers of the sockets when the connection is closed: eight writes of 16 KB. */
+const maxInFlightBytes = 131_072;
+const maxWrittenBytes = maxHeadBytes + maxBodyBytes + maxInFlightBytes;
+/** Milliseconds; a fifth of the time limit of the requests. */
+const maxCloseMs = 500;
+const timeLimitMs = 2_500;
+
+const closers: (() => Promise<void>)[] = [];
+
+after(() => Promise.all(closers.map(close => close())));
+
+interface Options extends Partial<Parameters<typeof FloodingServer.open>[0]> {
+    readonly unit: string;
+}
+
+async function openUpstream(options: Options) {
+    const server = await FloodingServer.open(options);
+    const address = `127.0.0.1:${server.getPort()}`;
+    const client = new UndiciUpstreamClient({
+        upstreams: new ConfiguredUpstreams([{ id: "u1", service: "payments", address, slots: 1 }]),
+        codec: new HeaderUpstreamCodec(),
+    });
+    closers.push(() => server.close(), () => client.close());
+    const send = (timeoutMs = timeLimitMs) =>
+        client.send(buildOwnerRequest(), timeoutMs, new AbortController().signal);
+    return { client, server, send };
+}
+
+const floods = [
+    { name: "a header name", prefix: ok, unit: "x", kind: Cut },
+    { name: "a header value", prefix: `${ok}x: `, unit: "x", kind: Cut },
+    { name: "header lines", prefix: ok, unit: "a: b\r\n", kind: Cut },
+    { name: "trailers", prefix: `${chunked}0\r\n`, unit: "a: b\r\n", kind: Cut },
+    { name: "chunks", prefix: chunked, unit: "1\r\nx\r\n", kind: AnswerTooLarge },
+    { name: "a body without length", prefix: `${ok}\r\n`, unit: "x", kind: Cut },
+    {
+        name: "a body above the limit",
+        prefix: `${ok}content-length: 1000000000\r\n\r\n`,
+        unit: "x",
+        kind: AnswerTooLarge,
+    },
+];
+
+for (const { kind, name, ...options } of floods) {
+    test(`${name} without end is given up at the limit of an answer and counts as run`, async () => {
+        const { send, server } = await openUpstream({ ...options, pauseMs: 1 });
+        const request = buildOwnerRequest();
+        const [result, end] = await Promise.all([send(), server.waitForEnd()]);
+        assert.equal(result.kind, kind, result.detail);
+        assert.notEqual(decideVerdict(request.route, result).outcome, Outcome.NotExecuted);
+        assert.ok(end.closedByPeer);
+        assert.ok(end.writtenBytes <= maxWrittenBytes, `${end.writtenBytes} bytes were written`);
+        assert.ok(end.elapsedMs <= maxCloseMs, `closed after ${end.elapsedMs} ms`);
+        assert.equal(server.countConnections(), 1, "a request is written once");
+    });
+}
+
+for (const { kind, name, prefix = "", unit } of floods) {
+    test(`${name} at a few bytes each few milliseconds is given up at the time limit and counts as run`, async () => {
+        const { send, server } = await openUpstream({ prefix, unit, writeBytes: 1, pauseMs: 4 });
+        const request = buildOwnerRequest();
+        const [result, end] = await Promise.all([send(200), server.waitForEnd()]);
+        assert.ok(result.kind === TimedOut || result.kind === kind, result.kind);
+        assert.notEqual(decideVerdict(request.route, result).outcome, Outcome.NotExecuted);
+        assert.ok(end.closedByPeer);
+        assert.ok(end.elapsedMs <= 200 + maxCloseMs, `closed after ${end.elapsedMs} ms`);
+        assert.equal(server.countConnections(), 1, "a request is written once");
+    });
+}
+
+test("an answer within the limits is complete, however it is framed", async () => {
+    const chunks = `${"1\r\nx\r\n".repeat(1_000)}0\r\n`;
+    const buildFields = (name: string) => `${name}: ${"x".repeat(1_000)}\r\n`.repeat(15);
+    for (
+        const prefix of [
+            `${chunked}${chunks}\r\n`,
+            `${ok}${buildFields("a")}transfer-encoding: chunked\r\n\r\n${chunks}${buildFields("b")}\r\n`,
+            `${"HTTP/1.1 103 Early Hints\r\n\r\n".repeat(8)}\r\n${chunked}${chunks}\r\n`,
+        ]
+    ) {
+        const { send } = await openUpstream({ prefix, unit: " ", maxBytes: 0, delayMs: 500 });
+        const result = await send();
+        assert.equal(result.kind, Answered, result.detail);
+        assert.equal(result.answer?.body.length, 1_000);
+    }
+});
+
+test("a large answer at full speed is complete", async () => {
+    const length = 32 * 1_048_576;
+    const { client, server } = await openUpstream({
+        prefix: `${ok}content-length: ${length}\r\n\r\n`,
+        unit: "x",
+        maxBytes: length,
+    });
+    const [route] = buildOwnerRequest().service.routes;
+    const request = buildOwnerRequest({ route: { ...route!, maxAnswerBytes: length } });
+    const result = await client.send(request, 20_000, new AbortController().signal);
+    assert.equal(result.kind, Answered, result.detail);
+    assert.equal(server.countConnections(), 1);
+});
