Bound the bytes of an answer that are neither its headers nor its body

Callers of other upstreams waited: one upstream that wrote interim responses, empty lines, a status line, spaces before a header value, a chunk extension or zeros of a chunk size without end was read at full speed until the time limit of the request, and the daemon's loop parsed these bytes. The caller of the request itself waited for all of its time.

Cause: the parser of undici counts names and values of headers, and the body is bounded by the limit of the route. All other bytes of an answer pass uncounted.

Ruled out: an option of undici (maxHeaderSize and maxResponseSize count the same two things); a timer alone, because the time limit of a request is seconds. A trickle of a few bytes was bounded by the time limit before and still is.

Change: each connection counts what was parsed since its request. Allowed are 32 KB, and six bytes for each byte of the body that was read; above that, or after eight interim responses, the connection is closed. The answer counts as cut: the upstream may have run the request, so work that runs at most once is not repeated.

Measured: 7 of the 35 tests of the two files fail without the change (time limit of 2.5 s reached, or 1 MB of chunk extensions read), none with it; the floods end within 0.1 s. Many short header lines or trailers still stop it once for 176 to 329 ms, before and after.

--- /dev/null
+++ b/src/edge/upstream_http/answer_budget.ts
@@ -0,0 +1,65 @@
+/**
+ * Bound on the bytes that an upstream may write on a connection.
+ *
+ * The HTTP parser of undici counts names and values of headers and the body. Interim responses, empty lines, the status
+ * line, spaces and the framing of chunks pass it uncounted, so that an upstream could write them until the time limit.
+ *
+ * @module
+ */
+import type { Socket } from "node:net";
+
+/**
+ * Bytes of an answer that are not its body: 16 KB for the head, as callers may send it, and as much again for interim
+ * responses and trailers.
+ */
+const maxHeadBytes = 32_768;
+/** Interim responses to one request; servers send one or two, and each costs as much as a head. */
+const maxInterimResponses = 8;
+/** Bytes of framing for each byte of the body: a chunk of one byte takes five. */
+const maxFramingRatio = 5;
+
+/** Destroys the socket when the upstream writes more than an answer can take. */
+export class AnswerBudget {
+    private socket: Socket | undefined;
+    /** Bytes that were parsed on the socket before the request. */
+    private startBytes = 0;
+    private allowedBytes = 0;
+    private interimResponses = 0;
+
+    /** Watches a new connection. */
+    setSocket(socket: Socket): void {
+        this.socket = socket;
+        this.startBytes = 0;
+        // Runs before the parser reads, because this listener is the first one.
+        socket.on("readable", () => this.check(socket));
+    }
+
+    /** Begins to count the bytes of an answer. */
+    open(): void {
+        this.startBytes = this.socket === undefined ? 0 : countParsed(this.socket);
+        this.allowedBytes = maxHeadBytes;
+        this.interimResponses = 0;
+    }
+
+    addInterimResponse(): void {
+        this.interimResponses += 1;
+        if (this.interimResponses > maxInterimResponses) {
+            this.socket?.destroy(new Error("the upstream wrote too many interim responses"));
+        }
+    }
+
+    /** Allows `bytes` of the body that have been read, with their framing. */
+    addBody(bytes: number): void {
+        this.allowedBytes += bytes * (1 + maxFramingRatio);
+    }
+
+    private check(socket: Socket): void {
+        if (countParsed(socket) - this.startBytes > this.allowedBytes) {
+            socket.destroy(new Error("the upstream wrote more bytes than its answer can take"));
+        }
+    }
+}
+
+function countParsed(socket: Socket): number {
+    return socket.bytesRead - socket.readableLength;
+}
--- a/src/edge/upstream_http/upstream_connection.ts
+++ b/src/edge/upstream_http/upstream_connection.ts
@@ -1,4 +1,6 @@
-import { Client, type Dispatcher } from "undici";
+import { Socket } from "node:net";
+import { buildConnector, Client, type Dispatcher } from "undici";
+import { AnswerBudget } from "./answer_budget.ts";
 
 const CONNECT_TIMEOUT_MS = 1_000;
 /** For upstreams that do not say when they close idle connections; Node.js servers do after five seconds. */
@@ -6,14 +8,24 @@
 /** Longest time that an upstream's own statement is believed. */
 const MAX_KEEP_ALIVE_TIMEOUT_MS = 60_000;
 
+const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+
 /** One connection to an upstream, opened again when it was closed; carries one request at a time. */
 export class UpstreamConnection {
     private readonly client: Client;
+    private readonly budget = new AnswerBudget();
 
     constructor(address: string) {
         this.client = new Client(`http://${address}`, {
             pipelining: 1,
-            connect: { timeout: CONNECT_TIMEOUT_MS },
+            connect: (options, handle) =>
+                connect(options, (...result) => {
+                    const [, socket] = result;
+                    if (socket instanceof Socket) {
+                        this.budget.setSocket(socket);
+                    }
+                    handle(...result);
+                }),
             keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
             keepAliveMaxTimeout: MAX_KEEP_ALIVE_TIMEOUT_MS,
             headersTimeout: 0,
@@ -21,8 +33,15 @@
         });
     }
 
-    send(options: Dispatcher.RequestOptions): Promise<Dispatcher.ResponseData> {
-        return this.client.request(options);
+    /** Sends a request. */
+    async send(options: Dispatcher.RequestOptions): Promise<Dispatcher.ResponseData> {
+        this.budget.open();
+        const response = await this.client.request({
+            ...options,
+            onInfo: () => this.budget.addInterimResponse(),
+        });
+        response.body.on("data", (part: Uint8Array) => this.budget.addBody(part.length));
+        return response;
     }
 
     /** Closes the connection at once. */
--- a/src/edge/upstream_http/upstream_flood.test.ts
+++ b/src/edge/upstream_http/upstream_flood.test.ts
@@ -46,9 +46,16 @@
 }
 
 const floods = [
+    { name: "interim responses", unit: "HTTP/1.1 103 Early Hints\r\n\r\n", kind: Cut },
+    { name: "empty lines before the status line", unit: "\r\n", kind: Cut },
+    { name: "a status line", prefix: "HTTP/1.1 200 ", unit: "x", kind: Cut },
     { name: "a header name", prefix: ok, unit: "x", kind: Cut },
     { name: "a header value", prefix: `${ok}x: `, unit: "x", kind: Cut },
+    { name: "spaces before a header value", prefix: `${ok}x:`, unit: " ", kind: Cut },
     { name: "header lines", prefix: ok, unit: "a: b\r\n", kind: Cut },
+    { name: "a chunk extension", prefix: `${chunked}1;`, unit: "x", kind: Cut },
+    { name: "chunk extensions", prefix: chunked, unit: `1;${"x".repeat(1_000)}\r\nx\r\n`, kind: Cut },
+    { name: "zeros before a chunk size", prefix: chunked, unit: "0", kind: Cut },
     { name: "trailers", prefix: `${chunked}0\r\n`, unit: "a: b\r\n", kind: Cut },
     { name: "chunks", prefix: chunked, unit: "1\r\nx\r\n", kind: AnswerTooLarge },
     { name: "a body without length", prefix: `${ok}\r\n`, unit: "x", kind: Cut },
