Tell a starved daemon from a slow upstream

A daemon that got too little processor time left no trace: its attempts looked like slow upstreams and paths. The timer that already measures pauses now also sums up how late it ran. Every two seconds a reading of that, of the processor time and of the time in which the event loop did not wait goes to the metrics, and to one log line when a timer was over 100 ms late or the loop waited less than a tenth of the time. The line names requests in flight, log lines and beacons of the same period.

The reading costs one wake in two seconds; the delays come from a timer that ran before.

--- a/src/health/pause_meter.ts
+++ b/src/health/pause_meter.ts
@@ -14,6 +14,8 @@
 import type { Clock } from "../core/clock.ts";
 import type { Timer } from "../core/timer.ts";
 import type { Timers } from "../core/timers.ts";
+import type { LoopDelayReader } from "../metrics/loop_delay_reader.ts";
+import type { LoopDelays } from "../metrics/loop_delays.ts";
 import type { PauseReader } from "./pause_reader.ts";
 
 /** Interval of the timer in milliseconds. */
@@ -35,9 +37,10 @@
     readonly toMs: number;
 }
 
-/** Keeps the recent pauses. */
-export class PauseMeter implements PauseReader {
+/** Keeps the recent pauses and sums up how late its timer ran. */
+export class PauseMeter implements PauseReader, LoopDelayReader {
     private readonly pauses: Pause[] = [];
+    private delays = { count: 0, sumMs: 0, largestMs: 0 };
     private dueAtMs = 0;
     private timer: Timer | undefined;
 
@@ -55,6 +58,12 @@
         return pausedMs;
     }
 
+    takeDelays(): LoopDelays {
+        const { count, largestMs, sumMs } = this.delays;
+        this.delays = { count: 0, sumMs: 0, largestMs: 0 };
+        return { largestMs, meanMs: sumMs / Math.max(1, count) };
+    }
+
     close(): void {
         this.timer?.close();
     }
@@ -63,6 +72,7 @@
         this.dueAtMs = this.options.clock.getMonotonicMs() + intervalMs;
         this.timer = this.options.timers.start(intervalMs, () => {
             const nowMs = this.options.clock.getMonotonicMs();
+            this.addDelay(Math.max(0, nowMs - this.dueAtMs));
             if (nowMs > this.dueAtMs + toleranceMs) {
                 this.pauses.push({ fromMs: this.dueAtMs, toMs: nowMs });
                 this.pauses.splice(0, this.pauses.length - maxPauses);
@@ -70,4 +80,10 @@
             this.startTimer();
         });
     }
+
+    private addDelay(delayMs: number): void {
+        this.delays.count += 1;
+        this.delays.sumMs += delayMs;
+        this.delays.largestMs = Math.max(this.delays.largestMs, delayMs);
+    }
 }
--- /dev/null
+++ b/src/metrics/loop_watch.ts
@@ -0,0 +1,104 @@
+/**
+ * Reports delays of the event loop and use of the processor, so that a daemon that gets too little processor time can
+ * be told from a slow upstream.
+ *
+ * @example
+ * ```ts
+ * const watch = new LoopWatch({ clock, timers, logger, metrics, delays, usage, activity, countInFlight });
+ * watch.start();
+ * watch.close();
+ * ```
+ *
+ * @module
+ */
+import type { Clock } from "../core/clock.ts";
+import { LogLevel } from "../core/log_level.ts";
+import type { Logger } from "../core/logger.ts";
+import type { Metrics } from "../core/metrics.ts";
+import type { Timer } from "../core/timer.ts";
+import type { Timers } from "../core/timers.ts";
+import type { ActivityCounter } from "./activity_counter.ts";
+import type { LoopDelayReader } from "./loop_delay_reader.ts";
+import type { ProcessUsage } from "./process_usage.ts";
+import type { ProcessUsageReader } from "./process_usage_reader.ts";
+
+/** Milliseconds between two readings, and at least between two log lines: the shortest windows of the targets. */
+const periodMs = 2_000;
+
+/** Delay in milliseconds that is logged: twice the interval at which the delays are measured. */
+const loggedDelayMs = 100;
+
+/** Share of the period in which the loop did not wait that is logged; a queue of events then grows at small peaks. */
+const loggedUtilization = 0.9;
+
+interface Options {
+    readonly clock: Clock;
+    readonly timers: Timers;
+    readonly logger: Logger;
+    readonly metrics: Metrics;
+    readonly delays: LoopDelayReader;
+    readonly usage: ProcessUsageReader;
+    readonly activity: ActivityCounter;
+    /** Requests that are not answered completely. */
+    readonly countInFlight: () => number;
+}
+
+/** Takes one reading a period and writes at most one line for it. */
+export class LoopWatch {
+    private timer: Timer | undefined;
+    private readAtMs = 0;
+    private usage: ProcessUsage = { processorMs: 0, loopActiveMs: 0, preemptions: 0 };
+
+    constructor(private readonly options: Options) {}
+
+    start(): void {
+        const { activity, clock, delays, usage } = this.options;
+        this.readAtMs = clock.getMonotonicMs();
+        this.usage = usage.getUsage();
+        delays.takeDelays();
+        activity.takeCounts();
+        this.startTimer();
+    }
+
+    close(): void {
+        this.timer?.close();
+    }
+
+    private startTimer(): void {
+        this.timer = this.options.timers.start(periodMs, () => {
+            this.report();
+            this.startTimer();
+        });
+    }
+
+    private report(): void {
+        const { activity, clock, countInFlight, delays, logger, metrics, usage } = this.options;
+        const nowMs = clock.getMonotonicMs();
+        const wallMs = nowMs - this.readAtMs;
+        const used = usage.getUsage();
+        const processorMs = used.processorMs - this.usage.processorMs;
+        const preemptions = used.preemptions - this.usage.preemptions;
+        const utilization = (used.loopActiveMs - this.usage.loopActiveMs) / wallMs;
+        const { largestMs, meanMs } = delays.takeDelays();
+        const counts = activity.takeCounts();
+        this.readAtMs = nowMs;
+        this.usage = used;
+        metrics.recordTime("loop.delay", largestMs);
+        metrics.setGauge("loop.delay_mean", meanMs);
+        metrics.setGauge("loop.utilization", utilization);
+        metrics.setGauge("processor.share", processorMs / wallMs);
+        if (largestMs < loggedDelayMs && utilization < loggedUtilization) {
+            return;
+        }
+        logger.write(LogLevel.Warn, "loop_delayed", {
+            largestMs: Math.round(largestMs),
+            meanMs: Math.round(meanMs),
+            utilization: Number(utilization.toFixed(2)),
+            processorMs: Math.round(processorMs),
+            wallMs: Math.round(wallMs),
+            preemptions,
+            inFlight: countInFlight(),
+            ...counts,
+        });
+    }
+}
--- a/src/running_daemon.ts
+++ b/src/running_daemon.ts
@@ -10,6 +10,7 @@
 import { DaemonState } from "./lifecycle/daemon_state.ts";
 import type { DrainReport } from "./lifecycle/drain_report.ts";
 import type { Lifecycle } from "./lifecycle/lifecycle.ts";
+import type { LoopWatch } from "./metrics/loop_watch.ts";
 import type { ControlPlane } from "./published/control_plane.ts";
 import type { SettingsSource } from "./settings/settings_source.ts";
 import { SettingsWatch } from "./settings/settings_watch.ts";
@@ -22,6 +23,7 @@
     readonly controlPlane: ControlPlane;
     readonly lifecycle: Lifecycle;
     readonly pauses: PauseDetector;
+    readonly loopWatch: LoopWatch;
     readonly output: { close(): Promise<void>; };
     /** Clients to close at the end. */
     readonly closers: readonly { close(): void | Promise<void>; }[];
@@ -39,8 +41,9 @@
     }
 
     async start(): Promise<Result<void, Failure>> {
-        const { controlPlane, lifecycle, logger, pauses, servers } = this.options;
+        const { controlPlane, lifecycle, logger, loopWatch, pauses, servers } = this.options;
         logger.write(LogLevel.Info, "process_started", { pid: process.pid });
+        loopWatch.start();
         const internal = await servers.openInternal();
         if (internal.isErr()) {
             return internal;
--- a/src/wiring/build_base.ts
+++ b/src/wiring/build_base.ts
@@ -7,6 +7,8 @@
 import { SystemRandom } from "../edge/system/system_random.ts";
 import { SystemTimers } from "../edge/system/system_timers.ts";
 import { ScoreBoard } from "../health/score_board.ts";
+import { Activity } from "../metrics/activity.ts";
+import { ActivityCounter } from "../metrics/activity_counter.ts";
 import { CombinedMetrics } from "../metrics/combined_metrics.ts";
 import type { OwnerIdentity } from "../operations/owner_identity.ts";
 import type { ServeSettings } from "../settings/serve_settings.ts";
@@ -28,7 +30,11 @@
         formatDropped: dropped =>
             `${JSON.stringify({ event: "lines_dropped", daemon: daemonId, dropped, cause: "reader" })}\n`,
     });
-    const writeLine = (line: string): void => output.write(line);
+    const activity = new ActivityCounter();
+    const writeLine = (line: string): void => {
+        activity.add(Activity.LinesWritten);
+        output.write(line);
+    };
     const logger = new JsonLogger({ clock, daemonId, level: logLevel, writeLine });
     const audit = new JsonAuditSink({ clock, daemonId, writeLine });
     const statsd = metricsAddress === undefined
@@ -37,5 +43,18 @@
     const registry = metricsListenAddress === undefined ? undefined : new RegistryMetrics(daemonId);
     const metrics = new CombinedMetrics([...statsd ? [statsd] : [], ...registry ? [registry] : []]);
     const board = new ScoreBoard();
-    return { clock, timers, random, identity, logger, audit, output, statsd, registry, metrics, board };
+    return {
+        clock,
+        timers,
+        random,
+        identity,
+        logger,
+        audit,
+        output,
+        statsd,
+        registry,
+        metrics,
+        board,
+        activity,
+    };
 }
--- a/src/wiring/build_owner.ts
+++ b/src/wiring/build_owner.ts
@@ -6,6 +6,7 @@
 import { HeaderUpstreamCodec } from "../dispatch/header_upstream_codec.ts";
 import { ImmediateLoopTurns } from "../dispatch/immediate_loop_turns.ts";
 import { PauseDetector } from "../dispatch/pause_detector.ts";
+import { NodeProcessUsage } from "../edge/system/node_process_usage.ts";
 import { UndiciUpstreamClient } from "../edge/upstream_http/undici_upstream_client.ts";
 import { BeliefRecorder } from "../health/belief_recorder.ts";
 import { DispatchWatch } from "../health/dispatch_watch.ts";
@@ -17,6 +18,7 @@
 import { Lifecycle } from "../lifecycle/lifecycle.ts";
 import { LeavingCheck } from "../membership/leaving_check.ts";
 import { ListedUpstreams } from "../membership/listed_upstreams.ts";
+import { LoopWatch } from "../metrics/loop_watch.ts";
 import { AttemptTable } from "../operations/attempt_table.ts";
 import { OperationTable } from "../operations/operation_table.ts";
 import { OwnerRevoker } from "../operations/owner_revoker.ts";
@@ -130,6 +132,23 @@
     const setListeners = (get: () => readonly DrainableListener[]) => {
         getListeners = get;
     };
-    const closers = [client, meter, watch];
-    return { upstreams, closers, lifecycle, setListeners, states, pauses, register, incoming, revoker };
+    const loopWatch = new LoopWatch({
+        ...base,
+        delays: meter,
+        usage: new NodeProcessUsage(),
+        countInFlight: () => lifecycle.countInFlight(),
+    });
+    const closers = [client, meter, watch, loopWatch];
+    return {
+        upstreams,
+        closers,
+        loopWatch,
+        lifecycle,
+        setListeners,
+        states,
+        pauses,
+        register,
+        incoming,
+        revoker,
+    };
 }
--- a/src/wiring/build_store_control.ts
+++ b/src/wiring/build_store_control.ts
@@ -3,6 +3,7 @@
 import { UdpBeaconTransport } from "../edge/beacon_udp/udp_beacon_transport.ts";
 import { TransportCache } from "../edge/control/transport_cache.ts";
 import { MembershipTable } from "../membership/membership_table.ts";
+import { Activity } from "../metrics/activity.ts";
 import { ConfigStore } from "../published/config_store.ts";
 import { StoreControlPlane } from "../published/store_control_plane.ts";
 import { StoreFollower } from "../published/store_follower.ts";
@@ -38,7 +39,12 @@
         ...base,
         failureDomain: settings.failureDomain,
         membership,
-        transport,
+        transport: {
+            send: (address, beacon) => {
+                base.activity.add(Activity.DatagramsSent);
+                transport.send(address, beacon);
+            },
+        },
         revisions: follower,
         observer: { recordState: (state, nowMs) => links.observer.recordState(state, nowMs) },
         listStates: () => links.listStates(),
@@ -54,7 +60,11 @@
             ...base,
             follower,
             beacons: exchange,
-            openSocket: () => transport.open(settings.peerAddress, beacon => exchange.handleBeacon(beacon)),
+            openSocket: () =>
+                transport.open(settings.peerAddress, beacon => {
+                    base.activity.add(Activity.DatagramsReceived);
+                    exchange.handleBeacon(beacon);
+                }),
             closeSocket: () => transport.close(),
         }),
         announcer: exchange,
