Keep the logs of all processes of a failed scenario

A scenario that failed once in many runs left only the message of the step. After a failure the output of every process that the fleet started, the status of the daemons, the history of the upstreams and the scores that the step saw go to one file below dist/failed_scenarios; the report names it.

--- a/features/steps/failure_steps.ts
+++ b/features/steps/failure_steps.ts
@@ -19,10 +19,15 @@
 const FAULT_MS = 2_000;
 
 interface RotationStatus {
+    readonly daemonId: string;
     readonly configuration: { readonly version: number; };
     readonly services: readonly {
         readonly name: string;
-        readonly upstreams: readonly { readonly id: string; readonly ejected: boolean; }[];
+        readonly upstreams: readonly {
+            readonly id: string;
+            readonly ejected: boolean;
+            readonly health?: { readonly score?: number; };
+        }[];
     }[];
 }
 
@@ -108,6 +113,18 @@
     );
 }
 
+/** Records the scores of the upstream and of the others of its service, as each daemon knows them. */
+function recordScores(statuses: readonly RotationStatus[], upstreamId: string): void {
+    const texts = statuses.map(({ daemonId, services }) => {
+        const service = services.find(({ upstreams }) => upstreams.some(({ id }) => id === upstreamId));
+        const scores = service?.upstreams.map(({ ejected, health, id }) =>
+            `${id} ${health?.score?.toFixed(1) ?? "unknown"}${ejected ? " ejected" : ""}`
+        );
+        return `${daemonId}: ${scores?.join(", ") ?? "no service"}`;
+    });
+    fleetWorld.recordObservation(texts.join("; "));
+}
+
 Then("every daemon has the last version in force within {int} s", async (seconds: number) => {
     const response = await fetch(`${fleetWorld.get().platformUrl}/v1/values/head?after=0&waitMs=0`);
     const { version } = await response.json() as { version: number; };
@@ -139,6 +156,7 @@
     async (upstreamId: string, seconds: number) => {
         await waitUntil(`${upstreamId} out of rotation`, seconds * 1_000, async () => {
             const statuses = await fetchStatuses();
+            recordScores(statuses, upstreamId);
             return statuses.every(({ services }) =>
                 services.flatMap(service => service.upstreams).find(({ id }) => id === upstreamId)
                     ?.ejected === true
--- a/features/steps/path_steps.ts
+++ b/features/steps/path_steps.ts
@@ -1,4 +1,4 @@
-import { After, Given, setDefaultTimeout, Then, When } from "@cucumber/cucumber";
+import { After, Given, setDefaultTimeout, Status, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { execFile } from "node:child_process";
 import { readFileSync } from "node:fs";
@@ -22,7 +22,7 @@
     };
 }
 
-interface Status {
+interface DaemonStatus {
     readonly configuration: { readonly version: number; readonly team: string; };
     readonly rejected?: { readonly version: number; };
 }
@@ -51,12 +51,16 @@
     return answer;
 }
 
-async function fetchStatus(daemon: FleetDaemon): Promise<Status> {
+async function fetchStatus(daemon: FleetDaemon): Promise<DaemonStatus> {
     const response = await fetch(`http://${daemon.adminAddress}/v1/status`);
-    return await response.json() as Status;
+    return await response.json() as DaemonStatus;
 }
 
-async function waitForAll(what: string, limitMs: number, check: (status: Status) => boolean): Promise<void> {
+async function waitForAll(
+    what: string,
+    limitMs: number,
+    check: (status: DaemonStatus) => boolean,
+): Promise<void> {
     await waitUntil(
         what,
         limitMs,
@@ -78,7 +82,17 @@
     });
 });
 
-After(() => fleetWorld.close());
+After(async function ({ pickle, result }) {
+    try {
+        if (result?.status === Status.FAILED) {
+            const file = await fleetWorld.writeLogs(pickle.name);
+            this.log(`logs of all processes: ${file ?? "no process was started"}`);
+        }
+    }
+    finally {
+        await fleetWorld.close();
+    }
+});
 
 When("a caller sends {int} reads spread over all daemons", async (count: number) => {
     const { daemons } = getFleet();
--- a/features/support/fleet_world.ts
+++ b/features/support/fleet_world.ts
@@ -2,11 +2,13 @@
 import { Fleet } from "../../standin/fleet.ts";
 import type { FleetOptions } from "../../standin/fleet_options.ts";
 import type { ReadLoad } from "./read_load.ts";
+import { writeLogs } from "./write_logs.ts";
 
 /** The fleet of the running scenario. */
 class FleetWorld {
     private fleet: Fleet | undefined;
     private readonly loads: ReadLoad[] = [];
+    private observations: string[] = [];
 
     async start(options: FleetOptions): Promise<void> {
         this.fleet = await Fleet.start(options);
@@ -22,7 +24,21 @@
         this.loads.push(load);
     }
 
+    /** Keeps what a step saw, for the logs of a failed scenario; an observation that repeats the last one is left out. */
+    recordObservation(text: string): void {
+        if (this.observations.at(-1)?.endsWith(` ${text}`) !== true) {
+            this.observations.push(`${new Date().toISOString()} ${text}`);
+        }
+    }
+
+    /** Writes the logs of the processes of a failed scenario; undefined when it has not started any. */
+    async writeLogs(name: string): Promise<string | undefined> {
+        const { fleet, observations } = this;
+        return fleet && await writeLogs({ fleet, name, observations });
+    }
+
     async close(): Promise<void> {
+        this.observations = [];
         await Promise.all(this.loads.splice(0).map(load => load.close()));
         await this.fleet?.close();
         this.fleet = undefined;
--- /dev/null
+++ b/features/support/write_logs.ts
@@ -0,0 +1,47 @@
+import { mkdirSync, writeFileSync } from "node:fs";
+import type { Fleet } from "../../standin/fleet.ts";
+
+const directory = "dist/failed_scenarios";
+
+/** Milliseconds for each question to a process of the fleet, which may be stopped. */
+const questionLimitMs = 1_000;
+
+interface FailedScenario {
+    readonly fleet: Fleet;
+    readonly name: string;
+    /** What the steps saw, one line each. */
+    readonly observations: readonly string[];
+}
+
+/** Writes what the steps saw and what all processes printed and recorded to one file, and returns its name. */
+export async function writeLogs({ fleet, name, observations }: FailedScenario): Promise<string> {
+    const printed = fleet.listProcesses().map(({ name, process }): [string, string] => [
+        `${name}, process ${process.getPid()}`,
+        [...process.output, ...process.errors].join("\n"),
+    ]);
+    const statuses = fleet.daemons.map(({ adminAddress, id }): [string, string] => [
+        `status of ${id}`,
+        `http://${adminAddress}/v1/status`,
+    ]);
+    const histories = fleet.upstreams.map(({ address, id }): [string, string] => [
+        `history of ${id}`,
+        `http://${address}/control/history`,
+    ]);
+    const fetched = await Promise.all([...statuses, ...histories].map(fetchPart));
+    const parts = [["observations", observations.join("\n")], ...printed, ...fetched];
+    mkdirSync(directory, { recursive: true });
+    const time = new Date().toISOString().replaceAll(/[:.]/g, "-");
+    const file = `${directory}/${name.replaceAll(/\W+/g, "_")}_${time}.log`;
+    writeFileSync(file, parts.map(([title, text]) => `==> ${title}\n${text}\n`).join("\n"));
+    return file;
+}
+
+async function fetchPart([title, url]: readonly [string, string]): Promise<[string, string]> {
+    try {
+        const response = await fetch(url, { signal: AbortSignal.timeout(questionLimitMs) });
+        return [title, await response.text()];
+    }
+    catch (error) {
+        return [title, `no answer: ${(error as Error).message}`];
+    }
+}
--- a/standin/fleet.ts
+++ b/standin/fleet.ts
@@ -14,6 +14,7 @@
 import { findFreePorts } from "./find_free_ports.ts";
 import type { FleetDaemon } from "./fleet_daemon.ts";
 import type { FleetOptions } from "./fleet_options.ts";
+import type { FleetProcess } from "./fleet_process.ts";
 import { Link } from "./link.ts";
 import { ProcessHandle } from "./process_handle.ts";
 import { waitUntil } from "./wait_until.ts";
@@ -35,6 +36,7 @@
 export class Fleet {
     readonly daemons: FleetDaemon[] = [];
     readonly upstreams: FleetUpstream[] = [];
+    private readonly started: FleetProcess[] = [];
 
     private constructor(
         private readonly options: FleetOptions,
@@ -50,6 +52,7 @@
         const address = `127.0.0.1:${platformPort}`;
         const platform = new ProcessHandle(process.execPath, [standinProgram, "platform", address]);
         const fleet = new Fleet(options, platform, `http://${address}`);
+        fleet.started.push({ name: "platform", process: platform });
         await waitUntil("platform started", START_LIMIT_MS, () => platform.output.length > 0);
         fleet.startUpstreams(ports.splice(0, upstreamCount));
         await waitUntil(
@@ -120,6 +123,7 @@
     async startDaemon(index: number, flags: readonly string[] = []): Promise<void> {
         const daemon = this.daemons[index]!;
         daemon.process = new ProcessHandle(daemonProgram, ["serve", ...daemon.flags, ...flags]);
+        this.started.push({ name: daemon.id, process: daemon.process });
         await waitUntil(`${daemon.id} serves`, START_LIMIT_MS, async () => {
             const response = await fetch(`http://${daemon.adminAddress}/v1/status`);
             const status = await response.json() as { state: string; };
@@ -127,6 +131,11 @@
         });
     }
 
+    /** All processes that were started, those that have ended included. */
+    listProcesses(): readonly FleetProcess[] {
+        return this.started;
+    }
+
     async close(): Promise<void> {
         const processes = [...this.daemons, ...this.upstreams].map(part => part.process);
         await Promise.all([...processes, this.platform].map(child => child.close()));
@@ -149,13 +158,9 @@
                 `${this.options.slots}`,
                 behaviour,
             ];
-            this.upstreams.push({
-                id,
-                service,
-                address,
-                daemon,
-                process: new ProcessHandle(process.execPath, args),
-            });
+            const upstream = new ProcessHandle(process.execPath, args);
+            this.upstreams.push({ id, service, address, daemon, process: upstream });
+            this.started.push({ name: id, process: upstream });
         }
     }
 
