Count what a drain received, answered and left open, and log each request that ends unanswered in it

The log of a drain told neither how many of the requests that the daemon had read were answered nor whose requests a late drain waited for.

drain_finished and drain_late carry the counts since the start and those in flight of callers and of other daemons, with the age of the oldest. request_unanswered names the source and age of each request whose connection closed first while the daemon starts or drains; lifecycle.unanswered counts all of them.

--- a/proof/control/fakes/work_daemon.ts
+++ b/proof/control/fakes/work_daemon.ts
@@ -4,6 +4,7 @@
 import type { DrainableListener } from "../../../src/lifecycle/drainable_listener.ts";
 import { Lifecycle } from "../../../src/lifecycle/lifecycle.ts";
 import type { QueuedWorkReleaser } from "../../../src/lifecycle/queued_work_releaser.ts";
+import { RequestSource } from "../../../src/lifecycle/request_source.ts";
 import { EventKind } from "../../event_kind.ts";
 import type { VirtualTime } from "../../fakes/virtual_time.ts";
 import type { HistoryRecorder } from "../../history_recorder.ts";
@@ -127,14 +128,14 @@
     }
 
     private async runOpen(handle: () => Promise<Code>): Promise<Code> {
-        const lease = this.lifecycle.registerRequest();
+        const lease = this.lifecycle.registerRequest(RequestSource.Caller);
         if (lease === undefined) {
             return Code.OwnerLeaving;
         }
         return new Promise<Code>(resolve => {
             const closeWork = (code: Code) => {
                 this.open.delete(closeWork);
-                lease.close();
+                lease.close(true);
                 resolve(code);
             };
             this.open.add(closeWork);
--- a/src/edge/daemon_servers.ts
+++ b/src/edge/daemon_servers.ts
@@ -19,6 +19,7 @@
 import type { DrainReport } from "../lifecycle/drain_report.ts";
 import type { DrainableListener } from "../lifecycle/drainable_listener.ts";
 import type { Lifecycle } from "../lifecycle/lifecycle.ts";
+import { RequestSource } from "../lifecycle/request_source.ts";
 import type { OwnerIdentity } from "../operations/owner_identity.ts";
 import type { Revoker } from "../operations/revoker.ts";
 import type { IncomingDispatch } from "../queue/incoming_dispatch.ts";
@@ -69,7 +70,7 @@
         const links = new LinkListener({
             identity,
             owner,
-            registerRequest: () => lifecycle.registerRequest(),
+            registerRequest: () => lifecycle.registerRequest(RequestSource.Daemon),
         });
         const peerListener = await HttpListener.open(
             settings.peerAddress,
@@ -144,7 +145,7 @@
         return createLeaseMiddleware({
             createRefusal: () => callerCodec.encodeProblem(createFailure(Code.OwnerLeaving), ""),
             refuse,
-            registerRequest: () => lifecycle.registerRequest(),
+            registerRequest: () => lifecycle.registerRequest(RequestSource.Caller),
             isDraining: () => lifecycle.getState() === DaemonState.Draining,
         });
     }
--- a/src/edge/http/create_lease_middleware.ts
+++ b/src/edge/http/create_lease_middleware.ts
@@ -27,7 +27,7 @@
             context.body = Buffer.from(problem.body);
             return;
         }
-        exchange.handleEnd(() => lease.close());
+        exchange.handleEnd(answered => lease.close(answered));
         await next();
         if (options.isDraining()) {
             exchange.closeConnection();
--- a/src/edge/http/server_exchange.ts
+++ b/src/edge/http/server_exchange.ts
@@ -7,7 +7,7 @@
 export class ServerExchange {
     private static readonly known = new WeakMap<ServerResponse, ServerExchange>();
     private readonly controller = new AbortController();
-    private readonly listeners: (() => void)[] = [];
+    private readonly listeners: ((answered: boolean) => void)[] = [];
     private ended = false;
 
     /** `claimClose` says whether the answer is the last one of its connection, and makes it so. */
@@ -29,8 +29,8 @@
         return this.controller.signal;
     }
 
-    /** Calls `listener` when the exchange has ended. */
-    handleEnd(listener: () => void): void {
+    /** Calls `listener` when the exchange has ended; `answered` is false when its connection closed first. */
+    handleEnd(listener: (answered: boolean) => void): void {
         this.listeners.push(listener);
     }
 
@@ -50,9 +50,10 @@
             return;
         }
         this.ended = true;
-        if (!this.response.writableFinished) {
+        const answered = this.response.writableFinished;
+        if (!answered) {
             this.controller.abort(abortReason);
         }
-        this.listeners.forEach(listener => listener());
+        this.listeners.forEach(listener => listener(answered));
     }
 }
--- a/src/edge/peer_link/link_listener.ts
+++ b/src/edge/peer_link/link_listener.ts
@@ -100,7 +100,7 @@
         const lease = this.options.registerRequest();
         if (head === undefined || lease === undefined) {
             // The daemon has closed, or the frame is not one of this version: the entry daemon sees a cut link.
-            lease?.close();
+            lease?.close(false);
             link.cancel();
             return;
         }
@@ -116,7 +116,7 @@
             case: "reply",
             value: { head: encodeReply(reply), body: reply.answer?.body ?? new Uint8Array() },
         });
-        lease.close();
+        lease.close(!controller.signal.aborted);
     }
 
     private refuse(dispatch: IncomingDispatch, failure: Failure): OwnerReply {
--- a/src/lifecycle/lifecycle.test.ts
+++ b/src/lifecycle/lifecycle.test.ts
@@ -5,6 +5,7 @@
 import { Code } from "../core/code.ts";
 import { DaemonState } from "./daemon_state.ts";
 import { Lifecycle } from "./lifecycle.ts";
+import { RequestSource } from "./request_source.ts";
 
 function createFixture(quietMs = 0) {
     const sinks = new RecordingSinks();
@@ -37,18 +38,18 @@
 
 test("a drain closes only after the last request has ended, so that it cuts none", async () => {
     const { time, steps, lifecycle } = createFixture();
-    const lease = lifecycle.registerRequest();
+    const lease = lifecycle.registerRequest(RequestSource.Caller);
     const drain = lifecycle.drain("operator");
     await time.run(20_000);
     assert.deepEqual(steps, ["announce", "release"]);
     assert.equal(lifecycle.isRefusing(), true);
     assert.equal(lifecycle.getState(), DaemonState.Draining);
-    lease?.close();
-    lease?.close();
+    lease?.close(true);
+    lease?.close(true);
     const report = (await drain)._unsafeUnwrap();
     assert.deepEqual(steps, ["announce", "release", "stop", "close"]);
     assert.deepEqual(report, { released: 2, inFlight: 1, durationMs: 20_000 });
-    assert.equal(lifecycle.registerRequest(), undefined);
+    assert.equal(lifecycle.registerRequest(RequestSource.Caller), undefined);
 });
 
 test("a drain without requests lasts the grace period, in which callers are still served", async () => {
@@ -56,20 +57,20 @@
     void lifecycle.drain("operator");
     await time.run(4_999);
     assert.deepEqual(steps, ["announce", "release"]);
-    assert.notEqual(lifecycle.registerRequest(), undefined);
+    assert.notEqual(lifecycle.registerRequest(RequestSource.Caller), undefined);
     await time.run(1);
     assert.equal(lifecycle.getState(), DaemonState.Draining);
 });
 
 test("a late drain is reported and still cuts no request", async () => {
     const { sinks, time, steps, lifecycle } = createFixture();
-    const lease = lifecycle.registerRequest();
+    const lease = lifecycle.registerRequest(RequestSource.Caller);
     const drain = lifecycle.drain("operator");
     await time.run(60_000);
     assert.equal((await drain)._unsafeUnwrapErr().code, Code.DrainTimeout);
     assert.deepEqual(sinks.listCodes("drain_late"), [Code.DrainTimeout]);
     assert.equal(steps.includes("close"), false);
-    lease?.close();
+    lease?.close(true);
     await lifecycle.waitForClose("operator");
     assert.equal(lifecycle.getState(), DaemonState.Closed);
 });
@@ -94,3 +95,23 @@
     }
     assert.equal(steps.includes("close"), true);
 });
+
+test("a late drain tells requests of callers from those of daemons, so that a leak is told from slow work", async () => {
+    const { sinks, time, lifecycle } = createFixture();
+    lifecycle.registerRequest(RequestSource.Caller)?.close(true);
+    lifecycle.registerRequest(RequestSource.Caller)?.close(false);
+    lifecycle.registerRequest(RequestSource.Caller);
+    await time.run(1_000);
+    void lifecycle.drain("operator");
+    lifecycle.registerRequest(RequestSource.Daemon);
+    lifecycle.registerRequest(RequestSource.Daemon)?.close(false);
+    await time.run(60_000);
+    const { fields } = sinks.events.find(({ event }) => event === "drain_late")!;
+    const { received, answered, unanswered, callers, daemons, oldestMs } = fields;
+    assert.deepEqual(
+        { received, answered, unanswered, callers, daemons, oldestMs },
+        { received: 5, answered: 1, unanswered: 2, callers: 1, daemons: 1, oldestMs: 61_000 },
+    );
+    const unansweredLines = sinks.events.filter(({ event }) => event === "request_unanswered");
+    assert.deepEqual(unansweredLines.map(line => line.fields), [{ source: "daemon", ageMs: 0 }]);
+});
--- a/src/lifecycle/lifecycle.ts
+++ b/src/lifecycle/lifecycle.ts
@@ -6,7 +6,7 @@
  * const lifecycle = new Lifecycle({ clock, timers, audit, logger, metrics, graceMs: 5_000, limitMs: 60_000,
  *     getListeners: () => [callers, peers], queue, announcer });
  * lifecycle.setServing();
- * const lease = lifecycle.registerRequest();
+ * const lease = lifecycle.registerRequest(RequestSource.Caller);
  * const result = await lifecycle.drain("operator");
  * ```
  *
@@ -29,6 +29,7 @@
 import type { LeavingAnnouncer } from "./leaving_announcer.ts";
 import type { QueuedWorkReleaser } from "./queued_work_releaser.ts";
 import type { RequestLease } from "./request_lease.ts";
+import { RequestSource } from "./request_source.ts";
 
 interface Options {
     readonly clock: Clock;
@@ -57,10 +58,18 @@
     readonly quietMs?: number;
 }
 
+interface InFlight {
+    readonly source: RequestSource;
+    /** Monotonic milliseconds. */
+    readonly startMs: number;
+}
+
 /** Counts the requests in flight and runs the drain. */
 export class Lifecycle implements DaemonStateReader {
     private state: DaemonState = DaemonState.Starting;
-    private inFlight = 0;
+    private readonly inFlight = new Set<InFlight>();
+    private received = 0;
+    private answered = 0;
     private refusing = false;
     private arrivedAtMs = -Infinity;
     private draining: Promise<DrainReport> | undefined;
@@ -74,7 +83,7 @@
 
     /** Requests from callers and other daemons that have not been answered completely. */
     countInFlight(): number {
-        return this.inFlight;
+        return this.inFlight.size;
     }
 
     /** Has an effect only on a daemon that is starting. */
@@ -88,22 +97,17 @@
      * Marks one request as in flight; undefined when the daemon has closed. Close the lease when the last byte
      * of the answer has been handed to the connection.
      */
-    registerRequest(): RequestLease | undefined {
+    registerRequest(source: RequestSource): RequestLease | undefined {
         if (this.state === DaemonState.Closed) {
             return undefined;
         }
-        this.inFlight += 1;
-        this.arrivedAtMs = this.options.clock.getMonotonicMs();
-        this.options.metrics.setGauge("lifecycle.in_flight", this.inFlight);
-        let open = true;
-        return {
-            close: () => {
-                if (open) {
-                    open = false;
-                    this.removeRequest();
-                }
-            },
-        };
+        const startMs = this.options.clock.getMonotonicMs();
+        const request = { source, startMs };
+        this.inFlight.add(request);
+        this.received += 1;
+        this.arrivedAtMs = startMs;
+        this.options.metrics.setGauge("lifecycle.in_flight", this.inFlight.size);
+        return { close: answered => this.removeRequest(request, answered) };
     }
 
     /** True after the grace period of a drain: callers are refused as not executed, so that they go elsewhere. */
@@ -129,8 +133,12 @@
         return new Promise(resolve => {
             const timer = this.options.timers.start(this.options.limitMs, () => {
                 const detail =
-                    `${this.inFlight} requests are still in flight after ${this.options.limitMs} ms`;
-                this.options.logger.write(LogLevel.Error, "drain_late", { code: Code.DrainTimeout, detail });
+                    `${this.inFlight.size} requests are still in flight after ${this.options.limitMs} ms`;
+                this.options.logger.write(LogLevel.Error, "drain_late", {
+                    code: Code.DrainTimeout,
+                    detail,
+                    ...this.countRequests(),
+                });
                 this.options.metrics.addCount("lifecycle.drain_late");
                 resolve(err(createFailure(Code.DrainTimeout, { detail })));
             });
@@ -143,7 +151,7 @@
 
     private async runDrain(cause: string): Promise<DrainReport> {
         const startMs = this.options.clock.getMonotonicMs();
-        const inFlight = this.inFlight;
+        const inFlight = this.inFlight.size;
         this.setState(DaemonState.Draining, cause);
         this.options.announcer.sendLeaving();
         const released = this.options.queue.releaseQueued();
@@ -159,7 +167,12 @@
         this.setState(DaemonState.Closed, cause);
         await Promise.all(listeners.map(listener => listener.close()));
         const durationMs = this.options.clock.getMonotonicMs() - startMs;
-        this.options.logger.write(LogLevel.Info, "drain_finished", { released, inFlight, durationMs });
+        this.options.logger.write(LogLevel.Info, "drain_finished", {
+            released,
+            inFlight,
+            durationMs,
+            ...this.countRequests(),
+        });
         return { released, inFlight, durationMs };
     }
 
@@ -182,21 +195,49 @@
     }
 
     private async waitForIdle(): Promise<void> {
-        while (this.inFlight > 0) {
+        while (this.inFlight.size > 0) {
             await new Promise<void>(resolve => {
                 this.onIdle = resolve;
             });
         }
     }
 
-    private removeRequest(): void {
-        this.inFlight -= 1;
-        this.options.metrics.setGauge("lifecycle.in_flight", this.inFlight);
-        if (this.inFlight === 0) {
+    private removeRequest(request: InFlight, answered: boolean): void {
+        if (!this.inFlight.delete(request)) {
+            return;
+        }
+        const { clock, logger, metrics } = this.options;
+        metrics.setGauge("lifecycle.in_flight", this.inFlight.size);
+        if (answered) {
+            this.answered += 1;
+        }
+        else {
+            metrics.addCount("lifecycle.unanswered", { source: request.source });
+        }
+        if (!answered && this.state !== DaemonState.Serving) {
+            const ageMs = Math.round(clock.getMonotonicMs() - request.startMs);
+            logger.write(LogLevel.Warn, "request_unanswered", { source: request.source, ageMs });
+        }
+        if (this.inFlight.size === 0) {
             this.onIdle?.();
         }
     }
 
+    /** Requests of the whole time of the daemon, and those that are in flight by source. */
+    private countRequests() {
+        const open = [...this.inFlight];
+        const nowMs = this.options.clock.getMonotonicMs();
+        const callers = open.filter(({ source }) => source === RequestSource.Caller).length;
+        return {
+            received: this.received,
+            answered: this.answered,
+            unanswered: this.received - this.answered - open.length,
+            callers,
+            daemons: open.length - callers,
+            oldestMs: Math.round(Math.max(0, ...open.map(({ startMs }) => nowMs - startMs))),
+        };
+    }
+
     private setState(state: DaemonState, cause: string): void {
         const before = this.state;
         this.state = state;
--- a/src/lifecycle/request_lease.ts
+++ b/src/lifecycle/request_lease.ts
@@ -1,5 +1,5 @@
 /** Marks one request as in flight until it is closed. */
 export interface RequestLease {
-    /** Ends the request; further calls do nothing. */
-    close(): void;
+    /** Ends the request; further calls do nothing. `answered` is false when its connection closed first. */
+    close(answered: boolean): void;
 }
