Hand on nothing behind an unanswered request of a connection that drains, so that no answer is lost in its queue

Cause: HTTP/1.1 answers in the order of the requests (RFC 9112, section 9.3.2). A drain bounds the time until the process ends, so an answer must not depend on another request that may last longer. Class of fault: work is accepted whose answer depends on what the daemon does not wait for.

Requests that arrive behind an unanswered one are not handed on while the daemon drains. The connection closes after those that were, and the caller sends the others again elsewhere: they were not read.

--- a/src/edge/caller_http/pipelined_requests.test.ts
+++ b/src/edge/caller_http/pipelined_requests.test.ts
@@ -41,7 +41,7 @@
     }).callback();
     const listener = (await HttpListener.open("127.0.0.1:0", (request, response) => {
         void handle(request, response);
-    }))._unsafeUnwrap();
+    }, { isDraining: () => state.draining }))._unsafeUnwrap();
     closers.push(() => listener.close());
     const sendAnswer = (target: string) => handed.get(target)?.sendAnswer();
     return { state, handed, port: listener.getPort(), sendAnswer };
@@ -80,12 +80,11 @@
     send(caller.socket, "/1", "/2", "/3");
     await waitFor(() => handed.size === 3);
     state.draining = true;
-    const closed = once(caller.socket, "close");
     sendAnswer("/1");
     await waitFor(() => caller.listAnswers().length === 1);
     sendAnswer("/3");
     sendAnswer("/2");
-    await closed;
+    await waitFor(() => caller.socket.closed);
     assert.deepEqual(caller.listAnswers(), ["/1", "/2", "/3"]);
     assert.equal(caller.countCloses(), 1, "only the last answer closes the connection");
     assert.equal(state.inFlight, 0);
@@ -103,12 +102,41 @@
     send(caller.socket, "/3");
     await new Promise(resolve => setTimeout(resolve, 50));
     sendAnswer("/1");
-    await once(caller.socket, "close");
+    await waitFor(() => caller.socket.closed);
     assert.deepEqual([...handed.keys()], ["/1", "/2"]);
     assert.deepEqual(caller.listAnswers(), ["/1", "/2"]);
     assert.equal(state.inFlight, 0);
 });
 
+test("an answer that is ready is not lost behind one that takes until the end of a drain", async () => {
+    const { handed, port, state } = await openCallers();
+    const caller = await openCaller(port);
+    send(caller.socket, "/long");
+    await waitFor(() => handed.size === 1);
+    state.draining = true;
+    send(caller.socket, "/behind");
+    await new Promise(resolve => setTimeout(resolve, 50));
+    assert.deepEqual([...handed.keys()], ["/long"], "its answer could not be sent before the other one");
+    caller.socket.destroy();
+    await waitFor(() => state.inFlight === 0);
+});
+
+test("the connection closes when the request before the dropped one is answered, also if that answer was ready", async () => {
+    const { sendAnswer, handed, port, state } = await openCallers();
+    const caller = await openCaller(port);
+    send(caller.socket, "/1", "/2");
+    await waitFor(() => handed.size === 2);
+    sendAnswer("/2");
+    await new Promise(resolve => setTimeout(resolve, 20));
+    state.draining = true;
+    send(caller.socket, "/3");
+    await new Promise(resolve => setTimeout(resolve, 20));
+    sendAnswer("/1");
+    await waitFor(() => caller.socket.closed);
+    assert.deepEqual(caller.listAnswers(), ["/1", "/2"]);
+    assert.deepEqual([...handed.keys()], ["/1", "/2"]);
+});
+
 test("a refusal behind a request that is with an upstream does not cut its answer", async () => {
     const { sendAnswer, handed, port, state } = await openCallers();
     const caller = await openCaller(port);
@@ -118,7 +146,7 @@
     send(caller.socket, "/2", "/3");
     await new Promise(resolve => setTimeout(resolve, 50));
     sendAnswer("/1");
-    await once(caller.socket, "close");
+    await waitFor(() => caller.socket.closed);
     assert.deepEqual(caller.listAnswers(), ["/1"]);
     assert.equal(caller.countCloses(), 1);
     assert.equal(state.inFlight, 0);
--- a/src/edge/daemon_servers.ts
+++ b/src/edge/daemon_servers.ts
@@ -95,7 +95,7 @@
         }).callback();
         const listener = await HttpListener.open(settings.callerAddress, (request, response) => {
             void app(request, response);
-        });
+        }, { isDraining: () => this.isDraining() });
         return this.addDrainable(listener);
     }
 
@@ -146,10 +146,14 @@
             createRefusal: () => callerCodec.encodeProblem(createFailure(Code.OwnerLeaving), ""),
             refuse,
             registerRequest: () => lifecycle.registerRequest(RequestSource.Caller),
-            isDraining: () => lifecycle.getState() === DaemonState.Draining,
+            isDraining: () => this.isDraining(),
         });
     }
 
+    private isDraining(): boolean {
+        return this.options.lifecycle.getState() === DaemonState.Draining;
+    }
+
     private addDrainable(listener: Result<HttpListener, Failure>): Result<void, Failure> {
         if (listener.isErr()) {
             return err(listener.error);
--- a/src/edge/http/http_listener.ts
+++ b/src/edge/http/http_listener.ts
@@ -16,6 +16,11 @@
 /** Time in milliseconds after which connections that are still open are closed. */
 const CLOSE_LIMIT_MS = 500;
 
+interface Options {
+    /** While true, requests behind an unanswered one of their connection are not handed on. */
+    readonly isDraining?: () => boolean;
+}
+
 /** An HTTP/1.1 server on one address. */
 export class HttpListener implements DrainableListener {
     private readonly ended: Promise<void>;
@@ -34,12 +39,16 @@
     }
 
     /** Opens `address` (`host:port`). Fails with PortUnavailable. */
-    static async open(address: string, handler: RequestListener): Promise<Result<HttpListener, Failure>> {
+    static async open(
+        address: string,
+        handler: RequestListener,
+        { isDraining = () => false }: Options = {},
+    ): Promise<Result<HttpListener, Failure>> {
         const server = createServer({
             keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
             maxHeaderSize: MAX_HEADER_BYTES,
         }, (request, response) => {
-            if (ServerConnection.get(request.socket).addExchange(response)) {
+            if (ServerConnection.get(request.socket).addExchange(response, isDraining())) {
                 handler(request, response);
             }
             else {
--- a/src/edge/http/server_connection.ts
+++ b/src/edge/http/server_connection.ts
@@ -13,7 +13,7 @@
     private static readonly known = new WeakMap<Socket, ServerConnection>();
     private readonly running = new Set<ServerExchange>();
     private newest: ServerResponse | undefined;
-    /** True when an answer that closes the connection is ready. */
+    /** True when the connection closes after the requests that have been handed on. */
     private closing = false;
 
     private constructor(private readonly socket: Socket) {
@@ -29,10 +29,14 @@
     }
 
     /**
-     * False for a request behind an answer that closes the connection. It will not be answered and its peer sends it
-     * again, so it must not be handed on.
+     * False for a request that must not be handed on, because the connection closes before its answer. Its peer sends it
+     * again. While the server drains, that holds for each request behind an unanswered one: its answer could not be sent
+     * before that one's, which may take until the process ends.
      */
-    addExchange(response: ServerResponse): boolean {
+    addExchange(response: ServerResponse, isDraining: boolean): boolean {
+        if (isDraining && this.running.size > 0) {
+            this.closeWhenIdle();
+        }
         if (this.closing) {
             return false;
         }
@@ -42,10 +46,23 @@
             return this.newest === response;
         });
         this.running.add(exchange);
-        exchange.handleEnd(() => this.running.delete(exchange));
+        exchange.handleEnd(() => {
+            this.running.delete(exchange);
+            if (this.closing) {
+                this.closeIdle();
+            }
+        });
         return true;
     }
 
+    /** Closes the connection after the requests that have been handed on, and announces it if that is still possible. */
+    private closeWhenIdle(): void {
+        this.closing = true;
+        if (this.newest?.headersSent === false) {
+            this.newest.setHeader("connection", "close");
+        }
+    }
+
     /** Closes the connection if it has been used and all its requests are answered. */
     closeIdle(): void {
         if (this.newest !== undefined && this.running.size === 0 && this.socket.writable) {
