Answer the callers in flight before the process ends, so that ready answers behind theirs are not lost

Cause: at the time limit of a drain the process ended with whatever its connections held. An answer that waited for its turn was dropped with the one that it waited for. Class of fault: the end of the process cut what was finished together with what was not.

Evidence: a request that takes longer than the drain and a ready answer behind it. With them the caller receives 504 for the first and the answer to the second. Ruled out: the time limit of 500 ms at the close of listeners, which is not reached here.

--- a/src/edge/caller_http/pipelined_requests.test.ts
+++ b/src/edge/caller_http/pipelined_requests.test.ts
@@ -19,16 +19,19 @@
 async function openCallers() {
     const handed = new Map<string, { incoming: IncomingRequest; sendAnswer: () => void; }>();
     const state = { draining: false, refusing: false, inFlight: 0 };
+    const lastAnswers: (() => void)[] = [];
     const codec = new HeaderCallerCodec();
     const handle = createCallerApp({
         codec,
         maxRequestBytes: 1_000,
         lease: createLeaseMiddleware({
             createRefusal: () => codec.encodeProblem(createFailure(Code.OwnerLeaving), ""),
+            createLastAnswer: () => codec.encodeProblem(createFailure(Code.DrainTimeout), ""),
             refuse: () => state.refusing,
             isDraining: () => state.draining,
-            registerRequest: () => {
+            registerRequest: answer => {
                 state.inFlight += 1;
+                lastAnswers.push(answer);
                 return { close: () => void (state.inFlight -= 1) };
             },
         }),
@@ -44,7 +47,8 @@
     }, { isDraining: () => state.draining }))._unsafeUnwrap();
     closers.push(() => listener.close());
     const sendAnswer = (target: string) => handed.get(target)?.sendAnswer();
-    return { state, handed, port: listener.getPort(), sendAnswer };
+    const sendLastAnswers = () => lastAnswers.forEach(answer => answer());
+    return { state, handed, port: listener.getPort(), sendAnswer, sendLastAnswers };
 }
 
 async function openCaller(port: number) {
@@ -60,7 +64,13 @@
     const listAnswers = () =>
         [...received.matchAll(/answer to (\S+)$|answer to (\S+?)(?=HTTP)/gm)]
             .map(([, last, other]) => last ?? other);
-    return { socket, listAnswers, countCloses: () => received.match(/connection: close/gi)?.length ?? 0 };
+    const getReceived = () => received;
+    return {
+        socket,
+        getReceived,
+        listAnswers,
+        countCloses: () => received.match(/connection: close/gi)?.length ?? 0,
+    };
 }
 
 function send(socket: Socket, ...targets: string[]): void {
@@ -137,6 +147,22 @@
     assert.deepEqual([...handed.keys()], ["/1", "/2"]);
 });
 
+test("an answer that is ready is not lost with the process behind one that is not", async () => {
+    const { sendAnswer, sendLastAnswers, handed, port, state } = await openCallers();
+    const caller = await openCaller(port);
+    send(caller.socket, "/long", "/ready");
+    await waitFor(() => handed.size === 2);
+    state.draining = true;
+    sendAnswer("/ready");
+    await new Promise(resolve => setTimeout(resolve, 20));
+    sendLastAnswers();
+    await waitFor(() => state.inFlight === 0);
+    assert.deepEqual(caller.listAnswers(), ["/ready"]);
+    assert.deepEqual([...handed.values()].map(({ incoming }) => incoming.signal.aborted), [true, false]);
+    assert.match(caller.getReceived(), /^HTTP\/1\.1 504 /);
+    caller.socket.destroy();
+});
+
 test("a refusal behind a request that is with an upstream does not cut its answer", async () => {
     const { sendAnswer, handed, port, state } = await openCallers();
     const caller = await openCaller(port);
--- a/src/edge/daemon_servers.ts
+++ b/src/edge/daemon_servers.ts
@@ -13,6 +13,7 @@
 import type { Filter } from "../core/filter.ts";
 import { LogLevel } from "../core/log_level.ts";
 import type { Logger } from "../core/logger.ts";
+import { Outcome } from "../core/outcome.ts";
 import type { OwnerReply } from "../forward/owner_reply.ts";
 import type { GossipHandler } from "../gossip/gossip_handler.ts";
 import { DaemonState } from "../lifecycle/daemon_state.ts";
@@ -52,6 +53,11 @@
     readonly drain: (cause: string) => Promise<Result<DrainReport, Failure>>;
 }
 
+const lastFailure = createFailure(Code.DrainTimeout, {
+    outcome: Outcome.Unknown,
+    detail: "the daemon ended before an answer arrived",
+});
+
 /** Opens and closes the servers. */
 export class DaemonServers {
     private readonly opened: HttpListener[] = [];
@@ -144,8 +150,9 @@
         const { callerCodec, lifecycle } = this.options;
         return createLeaseMiddleware({
             createRefusal: () => callerCodec.encodeProblem(createFailure(Code.OwnerLeaving), ""),
+            createLastAnswer: () => callerCodec.encodeProblem(lastFailure, ""),
             refuse,
-            registerRequest: () => lifecycle.registerRequest(RequestSource.Caller),
+            registerRequest: answer => lifecycle.registerRequest(RequestSource.Caller, answer),
             isDraining: () => this.isDraining(),
         });
     }
--- a/src/edge/http/create_lease_middleware.ts
+++ b/src/edge/http/create_lease_middleware.ts
@@ -1,4 +1,4 @@
-import type { Middleware } from "koa";
+import type { Context, Middleware } from "koa";
 import type { Answer } from "../../core/answer.ts";
 import type { RequestLease } from "../../lifecycle/request_lease.ts";
 import { ServerExchange } from "./server_exchange.ts";
@@ -6,8 +6,10 @@
 interface LeaseOptions {
     /** Builds the answer to a request that is refused. */
     readonly createRefusal: () => Answer;
-    /** Undefined when the daemon has closed. */
-    readonly registerRequest: () => RequestLease | undefined;
+    /** Builds the answer to a request whose outcome is not known when the process is about to end. */
+    readonly createLastAnswer: () => Answer;
+    /** Undefined when the daemon has closed. `answer` ends the request with the last answer. */
+    readonly registerRequest: (answer: () => void) => RequestLease | undefined;
     /** True when new requests are refused as not executed; never for those of other daemons. */
     readonly refuse: () => boolean;
     /** True while the daemon drains: responses then ask the peer to close its connection. */
@@ -18,19 +20,29 @@
 export function createLeaseMiddleware(options: LeaseOptions): Middleware {
     return async (context, next) => {
         const exchange = ServerExchange.get(context.res);
-        const lease = options.refuse() ? undefined : options.registerRequest();
+        let stopWait: () => void = () => undefined;
+        const ending = new Promise<"ending">(resolve => {
+            stopWait = () => resolve("ending");
+        });
+        const lease = options.refuse() ? undefined : options.registerRequest(stopWait);
         if (lease === undefined) {
-            const problem = options.createRefusal();
-            context.status = problem.status;
-            problem.headers.forEach(header => context.set(header.name, header.value));
+            setProblem(context, options.createRefusal());
             exchange.closeConnection();
-            context.body = Buffer.from(problem.body);
             return;
         }
         exchange.handleEnd(answered => lease.close(answered));
-        await next();
+        if (await Promise.race([next(), ending]) === "ending") {
+            exchange.cancel();
+            setProblem(context, options.createLastAnswer());
+        }
         if (options.isDraining()) {
             exchange.closeConnection();
         }
     };
 }
+
+function setProblem(context: Context, problem: Answer): void {
+    context.status = problem.status;
+    problem.headers.forEach(header => context.set(header.name, header.value));
+    context.body = Buffer.from(problem.body);
+}
--- a/src/edge/http/server_exchange.ts
+++ b/src/edge/http/server_exchange.ts
@@ -1,7 +1,7 @@
 import type { ServerResponse } from "node:http";
 
 /** One for all, because an error with a stack for each request is expensive. */
-const abortReason = new Error("the peer has closed its connection");
+const abortReason = new Error("the request was abandoned");
 
 /** One request of a peer, until the last byte of its answer was handed to the connection or the connection has closed. */
 export class ServerExchange {
@@ -24,11 +24,16 @@
         return ServerExchange.known.get(response) ?? new ServerExchange(response);
     }
 
-    /** Aborted when the connection closes before the answer has been sent. */
+    /** Aborted when the connection closes before the answer has been sent, or when the exchange is cancelled. */
     getSignal(): AbortSignal {
         return this.controller.signal;
     }
 
+    /** Aborts the work for this exchange; its answer can still be sent. */
+    cancel(): void {
+        this.controller.abort(abortReason);
+    }
+
     /** Calls `listener` when the exchange has ended; `answered` is false when its connection closed first. */
     handleEnd(listener: (answered: boolean) => void): void {
         this.listeners.push(listener);
@@ -52,7 +57,7 @@
         this.ended = true;
         const answered = this.response.writableFinished;
         if (!answered) {
-            this.controller.abort(abortReason);
+            this.cancel();
         }
         this.listeners.forEach(listener => listener(answered));
     }
--- a/src/lifecycle/lifecycle.test.ts
+++ b/src/lifecycle/lifecycle.test.ts
@@ -7,7 +7,7 @@
 import { Lifecycle } from "./lifecycle.ts";
 import { RequestSource } from "./request_source.ts";
 
-function createFixture(quietMs = 0) {
+function createFixture(quietMs = 0, answerMs?: number) {
     const sinks = new RecordingSinks();
     const time = new VirtualTime();
     const steps: string[] = [];
@@ -20,6 +20,7 @@
         graceMs: 5_000,
         limitMs: 60_000,
         quietMs,
+        answerMs,
         announcer: { sendLeaving: () => void steps.push("announce") },
         queue: {
             releaseQueued: () => {
@@ -115,3 +116,20 @@
     const unansweredLines = sinks.events.filter(({ event }) => event === "request_unanswered");
     assert.deepEqual(unansweredLines.map(line => line.fields), [{ source: "daemon", ageMs: 0 }]);
 });
+
+test("callers that still wait before the process ends get an answer, and nothing is answered where it does not end", async () => {
+    for (const answerMs of [undefined, 50_000]) {
+        const { sinks, time, lifecycle } = createFixture(0, answerMs);
+        const answered: string[] = [];
+        lifecycle.registerRequest(RequestSource.Caller, () => answered.push("done"))?.close(true);
+        lifecycle.registerRequest(RequestSource.Caller, () => answered.push("waiting"));
+        lifecycle.registerRequest(RequestSource.Daemon);
+        void lifecycle.drain("SIGTERM");
+        await time.run(49_999);
+        assert.deepEqual(answered, []);
+        await time.run(1);
+        assert.deepEqual(answered, answerMs === undefined ? [] : ["waiting"]);
+        const lines = sinks.events.filter(({ event }) => event === "drain_answers");
+        assert.equal(lines.length, answerMs === undefined ? 0 : 1);
+    }
+});
--- a/src/lifecycle/lifecycle.ts
+++ b/src/lifecycle/lifecycle.ts
@@ -51,6 +51,11 @@
      * each has a deadline, so the limit should be above `graceMs` plus the longest deadline of a route.
      */
     readonly limitMs: number;
+    /**
+     * Milliseconds after the start of a drain at which callers that still wait get an answer of the daemon's own, because
+     * its process ends soon; absent when the process ends only with its last request.
+     */
+    readonly answerMs?: number | undefined;
     /**
      * Milliseconds without a new request after which the listeners close; the default is 0. The kernel resets
      * connections that wait to be accepted when a listener closes, so it closes when callers have gone elsewhere.
@@ -62,6 +67,8 @@
     readonly source: RequestSource;
     /** Monotonic milliseconds. */
     readonly startMs: number;
+    /** Gives the request an answer of the daemon's own. */
+    readonly answer: (() => void) | undefined;
 }
 
 /** Counts the requests in flight and runs the drain. */
@@ -95,14 +102,14 @@
 
     /**
      * Marks one request as in flight; undefined when the daemon has closed. Close the lease when the last byte
-     * of the answer has been handed to the connection.
+     * of the answer has been handed to the connection. `answer` is called when the request must not wait any longer.
      */
-    registerRequest(source: RequestSource): RequestLease | undefined {
+    registerRequest(source: RequestSource, answer?: () => void): RequestLease | undefined {
         if (this.state === DaemonState.Closed) {
             return undefined;
         }
         const startMs = this.options.clock.getMonotonicMs();
-        const request = { source, startMs };
+        const request = { source, startMs, answer };
         this.inFlight.add(request);
         this.received += 1;
         this.arrivedAtMs = startMs;
@@ -154,6 +161,7 @@
         const inFlight = this.inFlight.size;
         this.setState(DaemonState.Draining, cause);
         this.options.announcer.sendLeaving();
+        this.startAnswerTimer();
         const released = this.options.queue.releaseQueued();
         await this.waitMs(this.options.graceMs);
         this.refusing = true;
@@ -176,6 +184,21 @@
         return { released, inFlight, durationMs };
     }
 
+    /** A caller whose answer is ready may wait behind one whose is not, and would lose it with the process. */
+    private startAnswerTimer(): void {
+        const { answerMs, logger, timers } = this.options;
+        if (answerMs === undefined) {
+            return;
+        }
+        timers.start(answerMs, () => {
+            const waiting = [...this.inFlight].filter(({ answer }) => answer !== undefined);
+            if (waiting.length > 0) {
+                logger.write(LogLevel.Warn, "drain_answers", this.countRequests());
+            }
+            waiting.forEach(({ answer }) => answer?.());
+        });
+    }
+
     private waitMs(durationMs: number): Promise<void> {
         return new Promise(resolve => void this.options.timers.start(durationMs, resolve));
     }
--- a/src/settings/serve_settings.ts
+++ b/src/settings/serve_settings.ts
@@ -25,4 +25,6 @@
     readonly drainGraceMs: number;
     readonly drainQuietMs: number;
     readonly drainTimeoutMs: number;
+    /** Absent when the process ends only with its last request. */
+    readonly drainAnswerMs?: number;
 }
--- a/src/wiring/build_owner.ts
+++ b/src/wiring/build_owner.ts
@@ -66,6 +66,7 @@
         getListeners: () => getListeners(),
         graceMs: settings.drainGraceMs,
         limitMs: settings.drainTimeoutMs,
+        answerMs: settings.drainAnswerMs,
         quietMs: settings.drainQuietMs,
     });
     const queue = new QueueFilter({
