--- a/src/edge/caller_http/pipelined_requests.test.ts
+++ b/src/edge/caller_http/pipelined_requests.test.ts
@@ -19,16 +19,19 @@
 async function openCallers() {
     const handed = new Map<string, { incoming: IncomingRequest; sendAnswer: () => void; }>();
     const state = { draining: false, refusing: false, inFlight: 0 };
+    const lastAnswers: (() => void)[] = [];
     const codec = new HeaderCallerCodec();
     const handle = createCallerApp({
         codec,
         maxRequestBytes: 1_000,
         lease: createLeaseMiddleware({
             createRefusal: () => codec.encodeProblem(createFailure(Code.OwnerLeaving), ""),
+            createLastAnswer: () => codec.encodeProblem(createFailure(Code.DrainTimeout), ""),
             refuse: () => state.refusing,
             isDraining: () => state.draining,
-            registerRequest: () => {
+            registerRequest: answer => {
                 state.inFlight += 1;
+                lastAnswers.push(answer);
                 return { close: () => void (state.inFlight -= 1) };
             },
         }),
@@ -41,10 +44,11 @@
     }).callback();
     const listener = (await HttpListener.open("127.0.0.1:0", (request, response) => {
         void handle(request, response);
-    }))._unsafeUnwrap();
+    }, { isDraining: () => state.draining }))._unsafeUnwrap();
     closers.push(() => listener.close());
     const sendAnswer = (target: string) => handed.get(target)?.sendAnswer();
-    return { state, handed, port: listener.getPort(), sendAnswer };
+    const sendLastAnswers = () => lastAnswers.forEach(answer => answer());
+    return { state, handed, port: listener.getPort(), sendAnswer, sendLastAnswers };
 }
 
 async function openCaller(port: number) {
@@ -60,7 +64,13 @@
     const listAnswers = () =>
         [...received.matchAll(/answer to (\S+)$|answer to (\S+?)(?=HTTP)/gm)]
             .map(([, last, other]) => last ?? other);
-    return { socket, listAnswers, countCloses: () => received.match(/connection: close/gi)?.length ?? 0 };
+    const getReceived = () => received;
+    return {
+        socket,
+        getReceived,
+        listAnswers,
+        countCloses: () => received.match(/connection: close/gi)?.length ?? 0,
+    };
 }
 
 function send(socket: Socket, ...targets: string[]): void {
@@ -80,12 +90,11 @@
     send(caller.socket, "/1", "/2", "/3");
     await waitFor(() => handed.size === 3);
     state.draining = true;
-    const closed = once(caller.socket, "close");
     sendAnswer("/1");
     await waitFor(() => caller.listAnswers().length === 1);
     sendAnswer("/3");
     sendAnswer("/2");
-    await closed;
+    await waitFor(() => caller.socket.closed);
     assert.deepEqual(caller.listAnswers(), ["/1", "/2", "/3"]);
     assert.equal(caller.countCloses(), 1, "only the last answer closes the connection");
     assert.equal(state.inFlight, 0);
@@ -103,12 +112,57 @@
     send(caller.socket, "/3");
     await new Promise(resolve => setTimeout(resolve, 50));
     sendAnswer("/1");
-    await once(caller.socket, "close");
+    await waitFor(() => caller.socket.closed);
     assert.deepEqual([...handed.keys()], ["/1", "/2"]);
     assert.deepEqual(caller.listAnswers(), ["/1", "/2"]);
     assert.equal(state.inFlight, 0);
 });
 
+test("an answer that is ready is not lost behind one that takes until the end of a drain", async () => {
+    const { handed, port, state } = await openCallers();
+    const caller = await openCaller(port);
+    send(caller.socket, "/long");
+    await waitFor(() => handed.size === 1);
+    state.draining = true;
+    send(caller.socket, "/behind");
+    await new Promise(resolve => setTimeout(resolve, 50));
+    assert.deepEqual([...handed.keys()], ["/long"], "its answer could not be sent before the other one");
+    caller.socket.destroy();
+    await waitFor(() => state.inFlight === 0);
+});
+
+test("the connection closes when the request before the dropped one is answered, also if that answer was ready", async () => {
+    const { sendAnswer, handed, port, state } = await openCallers();
+    const caller = await openCaller(port);
+    send(caller.socket, "/1", "/2");
+    await waitFor(() => handed.size === 2);
+    sendAnswer("/2");
+    await new Promise(resolve => setTimeout(resolve, 20));
+    state.draining = true;
+    send(caller.socket, "/3");
+    await new Promise(resolve => setTimeout(resolve, 20));
+    sendAnswer("/1");
+    await waitFor(() => caller.socket.closed);
+    assert.deepEqual(caller.listAnswers(), ["/1", "/2"]);
+    assert.deepEqual([...handed.keys()], ["/1", "/2"]);
+});
+
+test("an answer that is ready is not lost with the process behind one that is not", async () => {
+    const { sendAnswer, sendLastAnswers, handed, port, state } = await openCallers();
+    const caller = await openCaller(port);
+    send(caller.socket, "/long", "/ready");
+    await waitFor(() => handed.size === 2);
+    state.draining = true;
+    sendAnswer("/ready");
+    await new Promise(resolve => setTimeout(resolve, 20));
+    sendLastAnswers();
+    await waitFor(() => state.inFlight === 0);
+    assert.deepEqual(caller.listAnswers(), ["/ready"]);
+    assert.deepEqual([...handed.values()].map(({ incoming }) => incoming.signal.aborted), [true, false]);
+    assert.match(caller.getReceived(), /^HTTP\/1\.1 504 /);
+    caller.socket.destroy();
+});
+
 test("a refusal behind a request that is with an upstream does not cut its answer", async () => {
     const { sendAnswer, handed, port, state } = await openCallers();
     const caller = await openCaller(port);
@@ -118,7 +172,7 @@
     send(caller.socket, "/2", "/3");
     await new Promise(resolve => setTimeout(resolve, 50));
     sendAnswer("/1");
-    await once(caller.socket, "close");
+    await waitFor(() => caller.socket.closed);
     assert.deepEqual(caller.listAnswers(), ["/1"]);
     assert.equal(caller.countCloses(), 1);
     assert.equal(state.inFlight, 0);
--- a/src/edge/daemon_servers.ts
+++ b/src/edge/daemon_servers.ts
@@ -13,12 +13,14 @@
 import type { Filter } from "../core/filter.ts";
 import { LogLevel } from "../core/log_level.ts";
 import type { Logger } from "../core/logger.ts";
+import { Outcome } from "../core/outcome.ts";
 import type { OwnerReply } from "../forward/owner_reply.ts";
 import type { GossipHandler } from "../gossip/gossip_handler.ts";
 import { DaemonState } from "../lifecycle/daemon_state.ts";
 import type { DrainReport } from "../lifecycle/drain_report.ts";
 import type { DrainableListener } from "../lifecycle/drainable_listener.ts";
 import type { Lifecycle } from "../lifecycle/lifecycle.ts";
+import { RequestSource } from "../lifecycle/request_source.ts";
 import type { OwnerIdentity } from "../operations/owner_identity.ts";
 import type { Revoker } from "../operations/revoker.ts";
 import type { IncomingDispatch } from "../queue/incoming_dispatch.ts";
@@ -51,6 +53,11 @@
     readonly drain: (cause: string) => Promise<Result<DrainReport, Failure>>;
 }
 
+const lastFailure = createFailure(Code.DrainTimeout, {
+    outcome: Outcome.Unknown,
+    detail: "the daemon ended before an answer arrived",
+});
+
 /** Opens and closes the servers. */
 export class DaemonServers {
     private readonly opened: HttpListener[] = [];
@@ -69,7 +76,7 @@
         const links = new LinkListener({
             identity,
             owner,
-            registerRequest: () => lifecycle.registerRequest(),
+            registerRequest: () => lifecycle.registerRequest(RequestSource.Daemon),
         });
         const peerListener = await HttpListener.open(
             settings.peerAddress,
@@ -94,7 +101,7 @@
         }).callback();
         const listener = await HttpListener.open(settings.callerAddress, (request, response) => {
             void app(request, response);
-        });
+        }, { isDraining: () => this.isDraining() });
         return this.addDrainable(listener);
     }
 
@@ -143,12 +150,17 @@
         const { callerCodec, lifecycle } = this.options;
         return createLeaseMiddleware({
             createRefusal: () => callerCodec.encodeProblem(createFailure(Code.OwnerLeaving), ""),
+            createLastAnswer: () => callerCodec.encodeProblem(lastFailure, ""),
             refuse,
-            registerRequest: () => lifecycle.registerRequest(),
-            isDraining: () => lifecycle.getState() === DaemonState.Draining,
+            registerRequest: answer => lifecycle.registerRequest(RequestSource.Caller, answer),
+            isDraining: () => this.isDraining(),
         });
     }
 
+    private isDraining(): boolean {
+        return this.options.lifecycle.getState() === DaemonState.Draining;
+    }
+
     private addDrainable(listener: Result<HttpListener, Failure>): Result<void, Failure> {
         if (listener.isErr()) {
             return err(listener.error);
--- a/src/edge/http/server_exchange.ts
+++ b/src/edge/http/server_exchange.ts
@@ -1,13 +1,13 @@
 import type { ServerResponse } from "node:http";
 
 /** One for all, because an error with a stack for each request is expensive. */
-const abortReason = new Error("the peer has closed its connection");
+const abortReason = new Error("the request was abandoned");
 
 /** One request of a peer, until the last byte of its answer was handed to the connection or the connection has closed. */
 export class ServerExchange {
     private static readonly known = new WeakMap<ServerResponse, ServerExchange>();
     private readonly controller = new AbortController();
-    private readonly listeners: (() => void)[] = [];
+    private readonly listeners: ((answered: boolean) => void)[] = [];
     private ended = false;
 
     /** `claimClose` says whether the answer is the last one of its connection, and makes it so. */
@@ -24,13 +24,18 @@
         return ServerExchange.known.get(response) ?? new ServerExchange(response);
     }
 
-    /** Aborted when the connection closes before the answer has been sent. */
+    /** Aborted when the connection closes before the answer has been sent, or when the exchange is cancelled. */
     getSignal(): AbortSignal {
         return this.controller.signal;
     }
 
-    /** Calls `listener` when the exchange has ended. */
-    handleEnd(listener: () => void): void {
+    /** Aborts the work for this exchange; its answer can still be sent. */
+    cancel(): void {
+        this.controller.abort(abortReason);
+    }
+
+    /** Calls `listener` when the exchange has ended; `answered` is false when its connection closed first. */
+    handleEnd(listener: (answered: boolean) => void): void {
         this.listeners.push(listener);
     }
 
@@ -50,9 +55,10 @@
             return;
         }
         this.ended = true;
-        if (!this.response.writableFinished) {
-            this.controller.abort(abortReason);
+        const answered = this.response.writableFinished;
+        if (!answered) {
+            this.cancel();
         }
-        this.listeners.forEach(listener => listener());
+        this.listeners.forEach(listener => listener(answered));
     }
 }
--- a/src/lifecycle/lifecycle.ts
+++ b/src/lifecycle/lifecycle.ts
@@ -6,7 +6,7 @@
  * const lifecycle = new Lifecycle({ clock, timers, audit, logger, metrics, graceMs: 5_000, limitMs: 60_000,
  *     getListeners: () => [callers, peers], queue, announcer });
  * lifecycle.setServing();
- * const lease = lifecycle.registerRequest();
+ * const lease = lifecycle.registerRequest(RequestSource.Caller);
  * const result = await lifecycle.drain("operator");
  * ```
  *
@@ -29,6 +29,7 @@
 import type { LeavingAnnouncer } from "./leaving_announcer.ts";
 import type { QueuedWorkReleaser } from "./queued_work_releaser.ts";
 import type { RequestLease } from "./request_lease.ts";
+import { RequestSource } from "./request_source.ts";
 
 interface Options {
     readonly clock: Clock;
@@ -50,6 +51,11 @@
      * each has a deadline, so the limit should be above `graceMs` plus the longest deadline of a route.
      */
     readonly limitMs: number;
+    /**
+     * Milliseconds after the start of a drain at which callers that still wait get an answer of the daemon's own, because
+     * its process ends soon; absent when the process ends only with its last request.
+     */
+    readonly answerMs?: number | undefined;
     /**
      * Milliseconds without a new request after which the listeners close; the default is 0. The kernel resets
      * connections that wait to be accepted when a listener closes, so it closes when callers have gone elsewhere.
@@ -57,10 +63,20 @@
     readonly quietMs?: number;
 }
 
+interface InFlight {
+    readonly source: RequestSource;
+    /** Monotonic milliseconds. */
+    readonly startMs: number;
+    /** Gives the request an answer of the daemon's own. */
+    readonly answer: (() => void) | undefined;
+}
+
 /** Counts the requests in flight and runs the drain. */
 export class Lifecycle implements DaemonStateReader {
     private state: DaemonState = DaemonState.Starting;
-    private inFlight = 0;
+    private readonly inFlight = new Set<InFlight>();
+    private received = 0;
+    private answered = 0;
     private refusing = false;
     private arrivedAtMs = -Infinity;
     private draining: Promise<DrainReport> | undefined;
@@ -74,7 +90,7 @@
 
     /** Requests from callers and other daemons that have not been answered completely. */
     countInFlight(): number {
-        return this.inFlight;
+        return this.inFlight.size;
     }
 
     /** Has an effect only on a daemon that is starting. */
@@ -86,24 +102,19 @@
 
     /**
      * Marks one request as in flight; undefined when the daemon has closed. Close the lease when the last byte
-     * of the answer has been handed to the connection.
+     * of the answer has been handed to the connection. `answer` is called when the request must not wait any longer.
      */
-    registerRequest(): RequestLease | undefined {
+    registerRequest(source: RequestSource, answer?: () => void): RequestLease | undefined {
         if (this.state === DaemonState.Closed) {
             return undefined;
         }
-        this.inFlight += 1;
-        this.arrivedAtMs = this.options.clock.getMonotonicMs();
-        this.options.metrics.setGauge("lifecycle.in_flight", this.inFlight);
-        let open = true;
-        return {
-            close: () => {
-                if (open) {
-                    open = false;
-                    this.removeRequest();
-                }
-            },
-        };
+        const startMs = this.options.clock.getMonotonicMs();
+        const request = { source, startMs, answer };
+        this.inFlight.add(request);
+        this.received += 1;
+        this.arrivedAtMs = startMs;
+        this.options.metrics.setGauge("lifecycle.in_flight", this.inFlight.size);
+        return { close: answered => this.removeRequest(request, answered) };
     }
 
     /** True after the grace period of a drain: callers are refused as not executed, so that they go elsewhere. */
@@ -129,8 +140,12 @@
         return new Promise(resolve => {
             const timer = this.options.timers.start(this.options.limitMs, () => {
                 const detail =
-                    `${this.inFlight} requests are still in flight after ${this.options.limitMs} ms`;
-                this.options.logger.write(LogLevel.Error, "drain_late", { code: Code.DrainTimeout, detail });
+                    `${this.inFlight.size} requests are still in flight after ${this.options.limitMs} ms`;
+                this.options.logger.write(LogLevel.Error, "drain_late", {
+                    code: Code.DrainTimeout,
+                    detail,
+                    ...this.countRequests(),
+                });
                 this.options.metrics.addCount("lifecycle.drain_late");
                 resolve(err(createFailure(Code.DrainTimeout, { detail })));
             });
@@ -143,9 +158,10 @@
 
     private async runDrain(cause: string): Promise<DrainReport> {
         const startMs = this.options.clock.getMonotonicMs();
-        const inFlight = this.inFlight;
+        const inFlight = this.inFlight.size;
         this.setState(DaemonState.Draining, cause);
         this.options.announcer.sendLeaving();
+        this.startAnswerTimer();
         const released = this.options.queue.releaseQueued();
         await this.waitMs(this.options.graceMs);
         this.refusing = true;
@@ -159,10 +175,30 @@
         this.setState(DaemonState.Closed, cause);
         await Promise.all(listeners.map(listener => listener.close()));
         const durationMs = this.options.clock.getMonotonicMs() - startMs;
-        this.options.logger.write(LogLevel.Info, "drain_finished", { released, inFlight, durationMs });
+        this.options.logger.write(LogLevel.Info, "drain_finished", {
+            released,
+            inFlight,
+            durationMs,
+            ...this.countRequests(),
+        });
         return { released, inFlight, durationMs };
     }
 
+    /** A caller whose answer is ready may wait behind one whose is not, and would lose it with the process. */
+    private startAnswerTimer(): void {
+        const { answerMs, logger, timers } = this.options;
+        if (answerMs === undefined) {
+            return;
+        }
+        timers.start(answerMs, () => {
+            const waiting = [...this.inFlight].filter(({ answer }) => answer !== undefined);
+            if (waiting.length > 0) {
+                logger.write(LogLevel.Warn, "drain_answers", this.countRequests());
+            }
+            waiting.forEach(({ answer }) => answer?.());
+        });
+    }
+
     private waitMs(durationMs: number): Promise<void> {
         return new Promise(resolve => void this.options.timers.start(durationMs, resolve));
     }
@@ -182,21 +218,49 @@
     }
 
     private async waitForIdle(): Promise<void> {
-        while (this.inFlight > 0) {
+        while (this.inFlight.size > 0) {
             await new Promise<void>(resolve => {
                 this.onIdle = resolve;
             });
         }
     }
 
-    private removeRequest(): void {
-        this.inFlight -= 1;
-        this.options.metrics.setGauge("lifecycle.in_flight", this.inFlight);
-        if (this.inFlight === 0) {
+    private removeRequest(request: InFlight, answered: boolean): void {
+        if (!this.inFlight.delete(request)) {
+            return;
+        }
+        const { clock, logger, metrics } = this.options;
+        metrics.setGauge("lifecycle.in_flight", this.inFlight.size);
+        if (answered) {
+            this.answered += 1;
+        }
+        else {
+            metrics.addCount("lifecycle.unanswered", { source: request.source });
+        }
+        if (!answered && this.state !== DaemonState.Serving) {
+            const ageMs = Math.round(clock.getMonotonicMs() - request.startMs);
+            logger.write(LogLevel.Warn, "request_unanswered", { source: request.source, ageMs });
+        }
+        if (this.inFlight.size === 0) {
             this.onIdle?.();
         }
     }
 
+    /** Requests of the whole time of the daemon, and those that are in flight by source. */
+    private countRequests() {
+        const open = [...this.inFlight];
+        const nowMs = this.options.clock.getMonotonicMs();
+        const callers = open.filter(({ source }) => source === RequestSource.Caller).length;
+        return {
+            received: this.received,
+            answered: this.answered,
+            unanswered: this.received - this.answered - open.length,
+            callers,
+            daemons: open.length - callers,
+            oldestMs: Math.round(Math.max(0, ...open.map(({ startMs }) => nowMs - startMs))),
+        };
+    }
+
     private setState(state: DaemonState, cause: string): void {
         const before = this.state;
         this.state = state;
--- a/src/wiring/build_owner.ts
+++ b/src/wiring/build_owner.ts
@@ -68,6 +68,7 @@
         getListeners: () => getListeners(),
         graceMs: settings.drainGraceMs,
         limitMs: settings.drainTimeoutMs,
+        answerMs: settings.drainAnswerMs,
         quietMs: settings.drainQuietMs,
     });
     const queue = new QueueFilter({
