Close an idle connection on which the upstream writes

Callers saw nothing yet; bytes after a complete answer were read into the connection that the next request would use. An empty line each 20 ms kept the connection and its reads for four seconds.

Cause: the parser of undici ignores empty lines between two answers, so that only other bytes end an idle connection. The budget of the last answer bounded a flood, but allowed what was left of it.

Ruled out: other bytes than empty lines; undici closes the connection at once then, with this change or without.

Change: no byte is allowed between a complete answer and the next request.

--- a/src/edge/upstream_http/answer_budget.ts
+++ b/src/edge/upstream_http/answer_budget.ts
@@ -18,9 +18,10 @@
 /** Bytes of framing for each byte of the body: a chunk of one byte takes five. */
 const maxFramingRatio = 5;
 
-/** Destroys the socket when the upstream writes more than an answer can take. */
+/** Destroys the socket when the upstream writes more than an answer can take, or anything while no request waits. */
 export class AnswerBudget {
     private socket: Socket | undefined;
+    private isWaiting = false;
     /** Bytes that were parsed on the socket before the request. */
     private startBytes = 0;
     private allowedBytes = 0;
@@ -36,6 +37,7 @@
 
     /** Begins to count the bytes of an answer. */
     open(): void {
+        this.isWaiting = true;
         this.startBytes = this.socket === undefined ? 0 : countParsed(this.socket);
         this.allowedBytes = maxHeadBytes;
         this.interimResponses = 0;
@@ -53,8 +55,16 @@
         this.allowedBytes += bytes * (1 + maxFramingRatio);
     }
 
+    /** Allows no further bytes, because the answer is complete. */
+    close(): void {
+        this.isWaiting = false;
+    }
+
     private check(socket: Socket): void {
-        if (countParsed(socket) - this.startBytes > this.allowedBytes) {
+        if (!this.isWaiting && socket.readableLength > 0) {
+            socket.destroy(new Error("the upstream wrote although no request waits"));
+        }
+        else if (this.isWaiting && countParsed(socket) - this.startBytes > this.allowedBytes) {
             socket.destroy(new Error("the upstream wrote more bytes than its answer can take"));
         }
     }
--- a/src/edge/upstream_http/undici_upstream_client.ts
+++ b/src/edge/upstream_http/undici_upstream_client.ts
@@ -113,6 +113,7 @@
     }
 
     private releaseConnection(address: string, connection: UpstreamConnection): void {
+        connection.release();
         const idle = this.idle.get(address);
         if (idle === undefined) {
             this.idle.set(address, [connection]);
--- a/src/edge/upstream_http/upstream_connection.ts
+++ b/src/edge/upstream_http/upstream_connection.ts
@@ -33,7 +33,7 @@
         });
     }
 
-    /** Sends a request. */
+    /** Sends a request; call `release` when the body has been read. */
     async send(options: Dispatcher.RequestOptions): Promise<Dispatcher.ResponseData> {
         this.budget.open();
         const response = await this.client.request({
@@ -44,6 +44,11 @@
         return response;
     }
 
+    /** Ends a request whose answer is complete; bytes that follow close the connection. */
+    release(): void {
+        this.budget.close();
+    }
+
     /** Closes the connection at once. */
     cancel(): void {
         void this.client.destroy();
--- a/src/edge/upstream_http/upstream_flood.test.ts
+++ b/src/edge/upstream_http/upstream_flood.test.ts
@@ -12,6 +12,7 @@
 const { Answered, AnswerTooLarge, Cut, TimedOut } = UpstreamResultKind;
 const ok = "HTTP/1.1 200 OK\r\n";
 const chunked = `${ok}transfer-encoding: chunked\r\n\r\n`;
+const own = `${ok}content-length: 3\r\n\r\nown`;
 
 /** Bytes: the limit for all of an answer but its body, and what can be parsed before it is checked. */
 const maxHeadBytes = 32_768 + 131_072;
@@ -124,3 +125,32 @@
     assert.equal(result.kind, Answered, result.detail);
     assert.equal(server.countConnections(), 1);
 });
+
+for (const unit of ["\r\n", "x", own]) {
+    for (
+        const { name, ...pace } of [{ name: "at full pace" }, {
+            name: "at a few bytes",
+            writeBytes: 1,
+            pauseMs: 20,
+        }]
+    ) {
+        test(`${JSON.stringify(unit)} ${name} after a complete answer closes the idle connection`, async () => {
+            const { send, server } = await openUpstream({
+                prefix: `${ok}content-length: 2\r\n\r\nok`,
+                unit,
+                delayMs: 50,
+                pauseMs: 1,
+                laterAnswer: own,
+                ...pace,
+            });
+            assert.equal((await send()).kind, Answered);
+            const end = await server.waitForEnd();
+            assert.ok(end.closedByPeer);
+            assert.ok(end.writtenBytes <= maxInFlightBytes, `${end.writtenBytes} bytes were written`);
+            assert.ok(end.elapsedMs <= maxCloseMs, `closed after ${end.elapsedMs} ms`);
+            const next = await send();
+            assert.equal(Buffer.from(next.answer?.body ?? []).toString(), "own");
+            assert.equal(server.countConnections(), 2);
+        });
+    }
+}
