Keep short header lines of an upstream from the limit of the parser

Callers of all upstreams of a daemon waited up to 200 ms when one upstream wrote short header lines or trailers without end: as long as a link waits for the confirmation of an attempt (200 ms), and close to the interval of the beacons.

Cause: undici creates an error with its stack for each field above its limit of 16 KB, until it has parsed all that it has read. 64 KB hold thousands of fields.

Ruled out: parsing itself; as many fields below the limit of the parser take about 30 ms.

Change: the limit of the parser lies above what can be parsed before the budget of the connection is checked, so that the budget, of 32 KB, ends such answers. Heads of 16 to 32 KB are answers now.

--- a/src/edge/upstream_http/answer_budget.ts
+++ b/src/edge/upstream_http/answer_budget.ts
@@ -13,6 +13,8 @@
  * responses and trailers.
  */
 const maxHeadBytes = 32_768;
+/** Bytes that can be parsed between two checks: a full buffer of the socket and one read. */
+const maxReadBytes = 131_072;
 /** Interim responses to one request; servers send one or two, and each costs as much as a head. */
 const maxInterimResponses = 8;
 /** Bytes of framing for each byte of the body: a chunk of one byte takes five. */
@@ -20,6 +22,12 @@
 
 /** Destroys the socket when the upstream writes more than an answer can take, or anything while no request waits. */
 export class AnswerBudget {
+    /**
+     * Bytes of header names and values for the parser, which the budget reaches first: undici creates an error for each
+     * field beyond its limit, and 64 KB of short ones hold the event loop for 200 ms.
+     */
+    static readonly maxParserHeaderBytes = maxHeadBytes + maxReadBytes;
+
     private socket: Socket | undefined;
     private isWaiting = false;
     /** Bytes that were parsed on the socket before the request. */
--- a/src/edge/upstream_http/upstream_connection.ts
+++ b/src/edge/upstream_http/upstream_connection.ts
@@ -28,6 +28,7 @@
                 }),
             keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
             keepAliveMaxTimeout: MAX_KEEP_ALIVE_TIMEOUT_MS,
+            maxHeaderSize: AnswerBudget.maxParserHeaderBytes,
             headersTimeout: 0,
             bodyTimeout: 0,
         });
--- a/src/edge/upstream_http/upstream_flood.test.ts
+++ b/src/edge/upstream_http/upstream_flood.test.ts
@@ -95,6 +95,15 @@
     });
 }
 
+for (const { name, prefix, unit } of floods.filter(flood => flood.unit === "a: b\r\n")) {
+    test(`${name} without end do not reach the limit of the parser, whose errors hold the event loop`, async () => {
+        const { send } = await openUpstream({ prefix: prefix ?? "", unit, writeBytes: 65_536 });
+        const result = await send();
+        assert.equal(result.kind, Cut);
+        assert.doesNotMatch(result.detail, /overflow/i);
+    });
+}
+
 test("an answer within the limits is complete, however it is framed", async () => {
     const chunks = `${"1\r\nx\r\n".repeat(1_000)}0\r\n`;
     const buildFields = (name: string) => `${name}: ${"x".repeat(1_000)}\r\n`.repeat(15);
