--- a/src/edge/upstream_http/answer_budget.ts
+++ b/src/edge/upstream_http/answer_budget.ts
@@ -7,6 +7,7 @@
  * @module
  */
 import type { Socket } from "node:net";
+import { maxInterimResponses } from "../http/max_interim_responses.ts";
 
 /**
  * Bytes of an answer that are not its body: 16 KB for the head, as callers may send it, and as much again for interim
@@ -15,8 +16,6 @@
 const maxHeadBytes = 32_768;
 /** Bytes that can be parsed between two checks: a full buffer of the socket and one read. */
 const maxReadBytes = 131_072;
-/** Interim responses to one request; servers send one or two, and each costs as much as a head. */
-const maxInterimResponses = 8;
 /** Bytes of framing for each byte of the body: a chunk of one byte takes five. */
 const maxFramingRatio = 5;
 
