Close a link between daemons that carries empty frames

Callers of a daemon waited while another daemon, or what answers at its address, wrote bytes without meaning on a link: 64 KB of zeros are as many frames without content and stopped the loop for 315 to 420 ms, again and again until the other side closed. A link waits 200 ms for the confirmation of an attempt.

Cause: a frame of length zero is a valid message of protobuf; it names no attempt and was dropped, and the link was read on. Frames of unknown content went the same way.

Ruled out: other bytes that are no frames and frames above the limit of the library (64 MB) close the link at once; interim responses or empty lines in place of the upgrade end with the time limit of the connection (250 ms).

Change: attempts are numbered from one, so a frame without number closes the link. Frames of later versions that carry a number are dropped as before.

Open: frames of unknown attempts without end (cancels) stop it for 85 to 130 ms, before and after; they are valid, only daemons send them.

--- a/src/edge/peer_link/frame_socket.ts
+++ b/src/edge/peer_link/frame_socket.ts
@@ -49,6 +49,10 @@
     private async read({ handleClose, handleFrame }: Handlers): Promise<void> {
         try {
             for await (const frame of sizeDelimitedDecodeStream(LinkFrameSchema, this.socket)) {
+                // Each frame is about an attempt; bytes without meaning decode to frames that name none.
+                if (frame.id === 0) {
+                    break;
+                }
                 handleFrame(frame);
             }
         }
--- a/standin/flooding_server.ts
+++ b/standin/flooding_server.ts
@@ -26,6 +26,8 @@
     readonly delayMs?: number;
     /** Bytes after which the server gives up. */
     readonly maxBytes?: number;
+    /** Milliseconds after which the server gives up. */
+    readonly maxMs?: number;
     /** Number of connections that are flooded; later ones get `laterAnswer`. */
     readonly floods?: number;
     readonly laterAnswer?: string;
@@ -42,6 +44,7 @@
 
 const defaultWriteBytes = 16_384;
 const defaultMaxBytes = 67_108_864;
+const defaultMaxMs = 5_000;
 
 /** Each write waits for the socket to drain, so that the bytes in flight are bounded by the buffers of the kernel. */
 export class FloodingServer {
@@ -100,7 +103,7 @@
 
     private async writeFlood(socket: Socket): Promise<void> {
         const { delayMs = 0, maxBytes = defaultMaxBytes, pauseMs, prefix = "", unit } = this.options;
-        const { writeBytes = defaultWriteBytes } = this.options;
+        const { maxMs = defaultMaxMs, writeBytes = defaultWriteBytes } = this.options;
         socket.write(prefix);
         if (delayMs > 0) {
             await wait(delayMs);
@@ -108,7 +111,7 @@
         const startMs = performance.now();
         const units = Buffer.from(unit.repeat(Math.max(1, Math.floor(writeBytes / unit.length))));
         let writtenBytes = 0;
-        while (!socket.destroyed && writtenBytes < maxBytes) {
+        while (!socket.destroyed && writtenBytes < maxBytes && performance.now() - startMs < maxMs) {
             writtenBytes += units.length;
             if (!socket.write(units)) {
                 await waitForDrain(socket);
