--- a/src/edge/upstream_http/answer_budget.ts
+++ b/src/edge/upstream_http/answer_budget.ts
@@ -7,20 +7,28 @@
  * @module
  */
 import type { Socket } from "node:net";
+import { maxInterimResponses } from "../http/max_interim_responses.ts";
 
 /**
  * Bytes of an answer that are not its body: 16 KB for the head, as callers may send it, and as much again for interim
  * responses and trailers.
  */
 const maxHeadBytes = 32_768;
-/** Interim responses to one request; servers send one or two, and each costs as much as a head. */
-const maxInterimResponses = 8;
+/** Bytes that can be parsed between two checks: a full buffer of the socket and one read. */
+const maxReadBytes = 131_072;
 /** Bytes of framing for each byte of the body: a chunk of one byte takes five. */
 const maxFramingRatio = 5;
 
-/** Destroys the socket when the upstream writes more than an answer can take. */
+/** Destroys the socket when the upstream writes more than an answer can take, or anything while no request waits. */
 export class AnswerBudget {
+    /**
+     * Bytes of header names and values for the parser, which the budget reaches first: undici creates an error for each
+     * field beyond its limit, and 64 KB of short ones hold the event loop for 200 ms.
+     */
+    static readonly maxParserHeaderBytes = maxHeadBytes + maxReadBytes;
+
     private socket: Socket | undefined;
+    private isWaiting = false;
     /** Bytes that were parsed on the socket before the request. */
     private startBytes = 0;
     private allowedBytes = 0;
@@ -36,6 +44,7 @@
 
     /** Begins to count the bytes of an answer. */
     open(): void {
+        this.isWaiting = true;
         this.startBytes = this.socket === undefined ? 0 : countParsed(this.socket);
         this.allowedBytes = maxHeadBytes;
         this.interimResponses = 0;
@@ -53,8 +62,16 @@
         this.allowedBytes += bytes * (1 + maxFramingRatio);
     }
 
+    /** Allows no further bytes, because the answer is complete. */
+    close(): void {
+        this.isWaiting = false;
+    }
+
     private check(socket: Socket): void {
-        if (countParsed(socket) - this.startBytes > this.allowedBytes) {
+        if (!this.isWaiting && socket.readableLength > 0) {
+            socket.destroy(new Error("the upstream wrote although no request waits"));
+        }
+        else if (this.isWaiting && countParsed(socket) - this.startBytes > this.allowedBytes) {
             socket.destroy(new Error("the upstream wrote more bytes than its answer can take"));
         }
     }
--- a/src/edge/upstream_http/upstream_connection.ts
+++ b/src/edge/upstream_http/upstream_connection.ts
@@ -28,12 +28,13 @@
                 }),
             keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
             keepAliveMaxTimeout: MAX_KEEP_ALIVE_TIMEOUT_MS,
+            maxHeaderSize: AnswerBudget.maxParserHeaderBytes,
             headersTimeout: 0,
             bodyTimeout: 0,
         });
     }
 
-    /** Sends a request. */
+    /** Sends a request; call `release` when the body has been read. */
     async send(options: Dispatcher.RequestOptions): Promise<Dispatcher.ResponseData> {
         this.budget.open();
         const response = await this.client.request({
@@ -44,6 +45,11 @@
         return response;
     }
 
+    /** Ends a request whose answer is complete; bytes that follow close the connection. */
+    release(): void {
+        this.budget.close();
+    }
+
     /** Closes the connection at once. */
     cancel(): void {
         void this.client.destroy();
