--- a/features/steps/path_steps.ts
+++ b/features/steps/path_steps.ts
@@ -86,7 +86,8 @@
     try {
         if (result?.status === Status.FAILED) {
             const file = await fleetWorld.writeLogs(pickle.name);
-            this.log(`logs of all processes: ${file ?? "no process was started"}`);
+            // The report prints attachments of this type and no others.
+            this.attach(`logs of all processes: ${file ?? "no process was started"}`, "text/plain");
         }
     }
     finally {
