--- /dev/null
+++ b/proof/fakes/beacon_network.ts
@@ -0,0 +1,132 @@
+/**
+ * Failure domains of daemons that send beacons over a network in virtual time.
+ *
+ * @example
+ * ```ts
+ * const network = new BeaconNetwork({ domains: [58, 10], upstreams: 13 });
+ * await network.time.run(5_000);
+ * network.daemons[0].setFaulty(true);
+ * ```
+ *
+ * @module
+ */
+import { NoSinks } from "../../measure/capacity/no_sinks.ts";
+import type { Beacon } from "../../src/beacon/beacon.ts";
+import { BeaconExchange } from "../../src/beacon/beacon_exchange.ts";
+import type { Upstream } from "../../src/core/upstream.ts";
+import { encodeBeacon } from "../../src/edge/beacon_udp/encode_beacon.ts";
+import { MembershipTable } from "../../src/membership/membership_table.ts";
+import { BeaconDaemon } from "./beacon_daemon.ts";
+import { SeededRandom } from "./seeded_random.ts";
+import { VirtualTime } from "./virtual_time.ts";
+
+interface Options {
+    /** Daemons of each failure domain. */
+    readonly domains: readonly number[];
+    /** Upstreams of each daemon. */
+    readonly upstreams: number;
+    readonly seed: number;
+}
+
+/** Milliseconds that a datagram travels. */
+const delayMs = 1;
+/** Bytes of the headers of IP and UDP. */
+const headerBytes = 28;
+const sinks = new NoSinks();
+
+/** All daemons know the same list from the start. */
+export class BeaconNetwork {
+    readonly time = new VirtualTime();
+    readonly daemons: readonly BeaconDaemon[];
+    private readonly byAddress: ReadonlyMap<string, BeaconDaemon>;
+    /** Paths that drop datagrams, as sender and receiver. */
+    private readonly cuts = new Set<string>();
+    private readonly random: SeededRandom;
+
+    constructor({ domains, seed, upstreams }: Options) {
+        this.random = new SeededRandom(seed);
+        const owned = domains.flatMap((size, domain) =>
+            Array.from({ length: size }, (_, index) => createUpstreams(domain, index, upstreams))
+        );
+        this.daemons = owned.map(own => this.createDaemon(own, owned.flat()));
+        this.byAddress = new Map(this.daemons.map(daemon => [daemon.address, daemon]));
+        this.daemons.forEach(({ exchange }) => exchange.start());
+    }
+
+    /** Drops what one daemon sends to the other. */
+    addCut(fromId: string, toId: string): void {
+        this.cuts.add(`${fromId} ${toId}`);
+    }
+
+    close(): void {
+        this.daemons.forEach(({ exchange }) => exchange.close());
+    }
+
+    private send(sender: BeaconDaemon, address: string, beacon: Beacon): void {
+        const bytes = encodeBeacon(beacon).length + headerBytes;
+        sender.countDatagram(bytes);
+        const receiver = this.byAddress.get(address);
+        if (receiver === undefined || this.cuts.has(`${sender.id} ${receiver.id}`)) {
+            return;
+        }
+        this.time.start(delayMs, () => {
+            receiver.countDatagram(bytes);
+            receiver.exchange.handleBeacon(beacon);
+        });
+    }
+
+    private createDaemon(own: readonly Upstream[], all: readonly Upstream[]): BeaconDaemon {
+        const { ownerAddress, ownerId } = own[0]!;
+        const membership = new MembershipTable({
+            clock: this.time,
+            audit: sinks,
+            logger: sinks,
+            metrics: sinks,
+        });
+        membership.merge({ version: 1, upstreams: all }, "1", "test");
+        const daemon: BeaconDaemon = new BeaconDaemon({
+            id: ownerId,
+            address: ownerAddress,
+            failureDomain: own[0]!.failureDomain,
+            upstreamIds: own.map(({ id }) => id),
+            createExchange: parts =>
+                new BeaconExchange({
+                    ...parts,
+                    clock: this.time,
+                    timers: this.time,
+                    random: this.random,
+                    identity: { ownerId, incarnation: "5a11c0de018f2e4b7c1" },
+                    failureDomain: own[0]!.failureDomain,
+                    membership,
+                    transport: { send: (address, beacon) => this.send(daemon, address, beacon) },
+                    counts: { listCounts: () => createCounts(), recordPeer: () => undefined },
+                    logger: sinks,
+                }),
+        });
+        return daemon;
+    }
+}
+
+/** Counts of a daemon whose callers use six services. */
+function createCounts() {
+    return Array.from(
+        { length: 6 },
+        (_, index) => ({ service: `service-${index}`, requests: 130, repeats: 7 }),
+    );
+}
+
+function createUpstreams(domain: number, index: number, count: number): readonly Upstream[] {
+    const ownerId = `10.${domain}.0.${index}`;
+    return Array.from({ length: count }, (_, number) => ({
+        id: `i-${domain}${index.toString().padStart(4, "0")}${number.toString().padStart(5, "0")}`,
+        service: `service-${number}`,
+        ownerId,
+        ownerAddress: `${ownerId}:7520`,
+        failureDomain: `domain-${domain}`,
+        region: "region",
+        leaving: false,
+        address: `${ownerId}:8080`,
+        slots: 4,
+        coldMs: 0,
+    }));
+}
--- /dev/null
+++ b/src/beacon/beacon_exchange.test.ts
@@ -0,0 +1,164 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { BeaconDaemon } from "../../proof/fakes/beacon_daemon.ts";
+import { BeaconNetwork } from "../../proof/fakes/beacon_network.ts";
+
+/** What a daemon may use for control in bytes a second, sent and received. */
+const controlBytes = 6_000;
+/** Daemons of a failure domain, and upstreams of a daemon, at the size that the design is for. */
+const designSize = 58;
+const designUpstreams = 13;
+
+interface Rates {
+    readonly datagrams: number;
+    readonly bytes: number;
+}
+
+/** Rates a second of the daemon that has most to do, over 10 s. */
+async function measureRates(size: number, upstreams: number, requestGapMs?: number): Promise<Rates> {
+    const network = new BeaconNetwork({ domains: [size, 10, 10], upstreams, seed: size });
+    if (requestGapMs !== undefined) {
+        startRequests(network, requestGapMs);
+    }
+    await network.time.run(3_000);
+    network.daemons.forEach(daemon => daemon.takeTraffic());
+    await network.time.run(10_000);
+    const traffic = network.daemons.slice(0, size).map(daemon => daemon.takeTraffic());
+    network.close();
+    return {
+        datagrams: Math.max(...traffic.map(({ datagrams }) => datagrams)) / 10,
+        bytes: Math.max(...traffic.map(({ bytes }) => bytes)) / 10,
+    };
+}
+
+/** A request starts or ends at each daemon every `gapMs` milliseconds. */
+function startRequests(network: BeaconNetwork, gapMs: number): void {
+    let running = 0;
+    const runChange = (): void => {
+        running = (running + 1) % 5;
+        network.daemons.forEach(daemon => daemon.setRunning(running));
+        network.time.start(gapMs, runChange);
+    };
+    runChange();
+}
+
+function hasHeard(
+    daemon: BeaconDaemon,
+    upstreamId: string,
+    isMet: (state: UpstreamNews) => boolean,
+): boolean {
+    const heard = daemon.heard.get(upstreamId);
+    return heard !== undefined && isMet(heard.state);
+}
+
+interface UpstreamNews {
+    readonly faultProbability: number;
+    readonly leaving: boolean;
+}
+
+test("the beacons of a daemon grow with its failure domain or with its requests until its loop starves", async () => {
+    const small = await measureRates(10, 1);
+    for (
+        const [size, upstreams] of [[10, 1], [30, 1], [designSize, 1], [designSize, designUpstreams]] as const
+    ) {
+        for (const gapMs of [undefined, 5]) {
+            const { bytes, datagrams } = await measureRates(size, upstreams, gapMs);
+            const text =
+                `${size} daemons, ${upstreams} upstreams, requests ${gapMs}: ${bytes} bytes, ${datagrams}`;
+            assert.ok(bytes <= controlBytes, text);
+            // A daemon hears a little more or less than others, by chance.
+            assert.ok(datagrams <= small.datagrams * 1.25, `${text}; ${small.datagrams} with 10 daemons`);
+        }
+    }
+});
+
+test("daemons of a large failure domain, and of others, do not hear that an upstream fails or leaves", async () => {
+    const network = new BeaconNetwork({ domains: [designSize, 30], upstreams: 1, seed: 1 });
+    await network.time.run(5_000);
+    const owner = network.daemons[3]!;
+    const upstreamId = owner.upstreamIds[0]!;
+    const listUninformed = (isMet: (state: UpstreamNews) => boolean) =>
+        network.daemons.filter(daemon => daemon !== owner && !hasHeard(daemon, upstreamId, isMet));
+
+    owner.setFaultProbability(0.7);
+    await network.time.run(1_000);
+    assert.deepEqual(
+        listUninformed(({ faultProbability }) => faultProbability > 0.5).map(({ id }) => id),
+        [],
+    );
+
+    owner.setFaultProbability(0.1);
+    await network.time.run(1_000);
+    assert.deepEqual(
+        listUninformed(({ faultProbability }) => faultProbability < 0.5).map(({ id }) => id),
+        [],
+    );
+
+    owner.setLeaving();
+    await network.time.run(1_000);
+    assert.deepEqual(listUninformed(({ leaving }) => leaving).map(({ id }) => id), []);
+    network.close();
+});
+
+test("a state that was passed on replaces a newer one, or looks newer than it is", async () => {
+    const network = new BeaconNetwork({ domains: [30], upstreams: 1, seed: 2 });
+    const [owner] = network.daemons;
+    const upstreamId = owner!.upstreamIds[0]!;
+    let probability = 0.1;
+    const madeAtMs = new Map<number, number>();
+    for (let step = 0; step < 200; step += 1) {
+        probability += 0.0005;
+        owner!.setFaultProbability(probability);
+        madeAtMs.set(probability, network.time.getMonotonicMs());
+        const before = network.daemons.map(({ heard }) => heard.get(upstreamId)?.state.faultProbability ?? 0);
+        await network.time.run(50);
+        for (const [index, { heard }] of network.daemons.entries()) {
+            const after = heard.get(upstreamId);
+            assert.ok((after?.state.faultProbability ?? 0) >= before[index]!);
+            if (after !== undefined && madeAtMs.has(after.state.faultProbability)) {
+                // Made by the owner within 50 ms after the probability was set, plus the time on the way.
+                const madeMs = madeAtMs.get(after.state.faultProbability)!;
+                assert.ok(after.atMs >= madeMs && after.atMs <= madeMs + 50 + 20, `${after.atMs - madeMs}`);
+            }
+        }
+    }
+    network.close();
+});
+
+test("a daemon that has gone dark is still used by others of a large failure domain", async () => {
+    const network = new BeaconNetwork({ domains: [designSize], upstreams: 1, seed: 3 });
+    await network.time.run(20_000);
+    const [dark, ...others] = network.daemons;
+    for (const { id } of others) {
+        network.addCut(dark!.id, id);
+        network.addCut(id, dark!.id);
+    }
+    await network.time.run(4_000);
+    assert.deepEqual(others.filter(({ exchange }) => !exchange.isSilent(dark!.id)).map(({ id }) => id), []);
+    network.close();
+});
+
+test("a path that is cut in one direction is noticed by neither or only one of its ends", async () => {
+    const network = new BeaconNetwork({ domains: [designSize], upstreams: 1, seed: 4 });
+    await network.time.run(20_000);
+    const [left, right, third] = [network.daemons[0]!, network.daemons[40]!, network.daemons[20]!];
+    network.addCut(left.id, right.id);
+    // Each daemon probes each other one once in a round of 58 periods of 300 ms; two rounds bound the gap.
+    await network.time.run(2 * designSize * 300 + 1_000);
+    assert.equal(left.exchange.isSilent(right.id), true);
+    assert.equal(right.exchange.isSilent(left.id), true);
+    assert.equal(third.exchange.isSilent(left.id) || third.exchange.isSilent(right.id), false);
+    network.close();
+});
+
+test("a daemon whose watch of the store is silent does not hear that others have read on", async () => {
+    const network = new BeaconNetwork({ domains: [designSize], upstreams: 1, seed: 5 });
+    await network.time.run(2_000);
+    const [behind, ...others] = network.daemons;
+    others.forEach(daemon => {
+        daemon.revision = 2;
+    });
+    await network.time.run(1_000);
+    assert.equal(behind!.peerRevision, 2);
+    network.close();
+});
--- a/src/beacon/beacon_exchange.ts
+++ b/src/beacon/beacon_exchange.ts
@@ -1,6 +1,10 @@
 /**
- * Tells the daemons of the own failure domain how the owned upstreams do, at once when that changes, and one daemon
- * of each other failure domain when an upstream begins or ceases to fail.
+ * Tells the other daemons how the owned upstreams do, at a cost that does not grow with their number.
+ *
+ * In each period a daemon probes one daemon of its group and one other of its failure domain, each in random order.
+ * A beacon holds the state of an own upstream and the newest states of others, which spread so from daemon to daemon.
+ * News, that an upstream begins or ceases to fail or to leave, are sent to a few daemons at once, which pass them on,
+ * and to one daemon of each other failure domain.
  *
  * @example
  * ```ts
@@ -25,10 +29,17 @@
 import type { MembershipTable } from "../membership/membership_table.ts";
 import type { OwnerIdentity } from "../operations/owner_identity.ts";
 import type { Beacon } from "./beacon.ts";
+import { BeaconKind } from "./beacon_kind.ts";
+import { BeaconSender } from "./beacon_sender.ts";
 import type { BeaconTransport } from "./beacon_transport.ts";
 import type { CountExchange } from "./count_exchange.ts";
+import { DomainPeers } from "./domain_peers.ts";
+import { NewsSender } from "./news_sender.ts";
 import type { PathObserver } from "./path_observer.ts";
 import { PeerLiveness } from "./peer_liveness.ts";
+import { PeerRotation } from "./peer_rotation.ts";
+import { ReportNovelty } from "./report_novelty.ts";
+import { ReportTable } from "./report_table.ts";
 import type { RevisionExchange } from "./revision_exchange.ts";
 import type { StateObserver } from "./state_observer.ts";
 
@@ -47,77 +58,93 @@
     readonly logger: Logger;
 }
 
-/** Milliseconds between beacons while nothing changes. */
-const periodMs = 250;
-/** Milliseconds between two beacons about small changes, for example of the load. */
-const changeMs = 40;
-/** Milliseconds after which news for other failure domains are sent once more, since datagrams get lost. */
-const repeatMs = 300;
-/** Probability of a fault at which an upstream counts as failing for other failure domains. */
-const failingLimit = 0.25;
+/**
+ * Milliseconds between two rounds of probes. Two probes and two answers in each round, sent and received, are about
+ * 5 KB a second of the 6 KB that a daemon may use for control.
+ */
+const periodMs = 300;
+/** Reports of other daemons in a probe; counts take the place of one of them. */
+const reportsPerProbe = 3;
+const reportsPerGroupProbe = 2;
+/** Probes in a round beyond the two, to daemons that have not answered. */
+const extraProbes = 2;
 
 /** Sends and receives beacons. */
 export class BeaconExchange implements LeavingAnnouncer, PathObserver {
-    private readonly liveness: PeerLiveness;
+    private readonly peers: DomainPeers;
+    private readonly liveness = new PeerLiveness();
+    private readonly reports = new ReportTable();
+    private readonly sender: BeaconSender;
+    private readonly news: NewsSender;
+    private readonly groupRotation: PeerRotation;
+    private readonly otherRotation: PeerRotation;
     private timer: Timer | undefined;
-    private changeTimer: Timer | undefined;
-    private repeatTimer: Timer | undefined;
-    private sentAtMs = -Infinity;
-    private classes = "";
+    private nextOwn = 0;
     private silent: ReadonlySet<string> = new Set();
     private closed = false;
 
     constructor(private readonly options: Options) {
-        this.liveness = new PeerLiveness(options.identity.ownerId);
+        const { failureDomain, identity, membership, random } = options;
+        const getDaemons = () => membership.getDaemons();
+        const { reports } = this;
+        const peers = new DomainPeers({ daemonId: identity.ownerId, failureDomain, getDaemons });
+        this.peers = peers;
+        this.sender = new BeaconSender({ ...options, peers, liveness: this.liveness });
+        this.news = new NewsSender({ ...options, peers, reports, sender: this.sender });
+        this.groupRotation = new PeerRotation(random);
+        this.otherRotation = new PeerRotation(random);
     }
 
     start(): void {
-        this.send();
+        this.sendRound();
     }
 
     close(): void {
         this.closed = true;
         this.timer?.close();
-        this.changeTimer?.close();
-        this.repeatTimer?.close();
+        this.news.close();
     }
 
     /** Call when the state of an owned upstream may have changed. */
     recordChange(): void {
-        if (this.closed) {
-            return;
-        }
-        if (formatClasses(this.options.listStates()) !== this.classes) {
-            this.send();
-            return;
+        if (!this.closed) {
+            this.news.recordStates(this.options.listStates());
         }
-        const dueMs = this.sentAtMs + changeMs - this.options.clock.getMonotonicMs();
-        this.changeTimer ??= this.options.timers.start(Math.max(0, dueMs), () => this.send());
     }
 
     sendLeaving(): void {
-        this.send();
+        this.recordChange();
     }
 
     handleBeacon(beacon: Beacon): void {
-        const { clock, identity, membership, observer } = this.options;
-        const { daemonId, heard, incarnation, upstreams } = beacon;
-        if (daemonId === identity.ownerId) {
+        const { clock, identity, membership, revisions } = this.options;
+        const { counts, daemonId, incarnation, kind } = beacon;
+        if (this.closed || daemonId === identity.ownerId) {
             return;
         }
-        const nowMs = clock.getMonotonicMs();
+        const before = membership.getIncarnation(daemonId);
         membership.recordIncarnation(daemonId, incarnation, false);
-        if (membership.getDaemons().get(daemonId)?.failureDomain === this.options.failureDomain) {
-            this.liveness.record(daemonId, heard, nowMs);
-            this.options.counts.recordPeer(daemonId, incarnation, beacon.counts);
+        const hasRestarted = before !== undefined && before !== incarnation
+            && membership.getIncarnation(daemonId) === incarnation;
+        this.updatePeers();
+        const nowMs = clock.getMonotonicMs();
+        const peer = this.peers.find(daemonId);
+        if (peer !== undefined && kind === BeaconKind.Probe) {
+            this.sender.send(peer, BeaconKind.Answer, []);
+        }
+        if (peer !== undefined && kind === BeaconKind.Answer) {
+            this.liveness.recordAnswer(daemonId, nowMs);
         }
-        this.options.revisions.recordPeerRevision(beacon.revision);
-        for (const state of upstreams) {
-            observer.recordState(state, nowMs);
+        if (this.peers.isInGroup(daemonId) && kind !== BeaconKind.News) {
+            this.options.counts.recordPeer(daemonId, incarnation, counts);
         }
-        if (beacon.relay) {
-            this.sendToDomain({ ...beacon, relay: false });
+        revisions.recordPeerRevision(beacon.revision);
+        for (const peerId of beacon.suspects) {
+            if (this.peers.find(peerId) !== undefined) {
+                this.liveness.recordSuspicion(peerId, nowMs);
+            }
         }
+        this.handleReports(beacon, hasRestarted, nowMs);
     }
 
     /** True when the path to a daemon of the own failure domain is cut in either direction. */
@@ -125,26 +152,84 @@
         return this.liveness.isSilent(daemonId, this.options.clock.getMonotonicMs());
     }
 
-    private send(): void {
-        if (this.closed) {
-            return;
+    /** Share of all daemons that share their counts with this one. */
+    getGroupShare(): number {
+        this.updatePeers();
+        return this.peers.getGroupShare();
+    }
+
+    private handleReports({ daemonId, reports }: Beacon, hasRestarted: boolean, nowMs: number): void {
+        const { failureDomain, identity, membership, observer } = this.options;
+        let hasNews = false;
+        for (const report of reports) {
+            const { upstreamId } = report.state;
+            const upstream = membership.find(upstreamId);
+            if (upstream?.ownerId === identity.ownerId) {
+                continue;
+            }
+            const isLocal = upstream?.failureDomain === failureDomain;
+            // The clock of the instance may have stepped back before the restart, and with it the sequence.
+            const isFirst = hasRestarted && upstream?.ownerId === daemonId;
+            const novelty = this.reports.record(report, { isLocal, isFirst, nowMs });
+            if (novelty !== ReportNovelty.Known) {
+                observer.recordState(report.state, nowMs - report.ageMs);
+            }
+            hasNews ||= novelty === ReportNovelty.News;
         }
+        if (hasNews) {
+            this.news.sendHeard(daemonId, nowMs);
+        }
+    }
+
+    /** Probes a daemon of the group, another one of the failure domain, and some that have not answered. */
+    private sendRound(): void {
         const { clock, listStates, timers } = this.options;
-        this.changeTimer?.close();
-        this.changeTimer = undefined;
-        this.timer?.close();
-        this.timer = timers.start(periodMs, () => this.send());
-        this.sentAtMs = clock.getMonotonicMs();
-        this.liveness.removeExcept(this.options.membership.getDaemons());
+        this.timer = timers.start(periodMs, () => this.sendRound());
+        this.updatePeers();
         this.recordSilence();
-        const upstreams = listStates();
-        this.sendToDomain(this.buildBeacon(upstreams, false));
-        const classes = formatClasses(upstreams);
-        if (classes !== this.classes) {
-            this.classes = classes;
-            this.sendToOthers();
-            this.repeatTimer?.close();
-            this.repeatTimer = timers.start(repeatMs, () => this.sendToOthers());
+        const nowMs = clock.getMonotonicMs();
+        const states = listStates();
+        this.news.recordStates(states);
+        const targets = new Set<Daemon>();
+        for (const peerId of this.liveness.listDoubtful(nowMs).slice(0, extraProbes)) {
+            const peer = this.peers.find(peerId);
+            if (peer !== undefined) {
+                targets.add(peer);
+            }
+        }
+        for (
+            const peer of [
+                this.groupRotation.take(this.peers.listGroup()),
+                this.otherRotation.take(this.peers.listOthers()),
+            ]
+        ) {
+            if (peer !== undefined) {
+                targets.add(peer);
+            }
+        }
+        for (const peer of targets) {
+            this.liveness.recordProbe(peer.id, nowMs);
+            this.sendProbe(peer, states, nowMs);
+        }
+    }
+
+    private sendProbe(peer: Daemon, states: readonly UpstreamState[], nowMs: number): void {
+        const isInGroup = this.peers.isInGroup(peer.id);
+        const others = this.reports.take(isInGroup ? reportsPerGroupProbe : reportsPerProbe, nowMs);
+        this.nextOwn += 1;
+        const own = states[this.nextOwn % Math.max(1, states.length)];
+        this.sender.send(
+            peer,
+            BeaconKind.Probe,
+            own === undefined ? others : [this.sender.buildReport(own), ...others],
+        );
+    }
+
+    private updatePeers(): void {
+        if (this.peers.update()) {
+            const { membership } = this.options;
+            this.liveness.removeExcept(id => this.peers.find(id) !== undefined);
+            this.reports.removeExcept(id => membership.find(id) !== undefined);
         }
     }
 
@@ -164,52 +249,4 @@
         }
         this.silent = silent;
     }
-
-    private sendToDomain(beacon: Beacon): void {
-        const { failureDomain, transport } = this.options;
-        for (const daemon of this.listPeers()) {
-            if (daemon.failureDomain === failureDomain && daemon.id !== beacon.daemonId) {
-                transport.send(daemon.address, beacon);
-            }
-        }
-    }
-
-    /** Sends to one daemon of each other failure domain, which passes it on. */
-    private sendToOthers(): void {
-        const { failureDomain, listStates, random, transport } = this.options;
-        const domains = new Map<string, Daemon[]>();
-        for (const daemon of this.listPeers()) {
-            if (daemon.failureDomain !== failureDomain) {
-                domains.set(daemon.failureDomain, [...domains.get(daemon.failureDomain) ?? [], daemon]);
-            }
-        }
-        const beacon = this.buildBeacon(listStates(), true);
-        for (const daemons of domains.values()) {
-            const daemon = daemons[Math.floor(random.take() * daemons.length)];
-            if (daemon !== undefined) {
-                transport.send(daemon.address, beacon);
-            }
-        }
-    }
-
-    private listPeers(): readonly Daemon[] {
-        const { identity, membership } = this.options;
-        return [...membership.getDaemons().values()].filter(({ id }) => id !== identity.ownerId);
-    }
-
-    private buildBeacon(upstreams: readonly UpstreamState[], relay: boolean): Beacon {
-        const { clock, identity, revisions } = this.options;
-        const { incarnation, ownerId: daemonId } = identity;
-        const heard = relay ? [] : this.liveness.listHeard(clock.getMonotonicMs());
-        const counts = relay ? [] : this.options.counts.listCounts();
-        const revision = revisions.getRevision();
-        return { daemonId, incarnation, relay, upstreams, heard, counts, revision };
-    }
-}
-
-/** What other failure domains want to know about the upstreams. */
-function formatClasses(upstreams: readonly UpstreamState[]): string {
-    return upstreams.map(({ faultProbability, leaving, upstreamId }) =>
-        `${upstreamId} ${leaving} ${faultProbability > failingLimit}`
-    ).join();
 }
--- /dev/null
+++ b/src/beacon/beacon_sender.ts
@@ -0,0 +1,56 @@
+import type { Clock } from "../core/clock.ts";
+import type { UpstreamState } from "../core/upstream_state.ts";
+import type { Daemon } from "../membership/daemon.ts";
+import type { OwnerIdentity } from "../operations/owner_identity.ts";
+import type { BeaconKind } from "./beacon_kind.ts";
+import type { BeaconTransport } from "./beacon_transport.ts";
+import type { CountExchange } from "./count_exchange.ts";
+import type { DomainPeers } from "./domain_peers.ts";
+import type { PeerLiveness } from "./peer_liveness.ts";
+import type { RevisionExchange } from "./revision_exchange.ts";
+import type { UpstreamReport } from "./upstream_report.ts";
+
+interface Options {
+    readonly clock: Clock;
+    readonly identity: OwnerIdentity;
+    readonly transport: BeaconTransport;
+    readonly counts: CountExchange;
+    readonly revisions: RevisionExchange;
+    readonly peers: DomainPeers;
+    readonly liveness: PeerLiveness;
+}
+
+/** Services whose counts one beacon holds. */
+const countsPerBeacon = 6;
+/** Daemons without an answer that one beacon names. */
+const suspectsPerBeacon = 2;
+
+/** Puts together the beacons of one daemon. */
+export class BeaconSender {
+    private sequence: number;
+
+    constructor(private readonly options: Options) {
+        // A process that follows another one on the same instance goes on above the numbers of the former.
+        this.sequence = options.clock.getWallMs();
+    }
+
+    send(peer: Daemon, kind: BeaconKind, reports: readonly UpstreamReport[]): void {
+        const { counts, identity, liveness, peers, revisions, transport } = this.options;
+        transport.send(peer.address, {
+            kind,
+            daemonId: identity.ownerId,
+            incarnation: identity.incarnation,
+            reports,
+            counts: peers.isInGroup(peer.id) ? counts.listCounts(countsPerBeacon) : [],
+            revision: revisions.getRevision(),
+            // The one that was probed last comes first next time, so that all are named in turn.
+            suspects: liveness.listSuspects().slice(-suspectsPerBeacon),
+        });
+    }
+
+    /** Report of an own upstream, newer than all before. */
+    buildReport(state: UpstreamState): UpstreamReport {
+        this.sequence += 1;
+        return { state, sequence: this.sequence, ageMs: 0 };
+    }
+}
--- /dev/null
+++ b/src/beacon/news_sender.ts
@@ -0,0 +1,139 @@
+/**
+ * Sends news of upstreams at once: to a few daemons of the own failure domain, which pass them on, and to one daemon of
+ * each other failure domain.
+ *
+ * @example
+ * ```ts
+ * const news = new NewsSender(options);
+ * news.recordStates(listStates());
+ * news.sendHeard(reports, "daemon-2");
+ * news.close();
+ * ```
+ *
+ * @module
+ */
+import type { Clock } from "../core/clock.ts";
+import type { RandomSource } from "../core/random_source.ts";
+import type { Timer } from "../core/timer.ts";
+import type { Timers } from "../core/timers.ts";
+import type { UpstreamState } from "../core/upstream_state.ts";
+import { BeaconKind } from "./beacon_kind.ts";
+import type { BeaconSender } from "./beacon_sender.ts";
+import { decideNewsClass } from "./decide_news_class.ts";
+import type { DomainPeers } from "./domain_peers.ts";
+import { NewsBudget } from "./news_budget.ts";
+import { NewsClass } from "./news_class.ts";
+import { PeerRotation } from "./peer_rotation.ts";
+import type { ReportTable } from "./report_table.ts";
+import type { UpstreamReport } from "./upstream_report.ts";
+
+interface Options {
+    readonly clock: Clock;
+    readonly timers: Timers;
+    readonly random: RandomSource;
+    readonly peers: DomainPeers;
+    readonly sender: BeaconSender;
+    readonly reports: ReportTable;
+    readonly listStates: () => readonly UpstreamState[];
+}
+
+/** Reports in a beacon with news. */
+const reportsPerNews = 6;
+/** Daemons to which the owner sends its news, and to which a daemon that hears news passes them on. */
+const ownFanOut = 3;
+const relayFanOut = 2;
+/**
+ * Milliseconds for each other failure domain between two beacons with news to each of them, so that an upstream that
+ * flaps costs a bounded number of beacons however many failure domains there are.
+ */
+const foreignGapMs = 100;
+/** Beacons with the same news to each other failure domain; a second one stands in for a lost one. */
+const foreignSends = 2;
+
+/** News of the own upstreams and those heard of others. */
+export class NewsSender {
+    private readonly budget: NewsBudget;
+    private readonly rotation: PeerRotation;
+    private foreignTimer: Timer | undefined;
+    /** News class of each own upstream as last told. */
+    private readonly told = new Map<string, NewsClass>();
+    /** Sends to other failure domains that are left for each own upstream with news. */
+    private readonly foreignNews = new Map<string, number>();
+    private closed = false;
+
+    constructor(private readonly options: Options) {
+        this.budget = new NewsBudget(options.clock);
+        this.rotation = new PeerRotation(options.random);
+    }
+
+    close(): void {
+        this.closed = true;
+        this.foreignTimer?.close();
+    }
+
+    /** Passes on news that a daemon has sent. */
+    sendHeard(fromId: string, nowMs: number): void {
+        this.send(this.options.reports.takeNews(reportsPerNews, nowMs), relayFanOut, fromId);
+    }
+
+    /** Sends the states of own upstreams whose news class has changed. */
+    recordStates(states: readonly UpstreamState[]): void {
+        const { sender } = this.options;
+        const changed: UpstreamState[] = [];
+        for (const state of states) {
+            const newsClass = decideNewsClass(state);
+            if (newsClass !== (this.told.get(state.upstreamId) ?? NewsClass.Working)) {
+                this.told.set(state.upstreamId, newsClass);
+                this.foreignNews.set(state.upstreamId, foreignSends);
+                changed.push(state);
+            }
+        }
+        if (changed.length > 0) {
+            this.send(changed.slice(0, reportsPerNews).map(state => sender.buildReport(state)), ownFanOut);
+        }
+        if (this.foreignNews.size > 0 && this.foreignTimer === undefined) {
+            this.sendForeign();
+        }
+    }
+
+    private send(reports: readonly UpstreamReport[], fanOut: number, fromId?: string): void {
+        for (let sent = 0; sent < fanOut; sent += 1) {
+            const peer = this.rotation.take(this.options.peers.listDomain());
+            if (peer !== undefined && peer.id !== fromId && this.budget.take()) {
+                this.options.sender.send(peer, BeaconKind.News, reports);
+            }
+        }
+    }
+
+    /** Sends news to one daemon of each other failure domain, which passes them on. */
+    private sendForeign(): void {
+        this.foreignTimer = undefined;
+        if (this.closed || this.foreignNews.size === 0) {
+            return;
+        }
+        const { peers, random, sender, timers } = this.options;
+        const states = this.options.listStates().filter(({ upstreamId }) => this.foreignNews.has(upstreamId))
+            .slice(0, reportsPerNews);
+        const reports = states.map(state => sender.buildReport(state));
+        for (const { upstreamId } of states) {
+            const left = this.foreignNews.get(upstreamId)! - 1;
+            if (left > 0) {
+                this.foreignNews.set(upstreamId, left);
+            }
+            else {
+                this.foreignNews.delete(upstreamId);
+            }
+        }
+        const domains = peers.listForeign();
+        for (const daemons of domains) {
+            const daemon = daemons[Math.floor(random.take() * daemons.length)];
+            if (daemon !== undefined) {
+                sender.send(daemon, BeaconKind.News, reports);
+            }
+        }
+        this.foreignTimer = timers.start(
+            foreignGapMs * Math.max(1, domains.length),
+            () => this.sendForeign(),
+        );
+    }
+}
--- a/src/beacon/peer_liveness.ts
+++ b/src/beacon/peer_liveness.ts
@@ -1,59 +1,107 @@
 /**
- * Tells which daemons of the own failure domain hear this one and are heard by it.
+ * Tells to which daemons of the own failure domain the path is cut in either direction, by probes that were not
+ * answered.
  *
  * @example
  * ```ts
- * liveness.record("daemon-2", ["daemon-1"], nowMs);
+ * liveness.recordProbe("daemon-2", nowMs);
+ * liveness.recordAnswer("daemon-2");
  * liveness.isSilent("daemon-2", nowMs);
  * ```
  *
  * @module
  */
 
-/** Time in milliseconds without a beacon after which a path counts as cut; three beacons are lost in it. */
+/** Time in milliseconds without an answer after which a path counts as cut. */
 const silentMs = 800;
+/**
+ * Probes without an answer after which a path counts as cut. One or two get lost where packets do, and a daemon whose
+ * own loop stood still has sent only one when it looks for answers.
+ */
+const silentProbes = 3;
+/** Probes without an answer after which other daemons are told. */
+const suspectProbes = 2;
+/** Milliseconds for which an answer outweighs the word of others that a daemon does not answer them. */
+const answerLifeMs = 2_000;
 
-interface Peer {
-    readonly heardAtMs: number;
-    /** Last time at which the peer said that it hears this daemon. */
-    readonly hearsMeAtMs: number;
+interface Unanswered {
+    readonly sinceMs: number;
+    readonly probes: number;
 }
 
-/** Last beacons by daemon. A cut in one direction shows in the list of those that a peer hears. */
+/** Probes and answers by daemon. An answer proves both directions. */
 export class PeerLiveness {
-    private readonly peers = new Map<string, Peer>();
+    /** Last answer of each daemon; one that never gave any may not have started or not know this one yet. */
+    private readonly answeredAtMs = new Map<string, number>();
+    /** Daemons that owe an answer, the one that was probed longest ago first. */
+    private readonly unanswered = new Map<string, Unanswered>();
+    /** Daemons that do not answer others. */
+    private readonly suspected = new Set<string>();
 
-    constructor(private readonly daemonId: string) {}
-
-    record(peerId: string, heard: readonly string[], nowMs: number): void {
-        const known = this.peers.get(peerId);
-        const hearsMe = known === undefined || heard.includes(this.daemonId);
-        this.peers.set(peerId, {
-            heardAtMs: nowMs,
-            hearsMeAtMs: hearsMe ? nowMs : known.hearsMeAtMs,
+    recordProbe(peerId: string, nowMs: number): void {
+        const before = this.unanswered.get(peerId);
+        this.unanswered.delete(peerId);
+        this.unanswered.set(peerId, {
+            sinceMs: before?.sinceMs ?? nowMs,
+            probes: (before?.probes ?? 0) + 1,
         });
+        this.suspected.delete(peerId);
+    }
+
+    recordAnswer(peerId: string, nowMs: number): void {
+        this.answeredAtMs.set(peerId, nowMs);
+        this.unanswered.delete(peerId);
+        this.suspected.delete(peerId);
+    }
+
+    /** Another daemon gets no answers there, so this one should probe it too. */
+    recordSuspicion(peerId: string, nowMs: number): void {
+        const answeredAtMs = this.answeredAtMs.get(peerId);
+        if (
+            answeredAtMs !== undefined && nowMs - answeredAtMs > answerLifeMs && !this.unanswered.has(peerId)
+        ) {
+            this.suspected.add(peerId);
+        }
     }
 
-    /** True when beacons of the daemon arrived before and no longer do, in either direction. */
     isSilent(peerId: string, nowMs: number): boolean {
-        const peer = this.peers.get(peerId);
-        return peer !== undefined && nowMs - Math.min(peer.heardAtMs, peer.hearsMeAtMs) > silentMs;
+        const state = this.unanswered.get(peerId);
+        return state !== undefined && this.answeredAtMs.has(peerId) && isOver(state, nowMs);
     }
 
     listSilent(nowMs: number): readonly string[] {
-        return [...this.peers.keys()].filter(peerId => this.isSilent(peerId, nowMs));
+        return [...this.unanswered.keys()].filter(peerId => this.isSilent(peerId, nowMs));
+    }
+
+    /** Daemons to name to others: the path may be cut here only, so they shall find out for themselves. */
+    listSuspects(): readonly string[] {
+        return [...this.unanswered].flatMap(([peerId, { probes }]) =>
+            probes >= suspectProbes && this.answeredAtMs.has(peerId) ? [peerId] : []
+        );
     }
 
-    listHeard(nowMs: number): readonly string[] {
-        return [...this.peers].filter(([, { heardAtMs }]) => nowMs - heardAtMs <= silentMs).map(([id]) => id);
+    /** Daemons to probe out of turn, last those that are known to be silent. */
+    listDoubtful(nowMs: number): readonly string[] {
+        const undecided: string[] = [];
+        const decided: string[] = [];
+        for (const [peerId, state] of this.unanswered) {
+            (isOver(state, nowMs) ? decided : undecided).push(peerId);
+        }
+        return [...undecided, ...this.suspected, ...decided];
     }
 
     /** Forgets daemons that are no longer listed. */
-    removeExcept(daemons: { has(id: string): boolean; }): void {
-        for (const id of [...this.peers.keys()]) {
-            if (!daemons.has(id)) {
-                this.peers.delete(id);
+    removeExcept(isListed: (peerId: string) => boolean): void {
+        for (const id of [...this.answeredAtMs.keys(), ...this.unanswered.keys(), ...this.suspected]) {
+            if (!isListed(id)) {
+                this.answeredAtMs.delete(id);
+                this.unanswered.delete(id);
+                this.suspected.delete(id);
             }
         }
     }
 }
+
+function isOver({ probes, sinceMs }: Unanswered, nowMs: number): boolean {
+    return probes >= silentProbes && nowMs - sinceMs > silentMs;
+}
--- /dev/null
+++ b/src/beacon/report_table.ts
@@ -0,0 +1,122 @@
+/**
+ * Newest report of each upstream, and which of them are to be passed on next.
+ *
+ * @example
+ * ```ts
+ * if (table.record(report, { isLocal: true, isFirst: false, nowMs }) === ReportNovelty.News) {
+ *     send(table.takeNews(6, nowMs));
+ * }
+ * ```
+ *
+ * @module
+ */
+import type { UpstreamState } from "../core/upstream_state.ts";
+import { decideNewsClass } from "./decide_news_class.ts";
+import { NewsClass } from "./news_class.ts";
+import { ReportNovelty } from "./report_novelty.ts";
+import type { UpstreamReport } from "./upstream_report.ts";
+
+/** Age in milliseconds after which a report is no longer passed on: the load in it has no weight then. */
+const maxAgeMs = 3_000;
+/**
+ * Sends of the same news by a daemon, the first of them to two others. A share of e^-7 of the daemons then hears of it
+ * from none, one in 1,100.
+ */
+const newsSends = 6;
+
+interface Entry {
+    readonly state: UpstreamState;
+    readonly sequence: number;
+    /** Monotonic time of this daemon at which the owner made the report. */
+    readonly madeAtMs: number;
+}
+
+interface Arrival {
+    /** True when the upstream is in the own failure domain, whose daemons keep each other up to date. */
+    readonly isLocal: boolean;
+    /** True when the report is the first one of a process that has replaced another one. */
+    readonly isFirst: boolean;
+    readonly nowMs: number;
+}
+
+/** Reports of one daemon and of those that it hears of. */
+export class ReportTable {
+    private readonly entries = new Map<string, Entry>();
+    /** Sends that are left for each upstream with news, the next one first. */
+    private readonly news = new Map<string, number>();
+    /** Upstreams whose report has been replaced since it was passed on, the next one first. */
+    private readonly replaced = new Set<string>();
+
+    /** Takes a report unless a newer one is known. */
+    record({ ageMs, sequence, state }: UpstreamReport, { isFirst, isLocal, nowMs }: Arrival): ReportNovelty {
+        const { upstreamId } = state;
+        const known = this.entries.get(upstreamId);
+        if (known !== undefined && !isFirst && sequence <= known.sequence) {
+            return ReportNovelty.Known;
+        }
+        this.entries.set(upstreamId, { state, sequence, madeAtMs: nowMs - ageMs });
+        const before = known === undefined ? NewsClass.Working : decideNewsClass(known.state);
+        if (decideNewsClass(state) !== before) {
+            this.news.set(upstreamId, newsSends);
+            return ReportNovelty.News;
+        }
+        if (isLocal) {
+            this.replaced.add(upstreamId);
+        }
+        return ReportNovelty.Newer;
+    }
+
+    /** Takes up to `count` reports to pass on, news first. */
+    take(count: number, nowMs: number): readonly UpstreamReport[] {
+        const reports = [...this.takeNews(count, nowMs)];
+        for (const upstreamId of this.replaced) {
+            if (reports.length >= count) {
+                break;
+            }
+            this.replaced.delete(upstreamId);
+            const report = this.buildReport(upstreamId, nowMs);
+            if (report !== undefined && !reports.some(({ state }) => state === report.state)) {
+                reports.push(report);
+            }
+        }
+        return reports;
+    }
+
+    /** Takes up to `count` reports whose news class has changed lately. */
+    takeNews(count: number, nowMs: number): readonly UpstreamReport[] {
+        const reports: UpstreamReport[] = [];
+        for (const [upstreamId, sends] of [...this.news].slice(0, count)) {
+            this.news.delete(upstreamId);
+            const report = this.buildReport(upstreamId, nowMs);
+            if (report !== undefined) {
+                reports.push(report);
+                if (sends > 1) {
+                    this.news.set(upstreamId, sends - 1);
+                }
+            }
+        }
+        return reports;
+    }
+
+    remove(upstreamId: string): void {
+        this.entries.delete(upstreamId);
+        this.news.delete(upstreamId);
+        this.replaced.delete(upstreamId);
+    }
+
+    /** Forgets the upstreams that are no longer listed. */
+    removeExcept(isListed: (upstreamId: string) => boolean): void {
+        for (const upstreamId of [...this.entries.keys()].filter(id => !isListed(id))) {
+            this.remove(upstreamId);
+        }
+    }
+
+    private buildReport(upstreamId: string, nowMs: number): UpstreamReport | undefined {
+        const entry = this.entries.get(upstreamId);
+        if (entry === undefined || nowMs - entry.madeAtMs > maxAgeMs) {
+            return undefined;
+        }
+        const { madeAtMs, sequence, state } = entry;
+        return { state, sequence, ageMs: nowMs - madeAtMs };
+    }
+}
--- /dev/null
+++ b/src/edge/beacon_udp/encode_beacon.ts
@@ -0,0 +1,24 @@
+import { create, toBinary } from "@bufbuild/protobuf";
+import type { Beacon } from "../../beacon/beacon.ts";
+import { BeaconSchema } from "../../gen/zinniaglade/v1/control_pb.ts";
+
+/** A beacon as a datagram holds it. */
+export function encodeBeacon(beacon: Beacon): Uint8Array {
+    const { counts, daemonId, incarnation, kind, reports, revision, suspects } = beacon;
+    return toBinary(
+        BeaconSchema,
+        create(BeaconSchema, {
+            kind,
+            suspects: [...suspects],
+            daemonId,
+            incarnation,
+            revision: BigInt(revision),
+            counts: counts.map(count => ({ ...count })),
+            reports: reports.map(({ ageMs, sequence, state }) => ({
+                state,
+                sequence: BigInt(sequence),
+                ageMs: Math.round(ageMs),
+            })),
+        }),
+    );
+}
--- a/src/edge/beacon_udp/udp_beacon_transport.ts
+++ b/src/edge/beacon_udp/udp_beacon_transport.ts
@@ -3,10 +3,11 @@
  *
  * @module
  */
-import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
+import { fromBinary } from "@bufbuild/protobuf";
 import { err, fromThrowable, ok, type Result } from "neverthrow";
 import { createSocket, type Socket } from "node:dgram";
 import type { Beacon } from "../../beacon/beacon.ts";
+import { BeaconKind } from "../../beacon/beacon_kind.ts";
 import type { BeaconTransport } from "../../beacon/beacon_transport.ts";
 import { Code } from "../../core/code.ts";
 import { createFailure } from "../../core/create_failure.ts";
@@ -14,10 +15,24 @@
 import type { Metrics } from "../../core/metrics.ts";
 import { BeaconSchema } from "../../gen/zinniaglade/v1/control_pb.ts";
 import { splitAddress } from "../http/split_address.ts";
+import { encodeBeacon } from "./encode_beacon.ts";
 
 const decodeBeacon = fromThrowable((bytes: Uint8Array): Beacon => {
-    const { revision, ...beacon } = fromBinary(BeaconSchema, bytes);
-    return { ...beacon, revision: Number(revision) };
+    const { counts, daemonId, incarnation, kind, reports, revision, suspects } = fromBinary(
+        BeaconSchema,
+        bytes,
+    );
+    return {
+        kind: decodeKind(kind),
+        daemonId,
+        incarnation,
+        reports: reports.flatMap(({ ageMs, sequence, state }) =>
+            state === undefined ? [] : { state, sequence: Number(sequence), ageMs }
+        ),
+        counts,
+        suspects,
+        revision: Number(revision),
+    };
 });
 
 /** A socket on the peer address of this daemon. */
@@ -69,18 +84,6 @@
     }
 }
 
-function encodeBeacon(beacon: Beacon): Uint8Array {
-    const { counts, daemonId, heard, incarnation, relay, revision, upstreams } = beacon;
-    return toBinary(
-        BeaconSchema,
-        create(BeaconSchema, {
-            daemonId,
-            incarnation,
-            relay,
-            revision: BigInt(revision),
-            heard: [...heard],
-            counts: counts.map(count => ({ ...count })),
-            upstreams: upstreams.map(state => ({ ...state })),
-        }),
-    );
+function decodeKind(kind: number): BeaconKind {
+    return kind === BeaconKind.Probe || kind === BeaconKind.Answer ? kind : BeaconKind.News;
 }
--- a/src/forward/fleet_retry_budget.test.ts
+++ b/src/forward/fleet_retry_budget.test.ts
@@ -11,7 +11,7 @@
     return new FleetRetryBudget({
         clock: time,
         getBounds: () => ({ percent, slack, windowMs }),
-        countDomains: () => domains,
+        getGroupShare: () => 1 / domains,
     });
 }
 
@@ -33,7 +33,7 @@
     for (let round = 0; round < 50; round += 1) {
         for (const [index, budget] of budgets.entries()) {
             const other = budgets[1 - index]!;
-            budget.recordPeer(`d${1 - index}`, "i", other.listCounts());
+            budget.recordPeer(`d${1 - index}`, "i", other.listCounts(6));
             taken += budget.take("payments") ? 1 : 0;
         }
     }
@@ -68,3 +68,44 @@
     }
     assert.ok(takeAll(budget) > 0);
 });
+
+test("a group whose requests all begin to fail exceeds its part, since its counts are late", async () => {
+    const size = 8;
+    const periodMs = 300;
+    for (const requestsPerSecond of [0.5, 3, 20]) {
+        const gapMs = 1_000 / requestsPerSecond;
+        const time = new VirtualTime();
+        const budgets = Array.from({ length: size }, () => createBudget(time, 10));
+        const sent: { readonly atMs: number; readonly isRepeat: boolean; }[] = [];
+        const startRequest = (budget: FleetRetryBudget): void => {
+            const atMs = time.getMonotonicMs();
+            budget.add("payments");
+            sent.push({ atMs, isRepeat: false });
+            for (let repeat = 0; atMs > 15_000 && repeat < 2 && budget.take("payments"); repeat += 1) {
+                sent.push({ atMs, isRepeat: true });
+            }
+            time.start(gapMs, () => startRequest(budget));
+        };
+        // Each daemon exchanges counts with one other of the group in each period.
+        const runRound = (round: number): void => {
+            for (const [index, budget] of budgets.entries()) {
+                const peer = (index + 1 + round % (size - 1)) % size;
+                budgets[peer]!.recordPeer(`d${index}`, "i", budget.listCounts(6));
+                budget.recordPeer(`d${peer}`, "i", budgets[peer]!.listCounts(6));
+            }
+            time.start(periodMs, () => runRound(round + 1));
+        };
+        budgets.forEach((budget, index) => time.start(index * gapMs / size, () => startRequest(budget)));
+        runRound(0);
+        await time.run(45_000);
+        for (let endMs = windowMs; endMs <= 45_000; endMs += 100) {
+            const inWindow = sent.filter(({ atMs }) => atMs > endMs - windowMs && atMs <= endMs);
+            const repeats = inWindow.filter(({ isRepeat }) => isRepeat).length;
+            const allowed = (inWindow.length - repeats) * percent / 100 + slack / 10;
+            assert.ok(
+                repeats <= allowed,
+                `${repeats} of ${allowed} at ${endMs} ms, ${requestsPerSecond} a second`,
+            );
+        }
+    }
+});
--- a/src/forward/fleet_retry_budget.ts
+++ b/src/forward/fleet_retry_budget.ts
@@ -2,13 +2,13 @@
  * Retry budget of each service that holds for the whole fleet.
  *
  * The fleet may send a share of its requests once more, and a fixed number of further attempts in each window. The
- * daemons of a failure domain tell each other how many attempts they have sent and use their part together; the fixed
- * number is divided equally between the failure domains, which do not talk about it.
+ * daemons of a group tell each other how many attempts they have sent lately and use their part together; the fixed
+ * number is divided between the groups, which do not talk about it, by their size.
  *
  * @example
  * ```ts
  * const getBounds = () => ({ percent: 20, slack: 64, windowMs: 10_000 });
- * const budget = new FleetRetryBudget({ clock, getBounds, countDomains: () => 3 });
+ * const budget = new FleetRetryBudget({ clock, getBounds, getGroupShare: () => 8 / 90 });
  * budget.recordPeer("daemon-2", "incarnation", counts);
  * ```
  *
@@ -24,18 +24,25 @@
 interface Options {
     readonly clock: Clock;
     readonly getBounds: () => RetryBounds;
-    readonly countDomains: () => number;
+    /** Share of all daemons that tell this one their counts, with this one. */
+    readonly getGroupShare: () => number;
 }
 
-/** Attempts of one service that the daemons of the failure domain have sent lately. */
+/** Attempts of one service that this daemon has counted lately. */
 interface Window {
     readonly requests: SlidingCount;
     readonly repeats: SlidingCount;
+    /** Repeats, own and reported, that were counted in the time that a count takes to reach the group. */
+    readonly groupRepeats: SlidingCount;
+    /** The own ones of these. */
+    readonly ownRepeats: SlidingCount;
 }
 
-interface Counts {
-    requests: number;
-    repeats: number;
+/** What another daemon has reported of one service. */
+interface PeerCount {
+    readonly requests: number;
+    readonly repeats: number;
+    readonly atMs: number;
 }
 
 /**
@@ -43,89 +50,143 @@
  * repeated request makes again.
  */
 const usedShare = 0.9;
+/**
+ * Milliseconds that a count takes to reach the daemons of a group at most: there are seven others, and in each period
+ * of 300 ms one is probed and one probes, so that two report.
+ */
+const reportGapMs = 1_050;
+/** Factor on what is estimated to be unreported, because repeats that have begun to rise go on rising. */
+const growthMargin = 1.5;
 
-/** Counts the attempts of a failure domain over a sliding window. */
+/** Counts the attempts of a group of daemons over a sliding window. */
 export class FleetRetryBudget implements RetryBudget, CountExchange {
     private readonly windows = new Map<string, Window>();
-    private readonly own = new Map<string, Counts>();
-    private readonly peers = new Map<string, Map<string, Counts>>();
+    /** Reports by service, then by daemon and incarnation: what a process sent before it ended still counts. */
+    private readonly peerCounts = new Map<string, Map<string, PeerCount>>();
+    /** Time of the last report of each daemon. */
+    private readonly reportedAtMs = new Map<string, number>();
 
     constructor(private readonly options: Options) {}
 
     add(service: string): void {
-        this.getOwn(service).requests += 1;
         this.getWindow(service).requests.add(1, this.options.clock.getMonotonicMs());
     }
 
     has(service: string, share = 1): boolean {
-        const { clock, countDomains, getBounds } = this.options;
-        const { percent, slack } = getBounds();
+        const { clock, getBounds, getGroupShare } = this.options;
+        const { percent, slack, windowMs } = getBounds();
         const nowMs = clock.getMonotonicMs();
-        const { repeats, requests } = this.getWindow(service);
-        const allowed = requests.get(nowMs) * percent / 100 + slack / Math.max(1, countDomains());
-        return repeats.get(nowMs) + 1 <= share * usedShare * allowed;
+        const window = this.getWindow(service);
+        let requests = window.requests.get(nowMs);
+        let repeats = window.repeats.get(nowMs);
+        for (const count of this.listPeerCounts(service, nowMs - windowMs)) {
+            requests += count.requests;
+            repeats += count.repeats;
+        }
+        const unreported = this.computeUnreported(window, nowMs - windowMs, nowMs);
+        const allowed = requests * percent / 100 + slack * getGroupShare();
+        return repeats + unreported + 1 <= share * usedShare * allowed;
     }
 
     take(service: string): boolean {
         if (!this.has(service)) {
             return false;
         }
-        this.getOwn(service).repeats += 1;
-        this.getWindow(service).repeats.add(1, this.options.clock.getMonotonicMs());
+        this.addRepeats(service, 1);
         return true;
     }
 
     release(service: string): void {
-        this.getOwn(service).repeats -= 1;
-        this.getWindow(service).repeats.add(-1, this.options.clock.getMonotonicMs());
+        this.addRepeats(service, -1);
     }
 
-    /** What this daemon has sent, for the other daemons of its failure domain. */
-    listCounts(): readonly ServiceCount[] {
-        return [...this.own].map(([service, counts]) => ({ service, ...counts }));
+    /** What this daemon has sent lately, for the other daemons of its group; services with repeats come first. */
+    listCounts(limit: number): readonly ServiceCount[] {
+        const nowMs = this.options.clock.getMonotonicMs();
+        const counts = [...this.windows].map(([service, { repeats, requests }]) => ({
+            service,
+            requests: requests.get(nowMs),
+            repeats: Math.max(0, repeats.get(nowMs)),
+        }));
+        const listed = counts.filter(({ repeats, requests }) => requests > 0 || repeats > 0)
+            .sort((left, right) => Math.sign(right.repeats) - Math.sign(left.repeats))
+            .slice(0, limit);
+        for (const { service } of listed) {
+            // Moves the service to the end, so that all of them are told in turn.
+            const window = this.getWindow(service);
+            this.windows.delete(service);
+            this.windows.set(service, window);
+        }
+        return listed;
     }
 
-    /** Takes the counts of another daemon of the failure domain, which begin at 0 with each incarnation. */
     recordPeer(daemonId: string, incarnation: string, counts: readonly ServiceCount[]): void {
-        const nowMs = this.options.clock.getMonotonicMs();
-        const key = `${daemonId} ${incarnation}`;
-        const known = this.peers.get(key) ?? new Map<string, Counts>();
+        const atMs = this.options.clock.getMonotonicMs();
+        this.reportedAtMs.set(daemonId, atMs);
         for (const { repeats, requests, service } of counts) {
-            const before = known.get(service) ?? { requests: 0, repeats: 0 };
-            const window = this.getWindow(service);
-            window.requests.add(requests - before.requests, nowMs);
-            window.repeats.add(repeats - before.repeats, nowMs);
-            known.set(service, { requests, repeats });
+            let peers = this.peerCounts.get(service);
+            if (peers === undefined) {
+                peers = new Map();
+                this.peerCounts.set(service, peers);
+            }
+            const key = `${daemonId} ${incarnation}`;
+            const added = repeats - (peers.get(key)?.repeats ?? 0);
+            if (added > 0) {
+                this.getWindow(service).groupRepeats.add(added, atMs);
+            }
+            peers.set(key, { requests, repeats, atMs });
         }
-        if (!this.peers.has(key)) {
-            this.removePeer(daemonId);
-            this.peers.set(key, known);
+    }
+
+    private addRepeats(service: string, amount: number): void {
+        const nowMs = this.options.clock.getMonotonicMs();
+        const { groupRepeats, ownRepeats, repeats } = this.getWindow(service);
+        repeats.add(amount, nowMs);
+        groupRepeats.add(amount, nowMs);
+        ownRepeats.add(amount, nowMs);
+    }
+
+    /** Reports that are not older than `sinceMs`; forgets the others. */
+    private listPeerCounts(service: string, sinceMs: number): readonly PeerCount[] {
+        const peers = this.peerCounts.get(service) ?? new Map<string, PeerCount>();
+        for (const [key, { atMs }] of peers) {
+            if (atMs < sinceMs) {
+                peers.delete(key);
+            }
         }
+        return [...peers.values()];
     }
 
-    /** Forgets the earlier incarnations of a daemon. */
-    private removePeer(daemonId: string): void {
-        for (const key of [...this.peers.keys()].filter(known => known.startsWith(`${daemonId} `))) {
-            this.peers.delete(key);
+    /**
+     * Repeats that the group has not told yet. It is taken to go on as it did, for as long as the reports are old, or to
+     * do as this daemon does, because a fault that makes requests fail here makes them fail there too.
+     */
+    private computeUnreported({ groupRepeats, ownRepeats }: Window, sinceMs: number, nowMs: number): number {
+        let shares = 0;
+        for (const [daemonId, atMs] of this.reportedAtMs) {
+            if (atMs < sinceMs) {
+                this.reportedAtMs.delete(daemonId);
+            }
+            else {
+                shares += Math.min(1, growthMargin * (nowMs - atMs) / reportGapMs);
+            }
         }
+        const asBefore = groupRepeats.get(nowMs) * shares / Math.max(1, this.reportedAtMs.size);
+        return Math.max(asBefore, ownRepeats.get(nowMs) * shares);
     }
 
     private getWindow(service: string): Window {
         let window = this.windows.get(service);
         if (window === undefined) {
             const { windowMs } = this.options.getBounds();
-            window = { requests: new SlidingCount(windowMs), repeats: new SlidingCount(windowMs) };
+            window = {
+                requests: new SlidingCount(windowMs),
+                repeats: new SlidingCount(windowMs),
+                groupRepeats: new SlidingCount(reportGapMs),
+                ownRepeats: new SlidingCount(reportGapMs),
+            };
             this.windows.set(service, window);
         }
         return window;
     }
-
-    private getOwn(service: string): Counts {
-        let counts = this.own.get(service);
-        if (counts === undefined) {
-            counts = { requests: 0, repeats: 0 };
-            this.own.set(service, counts);
-        }
-        return counts;
-    }
 }
--- a/src/forward/service_count.ts
+++ b/src/forward/service_count.ts
@@ -1,4 +1,4 @@
-/** Attempts of one service that a daemon has sent since its start. */
+/** Attempts of one service that a daemon has sent in the last window of the retry budget. */
 export interface ServiceCount {
     readonly service: string;
     /** First attempts. */
--- a/src/wiring/build_entry.ts
+++ b/src/wiring/build_entry.ts
@@ -57,8 +57,7 @@
     const fleetBudget = adapters === undefined ? undefined : new FleetRetryBudget({
         clock,
         getBounds: () => adapters.getRetryBounds(),
-        countDomains: () =>
-            new Set([...membership.getDaemons().values()].map(daemon => daemon.failureDomain)).size,
+        getGroupShare: () => control.beacons?.exchange.getGroupShare() ?? 0,
     });
     const budget = fleetBudget ?? new TokenRetryBudget(clock);
     const parts = { ...base, ...place, membership, leaving: membership };
--- a/src/wiring/build_store_control.ts
+++ b/src/wiring/build_store_control.ts
@@ -43,7 +43,7 @@
         observer: { recordState: (state, nowMs) => links.observer.recordState(state, nowMs) },
         listStates: () => links.listStates(),
         counts: {
-            listCounts: () => links.counts.listCounts(),
+            listCounts: limit => links.counts.listCounts(limit),
             recordPeer: (...peer) => links.counts.recordPeer(...peer),
         },
     });
