Find the own upstreams once for each list and not for each request

Cause: the state of the own upstreams is read at each start and end of a request and with each beacon, and ListedUpstreams.list filtered the whole list of the platform for it: 24,000 upstreams at the size that the design is for.

--- a/src/membership/listed_upstreams.ts
+++ b/src/membership/listed_upstreams.ts
@@ -1,3 +1,4 @@
+import type { InstanceList } from "../published/instance_list.ts";
 import type { OwnedUpstream } from "../queue/owned_upstream.ts";
 import type { OwnedUpstreamReader } from "../queue/owned_upstream_reader.ts";
 import type { MembershipTable } from "./membership_table.ts";
@@ -18,6 +19,10 @@
  * the upstream itself refuses requests that are meant for another.
  */
 export class ListedUpstreams implements OwnedUpstreamReader {
+    private indexed: InstanceList | undefined;
+    /** Identifiers of the listed upstreams at the address, found once for each list. */
+    private ids: readonly string[] = [];
+
     constructor(private readonly options: Options) {}
 
     find(id: string): OwnedUpstream | undefined {
@@ -36,8 +41,11 @@
 
     list(): readonly OwnedUpstream[] {
         const { address, membership } = this.options;
-        return membership.getList().list.upstreams
-            .filter(upstream => upstream.address === address)
-            .flatMap(({ id }) => this.find(id) ?? []);
+        const { list } = membership.getList();
+        if (list !== this.indexed) {
+            this.indexed = list;
+            this.ids = list.upstreams.filter(upstream => upstream.address === address).map(({ id }) => id);
+        }
+        return this.ids.flatMap(id => this.find(id) ?? []);
     }
 }
