Try suspected upstreams without retry budget, and with run-once work

Cause: a suspected upstream returns only by a success of a request that may learn, and a request may learn only while four tenths of the retry budget are left. Failures use up that budget, so nobody tries suspected upstreams just when many are suspected. Besides, a trial needed 250 ms without a report of the owner, whose beacons come every 250 ms. Without a trial the belief fades to the prior of 0.286, above the limit of 0.25 for run-once work: an upstream of a service without idempotent work never returned.

Fix: the age of the last failure decides and not the budget. A belief that has faded to 0.8 (within 2 s of the last failure) is tried by idempotent work with an attempt to spare, one of 0.6 (within 5 s) by a tenth of the other work. Senders draw lots, and the owner lets one trial in 250 ms through by its own, fresh belief, so the number of trials depends neither on the number of senders nor on fresh reports.

Two tests of the selector stated that run-once work never and idempotent work without budget never tries a suspected upstream. They now state it for beliefs above the limits of a trial, over 400 selections in place of one, and new tests bound the trials below them.

--- /dev/null
+++ b/proof/health/noisy_upstream.ts
@@ -0,0 +1,92 @@
+import type { RandomSource } from "../../src/core/random_source.ts";
+import type { Timers } from "../../src/core/timers.ts";
+import type { UpstreamClient } from "../../src/dispatch/upstream_client.ts";
+import type { UpstreamResult } from "../../src/dispatch/upstream_result.ts";
+import { UpstreamResultKind } from "../../src/dispatch/upstream_result_kind.ts";
+import type { OwnerRequest } from "../../src/queue/owner_request.ts";
+import type { VirtualTime } from "../fakes/virtual_time.ts";
+
+/** Each upstream decides at this interval whether it has a spell, with this probability. */
+const spellMs = 9_000;
+const spellShare = 0.3;
+/** Shares of requests that fail at once during a spell and otherwise. */
+const spellFailShare = 0.85;
+const usualFailShare = 0.012;
+/** Milliseconds of a failure before any work, and spread of service times: deviation of their logarithm. */
+const promptMs = 3;
+const spread = 0.6;
+
+interface Options {
+    readonly time: VirtualTime & Timers;
+    readonly random: RandomSource;
+    readonly durationMs: number;
+    /** Share of the requests that fail after they were worked on, because of another service. */
+    readonly lateFailShare: number;
+}
+
+/** Upstream of a service in which, at any time, part of the upstreams fail most requests. */
+export class NoisyUpstream implements UpstreamClient {
+    /** Starts and ends of spells in virtual milliseconds. */
+    readonly spells: (readonly [number, number])[] = [];
+    readonly arrivalsMs: number[] = [];
+
+    constructor(private readonly options: Options) {
+        const { durationMs, random } = options;
+        for (let startMs = -spellMs * random.take(); startMs < durationMs; startMs += spellMs) {
+            if (random.take() < spellShare) {
+                this.spells.push([startMs, startMs + spellMs]);
+            }
+        }
+    }
+
+    send({ route }: OwnerRequest, timeoutMs: number, signal: AbortSignal): Promise<UpstreamResult> {
+        const { lateFailShare, random, time } = this.options;
+        const nowMs = time.getMonotonicMs();
+        this.arrivalsMs.push(nowMs);
+        if (random.take() < (this.hasSpell(nowMs, nowMs) ? spellFailShare : usualFailShare)) {
+            return this.waitForEnd(promptMs, 500);
+        }
+        const normal = Math.sqrt(-2 * Math.log(1 - random.take())) * Math.cos(2 * Math.PI * random.take());
+        const serviceMs = route.serviceMs * Math.exp(spread * normal);
+        const status = random.take() < lateFailShare ? 500 : 200;
+        return Promise.race([
+            this.waitForEnd(Math.min(serviceMs, timeoutMs), serviceMs > timeoutMs ? undefined : status),
+            new Promise<UpstreamResult>(resolve => {
+                signal.addEventListener("abort", () => resolve(buildResult(UpstreamResultKind.Cancelled)));
+            }),
+        ]);
+    }
+
+    close(): Promise<void> {
+        return Promise.resolve();
+    }
+
+    /** True when a spell touches the span. */
+    hasSpell(fromMs: number, toMs: number): boolean {
+        return this.spells.some(([startMs, endMs]) => startMs <= toMs && fromMs < endMs);
+    }
+
+    countArrivals(fromMs: number, toMs: number): number {
+        return this.arrivalsMs.filter(atMs => atMs >= fromMs && atMs < toMs).length;
+    }
+
+    /** Without a status, the request is given up. */
+    private waitForEnd(delayMs: number, status: number | undefined): Promise<UpstreamResult> {
+        return new Promise(resolve =>
+            this.options.time.start(
+                delayMs,
+                () =>
+                    resolve(
+                        status === undefined
+                            ? buildResult(UpstreamResultKind.TimedOut)
+                            : buildResult(UpstreamResultKind.Answered, status),
+                    ),
+            )
+        );
+    }
+}
+
+function buildResult(kind: UpstreamResultKind, status?: number): UpstreamResult {
+    const answer = status === undefined ? undefined : { status, headers: [], body: new Uint8Array() };
+    return { kind, answer, detail: kind };
+}
--- /dev/null
+++ b/proof/health/selection_fleet.ts
@@ -0,0 +1,217 @@
+/**
+ * Senders and owners of one service in virtual time: real selection, attempts, retry budget and owners, with fakes for
+ * the paths and beacons between daemons and for the upstreams.
+ *
+ * @module
+ */
+import type { RouteConfig } from "../../src/config/route_config.ts";
+import { Code } from "../../src/core/code.ts";
+import type { RandomSource } from "../../src/core/random_source.ts";
+import { AttemptExchanger } from "../../src/forward/attempt_exchanger.ts";
+import { AttemptRun } from "../../src/forward/attempt_run.ts";
+import { FleetRetryBudget } from "../../src/forward/fleet_retry_budget.ts";
+import type { Forwarder } from "../../src/forward/forwarder.ts";
+import type { RetryBudget } from "../../src/forward/retry_budget.ts";
+import { suspicion } from "../../src/health/suspicion.ts";
+import type { RoutedRequest } from "../../src/route/routed_request.ts";
+import { BeliefSelector } from "../../src/select/belief_selector.ts";
+import { buildService } from "../fakes/build_service.ts";
+import { SeededRandom } from "../fakes/seeded_random.ts";
+import { VirtualTime } from "../fakes/virtual_time.ts";
+import { buildTestMembers } from "./build_test_members.ts";
+import { SelectionOwner } from "./selection_owner.ts";
+
+const domains = ["domain 0", "domain 1", "domain 2"];
+const sendersPerDomain = 10;
+/** Milliseconds one way between two daemons. */
+const pathMs = 1;
+/** Milliseconds between two looks of an owner at what it has to announce. */
+const announceMs = 40;
+/** Period in milliseconds and share of the swing of the demand. */
+const wavePeriodMs = 13_000;
+const waveSwing = 0.55;
+
+/** Demand on one route. */
+interface Stream {
+    readonly route: Partial<RouteConfig>;
+    readonly perSecond: number;
+}
+
+interface Options {
+    readonly seed: number;
+    readonly upstreams: number;
+    readonly slots: number;
+    readonly streams: readonly Stream[];
+    readonly durationMs: number;
+    readonly lateFailShare: number;
+    /** Milliseconds between two reports of an owner that has no news about faults. */
+    readonly reportMs: number;
+}
+
+/** End of one request. */
+interface End {
+    readonly startedAtMs: number;
+    readonly served: boolean;
+    readonly idempotent: boolean;
+}
+
+/** Plays the demand and keeps what every upstream and caller saw. */
+export class SelectionFleet {
+    readonly owners = new Map<string, SelectionOwner>();
+    readonly ends: End[] = [];
+    private readonly time = new VirtualTime();
+    private readonly random: RandomSource;
+    private readonly budgets = new Map<string, RetryBudget>();
+    private readonly senders = new Map<string, BeliefSelector[]>();
+    private readonly exchanger: AttemptExchanger;
+    private readonly service;
+    private readonly members;
+    private nextId = 0;
+
+    constructor(private readonly options: Options) {
+        const { durationMs, lateFailShare, seed, slots, streams, upstreams } = options;
+        const { time } = this;
+        this.random = new SeededRandom(seed);
+        this.service = buildService({ routes: streams.map(({ route }) => ({ shedStatuses: [], ...route })) });
+        this.members = buildTestMembers(upstreams);
+        for (const { id } of this.members) {
+            this.owners.set(
+                id,
+                new SelectionOwner({ id, time, random: this.random, slots, durationMs, lateFailShare }),
+            );
+        }
+        for (const domain of domains) {
+            this.addDomain(domain);
+        }
+        const metrics = { addCount: () => undefined, setGauge: () => undefined, recordTime: () => undefined };
+        this.exchanger = new AttemptExchanger({
+            clock: time,
+            timers: time,
+            metrics,
+            forwarder: this.buildForwarder(),
+        });
+    }
+
+    async run(): Promise<void> {
+        for (const member of this.members) {
+            this.startReports(member.id, member.failureDomain);
+        }
+        for (const [index, { perSecond }] of this.options.streams.entries()) {
+            this.startDemand(index, perSecond);
+        }
+        await this.time.run(this.options.durationMs);
+    }
+
+    private addDomain(failureDomain: string): void {
+        const { members, random, time } = this;
+        const budget = new FleetRetryBudget({
+            clock: time,
+            getBounds: () => ({ percent: 10, slack: 192, windowMs: 10_000 }),
+            countDomains: () => domains.length,
+        });
+        this.budgets.set(failureDomain, budget);
+        const buildSelector = () =>
+            new BeliefSelector({
+                clock: time,
+                random,
+                membership: { list: () => members, getFirstSeenMs: () => 0, getVersion: () => 1 },
+                leaving: { setLeaving: () => undefined },
+                budget,
+                observer: { isSilent: () => false },
+                failureDomain,
+                region: "region",
+            });
+        this.senders.set(failureDomain, Array.from({ length: sendersPerDomain }, buildSelector));
+    }
+
+    private buildForwarder(): Forwarder {
+        const wait = () => new Promise<void>(resolve => this.time.start(pathMs, resolve));
+        return {
+            forward: async (request, signal) => {
+                await wait();
+                const reply = await this.owners.get(request.upstream.id)!.forwarder.forward(request, signal);
+                await wait();
+                return reply;
+            },
+            revoke: request => this.owners.get(request.upstream.id)!.forwarder.revoke(request),
+        };
+    }
+
+    /** Reports to the own failure domain, and to the others when the upstream begins or ceases to be suspected. */
+    private startReports(id: string, failureDomain: string): void {
+        const { reportMs } = this.options;
+        let isSuspected: boolean | undefined;
+        let reportedAtMs = -reportMs * this.random.take();
+        const report = () => {
+            const nowMs = this.time.getMonotonicMs();
+            const state = this.owners.get(id)!.buildState();
+            const wasSuspected = isSuspected;
+            isSuspected = state.faultProbability > suspicion.singleRunLimit;
+            this.owners.get(id)!.suspicions.push({ atMs: nowMs, suspected: isSuspected });
+            const hasNews = isSuspected !== wasSuspected;
+            if (hasNews || nowMs - reportedAtMs >= reportMs) {
+                reportedAtMs = nowMs;
+                for (const [domain, selectors] of this.senders) {
+                    if (hasNews || domain === failureDomain) {
+                        selectors.forEach(selector => selector.recordState(state, nowMs));
+                    }
+                }
+            }
+            this.time.start(announceMs, report);
+        };
+        this.time.start(announceMs * this.random.take(), report);
+    }
+
+    private startDemand(index: number, perSecond: number): void {
+        const nowMs = this.time.getMonotonicMs();
+        const wave = 1 + waveSwing * Math.sin(2 * Math.PI * nowMs / wavePeriodMs);
+        const gapMs = -Math.log(1 - this.random.take()) * 1_000 / (perSecond * wave);
+        this.time.start(gapMs, () => {
+            void this.runRequest(this.service.routes[index]!);
+            this.startDemand(index, perSecond);
+        });
+    }
+
+    private async runRequest(route: RouteConfig): Promise<void> {
+        const { exchanger, random, time } = this;
+        const domain = domains[Math.floor(random.take() * domains.length)]!;
+        const selector = this.senders.get(domain)![Math.floor(random.take() * sendersPerDomain)]!;
+        const budget = this.budgets.get(domain)!;
+        const startedAtMs = time.getMonotonicMs();
+        const request: RoutedRequest = {
+            requestId: `${this.nextId++}`,
+            method: route.method,
+            host: "",
+            path: route.path,
+            target: route.path,
+            headers: [],
+            body: new Uint8Array(),
+            organisation: "",
+            idempotencyKey: undefined,
+            budgetMs: undefined,
+            receivedAtMs: startedAtMs,
+            signal: new AbortController().signal,
+            service: this.service,
+            route,
+            deadlineMs: startedAtMs + route.deadlineMs,
+            configVersion: 1,
+        };
+        budget.add(this.service.name, 0);
+        const result = await new AttemptRun(request, {
+            selector,
+            budget,
+            owners: { getIncarnation: () => "1", list: () => [] },
+            clock: time,
+            timers: time,
+            forward: async (selected, handleUnconfirmed) => {
+                selector.recordStart(selected);
+                const reply = await exchanger.forward(selected, handleUnconfirmed);
+                selector.recordReply(selected, reply);
+                return reply;
+            },
+            revokeLost: (_, reply) => Promise.resolve(reply),
+        }).run();
+        const served = result.isOk() && result.value.code === Code.Ok;
+        this.ends.push({ startedAtMs, served, idempotent: route.idempotent });
+    }
+}
--- a/src/health/suspect_filter.ts
+++ b/src/health/suspect_filter.ts
@@ -39,7 +39,8 @@
             return ok(request);
         }
         const nowMs = this.options.clock.getMonotonicMs();
-        const isTrial = route.idempotent && request.redirectable === true
+        const trialLimit = route.idempotent ? suspicion.repeatableTrialLimit : suspicion.singleTrialLimit;
+        const isTrial = probability <= trialLimit && request.redirectable === true
             && nowMs - (this.trialAtMs.get(upstreamId) ?? -Infinity) >= suspicion.trialMs;
         if (!isTrial) {
             return err(createSuspectFailure(probability));
--- a/src/health/suspicion.ts
+++ b/src/health/suspicion.ts
@@ -4,6 +4,12 @@
     singleRunLimit: 0.25,
     /** Probability of a fault above which idempotent work is let through as a trial only. */
     idempotentLimit: 0.6,
+    /**
+     * Probabilities of a fault up to which a suspected upstream is tried by idempotent work with an attempt to spare, and
+     * by other work. A belief fades to them within 2 s and 5 s of the last failure.
+     */
+    repeatableTrialLimit: 0.8,
+    singleTrialLimit: 0.6,
     /** Milliseconds between two trials. A failing trial ends within milliseconds and costs the fleet one retry. */
     trialMs: 250,
 } as const;
--- a/src/select/belief_selector.test.ts
+++ b/src/select/belief_selector.test.ts
@@ -52,6 +52,11 @@
         this.selector.recordState(state, this.time.getMonotonicMs());
     }
 
+    countSelections(idempotent: boolean, upstreamId: string): number {
+        return Array.from({ length: selections }, () => this.select(idempotent)._unsafeUnwrap().upstream.id)
+            .filter(id => id === upstreamId).length;
+    }
+
     select(idempotent: boolean, excluded: ReadonlySet<string> = new Set()) {
         const nowMs = this.time.getMonotonicMs();
         const route = createDefaultRoute({
@@ -84,14 +89,35 @@
     }
 }
 
+/** Selections of one state, so that a share can be told from chance. */
+const selections = 400;
+
 const busy = { running: 3, waitShortMs: 300, waitLongMs: 300 };
 
 test("work that must not be repeated goes where something has just succeeded", () => {
     const setup = new Setup(3);
-    setup.report("u0", { faultProbability: 0.6 });
+    setup.report("u0", { faultProbability: 0.61 });
     setup.report("u1", { faultProbability: 0.005 });
-    setup.report("u2", { faultProbability: 0.3 });
-    assert.equal(setup.select(false)._unsafeUnwrap().upstream.id, "u1");
+    setup.report("u2", { faultProbability: 0.9 });
+    assert.equal(setup.countSelections(false, "u1"), selections);
+});
+
+test("work that must not be repeated lets an upstream stay suspected for ever, or takes more than a few trials", () => {
+    const setup = new Setup(2);
+    setup.report("u0", { faultProbability: 0.5 });
+    setup.report("u1", { faultProbability: 0.005 });
+    const trials = setup.countSelections(false, "u0");
+    assert.ok(trials > 0 && trials < selections / 10, `${trials} trials`);
+});
+
+test("an upstream that may work again stays suspected when no retry budget is left", () => {
+    const setup = new Setup(2);
+    setup.hasBudget = false;
+    setup.report("u0", { faultProbability: 0.7 });
+    setup.report("u1", { faultProbability: 0.005 });
+    assert.ok(setup.countSelections(true, "u0") > 0);
+    setup.report("u0", { faultProbability: 0.81 });
+    assert.equal(setup.countSelections(true, "u0"), 0);
 });
 
 test("a request waits at a busy upstream that works rather than meet a fault at a free one", () => {
@@ -118,8 +144,9 @@
     await setup.time.run(1_000);
     setup.report("u1", { faultProbability: 0.005 });
     assert.equal(setup.select(true)._unsafeUnwrap().upstream.id, "u0");
+    setup.report("u0", { faultProbability: 0.9 });
     setup.hasBudget = false;
-    assert.equal(setup.select(true)._unsafeUnwrap().upstream.id, "u1");
+    assert.equal(setup.countSelections(true, "u1"), selections);
 });
 
 test("an owner that is not heard gets no work while another one is, and a first attempt is made all the same", () => {
--- a/src/select/belief_selector.ts
+++ b/src/select/belief_selector.ts
@@ -27,7 +27,6 @@
 import type { UpstreamState } from "../core/upstream_state.ts";
 import type { OwnerReply } from "../forward/owner_reply.ts";
 import type { RetryBudget } from "../forward/retry_budget.ts";
-import { faultModel } from "../health/fault_model.ts";
 import { isExpected } from "../health/is_expected.ts";
 import { PathTable } from "../health/path_table.ts";
 import { suspicion } from "../health/suspicion.ts";
@@ -36,8 +35,11 @@
 import type { RoutedRequest } from "../route/routed_request.ts";
 import type { AttemptProgress } from "./attempt_progress.ts";
 import { BaselineTable } from "./baseline_table.ts";
+import { computeFaultLoss } from "./compute_fault_loss.ts";
 import { computeWaitLoss } from "./compute_wait_loss.ts";
+import { isTrialDue } from "./is_trial_due.ts";
 import type { SelectedRequest } from "./selected_request.ts";
+import type { SelectionPurpose } from "./selection_purpose.ts";
 import type { UpstreamSelector } from "./upstream_selector.ts";
 import { UpstreamView } from "./upstream_view.ts";
 
@@ -60,17 +62,12 @@
 const overdueLoss = 0.3;
 /** Largest random part; spreads the choices of senders that know the same. */
 const jitterLoss = 0.005;
-/** Value of a result that would tell everything, for work that can be repeated, and loss of its failure. */
-const learnValue = 0.6;
-const repeatLoss = 0.05;
 /** Share of the retry budget that requests may use to learn; the rest is for requests that fail unexpectedly. */
 const learnShare = 0.4;
 /** Rise of the probability of a fault that a request accepts while it is on its way. */
 const acceptedRise = 0.15;
 /** Refusals after which a request no longer looks for a free upstream. */
 const maxRedirects = 3;
-/** Milliseconds after which another result of an upstream has its full value. */
-const learnMs = 1_000;
 /** Milliseconds for the two directions of a path and for scheduling before a reply counts as overdue. */
 const pathSlackMs = 100;
 /** Share of the remaining time after which a reply counts as overdue when no baseline is known. */
@@ -79,19 +76,9 @@
 const firstHopCode = 3_000;
 const lastHopCode = 3_999;
 
-/** What a request is selected for. */
-interface Purpose {
-    readonly request: RoutedRequest;
-    readonly nowMs: number;
-    readonly canLearn: boolean;
-}
-
 interface Candidates {
     readonly candidates: readonly Upstream[];
-    /** True when the request may be sent where it probably fails, to learn. */
-    readonly canLearn: boolean;
-    /** True when the owner shall let the request wait rather than refuse it. */
-    readonly isLast: boolean;
+    readonly purpose: SelectionPurpose;
 }
 
 /** Selects the upstream with the smallest expected loss. */
@@ -110,8 +97,9 @@
     ): Result<SelectedRequest, Failure> {
         const nowMs = this.options.clock.getMonotonicMs();
         const { failureDomain } = this.options;
-        const { candidates, canLearn, isLast } = this.findCandidates(request, excluded, progress, nowMs);
-        const upstream = this.selectBest(candidates, { request, nowMs, canLearn });
+        const { candidates, purpose } = this.findCandidates(request, excluded, progress, nowMs);
+        const { canLearn, isLast, usualLimit } = purpose;
+        const upstream = this.selectBest(candidates, purpose);
         if (upstream === undefined) {
             return err(createFailure(Code.NoUpstream));
         }
@@ -123,7 +111,6 @@
         const view = this.getView(upstream.id);
         const basis = { ...view.buildBasis(nowMs), candidates: candidates.length, learns: canLearn };
         const remote = upstream.failureDomain !== failureDomain;
-        const usualLimit = request.route.idempotent ? suspicion.idempotentLimit : suspicion.singleRunLimit;
         // A request that has no better place accepts the risk that is known, and no greater one.
         const faultLimit = isLast ? Math.max(usualLimit, basis.faultProbability + acceptedRise) : usualLimit;
         const fields = {
@@ -208,21 +195,29 @@
         const reachable = members.filter(({ ownerId }) =>
             !this.paths.isAvoided(ownerId, route.idempotent, nowMs) && !observer.isSilent(ownerId)
         );
-        const canLearn = route.idempotent && sends + 1 < route.maxAttempts
-            && budget.has(service.name, learnShare);
+        const isRepeatable = route.idempotent && sends + 1 < route.maxAttempts;
+        const purpose = {
+            request,
+            nowMs,
+            canLearn: isRepeatable && budget.has(service.name, learnShare),
+            isLast: false,
+            isRepeatable,
+            usualLimit: route.idempotent ? suspicion.idempotentLimit : suspicion.singleRunLimit,
+            trialLimit: isRepeatable ? suspicion.repeatableTrialLimit : suspicion.singleTrialLimit,
+        };
         const open = redirected.size >= maxRedirects ?
             [] :
-            reachable.filter(({ id }) => !excluded.has(id) && this.isFit(id, request, { nowMs, canLearn }));
+            reachable.filter(upstream => !excluded.has(upstream.id) && this.isFit(upstream, purpose));
         if (open.length > 0) {
-            return { candidates: open, canLearn, isLast: false };
+            return { candidates: open, purpose };
         }
         const patient = reachable.filter(({ id }) => !excluded.has(id) || redirected.has(id));
         // A first attempt is made even where the paths seem cut.
         const candidates = patient.length > 0 || excluded.size > 0 ? patient : members;
-        return { candidates, canLearn: false, isLast: true };
+        return { candidates, purpose: { ...purpose, canLearn: false, isLast: true } };
     }
 
-    private selectBest(candidates: readonly Upstream[], purpose: Purpose): Upstream | undefined {
+    private selectBest(candidates: readonly Upstream[], purpose: SelectionPurpose): Upstream | undefined {
         let best: Upstream | undefined;
         let bestLoss = Infinity;
         for (const candidate of candidates) {
@@ -235,37 +230,31 @@
         return best;
     }
 
-    private computeLoss(upstream: Upstream, { canLearn, nowMs, request }: Purpose): number {
+    private computeLoss(upstream: Upstream, purpose: SelectionPurpose): number {
         const { failureDomain, random, region } = this.options;
+        const { nowMs, request } = purpose;
         const view = this.getView(upstream.id);
-        const probability = view.getFaultProbability(nowMs);
         const place = upstream.failureDomain === failureDomain
             ? 0
             : upstream.region === region
             ? otherDomainLoss
             : otherRegionLoss;
         const overdue = view.load.hasOverdue(nowMs) ? overdueLoss : 0;
-        // Results of other failure domains are the business of the daemons there.
-        const failure = canLearn && place === 0
-            ? repeatLoss * probability
-                - learnValue * probability * (1 - probability) * Math.min(1, view.getAgeMs(nowMs) / learnMs)
-            : probability * faultModel.failShareFaulty;
-        return failure + place + computeWaitLoss(view.load, request, nowMs) + overdue +
+        return computeFaultLoss(view, place === 0, purpose) + place +
+            computeWaitLoss(view.load, request, nowMs) +
+            overdue +
             jitterLoss * random.take();
     }
 
     /** True when a slot is free there and the owner will not refuse, as far as this sender knows. */
-    private isFit(
-        upstreamId: string,
-        { route }: RoutedRequest,
-        { canLearn, nowMs }: Pick<Purpose, "canLearn" | "nowMs">,
-    ): boolean {
-        const view = this.getView(upstreamId);
-        const probability = view.getFaultProbability(nowMs);
-        const isTrusted =
-            probability <= (route.idempotent ? suspicion.idempotentLimit : suspicion.singleRunLimit);
+    private isFit(upstream: Upstream, purpose: SelectionPurpose): boolean {
+        const { failureDomain, random } = this.options;
+        const { nowMs, usualLimit } = purpose;
+        const view = this.getView(upstream.id);
         return view.load.measure(nowMs) < 1
-            && (isTrusted || (canLearn && view.getAgeMs(nowMs) >= suspicion.trialMs));
+            && (view.getFaultProbability(nowMs) <= usualLimit
+                // Daemons of other failure domains learn the result from those there.
+                || (upstream.failureDomain === failureDomain && isTrialDue(view, purpose, random.take())));
     }
 
     private getView(upstreamId: string): UpstreamView {
--- /dev/null
+++ b/src/select/compute_fault_loss.ts
@@ -0,0 +1,31 @@
+import { faultModel } from "../health/fault_model.ts";
+import type { SelectionPurpose } from "./selection_purpose.ts";
+import type { UpstreamView } from "./upstream_view.ts";
+
+/** Value of a result that would tell everything, for work that can be repeated, and loss of its failure. */
+const learnValue = 0.6;
+const repeatLoss = 0.05;
+/** Milliseconds after which another result of an upstream has its full value. */
+const learnMs = 1_000;
+/** Value of a trial: more than any loss of an upstream that works, so that a trial that is due goes first. */
+const trialValue = 1;
+
+/**
+ * Loss by a fault that the upstream may have, less the value of the result, in shares of a request's value. `isNear` says
+ * that the upstream is in the own failure domain: results of others are the business of the daemons there.
+ */
+export function computeFaultLoss(
+    view: UpstreamView,
+    isNear: boolean,
+    { canLearn, isLast, nowMs, usualLimit }: SelectionPurpose,
+): number {
+    const probability = view.getFaultProbability(nowMs);
+    if (!isLast && probability > usualLimit) {
+        return -trialValue;
+    }
+    if (canLearn && isNear) {
+        const ageShare = Math.min(1, view.getAgeMs(nowMs) / learnMs);
+        return repeatLoss * probability - learnValue * probability * (1 - probability) * ageShare;
+    }
+    return probability * faultModel.failShareFaulty;
+}
