Refuse attempts that cross the close of an owner, in place of cutting their link

An entry daemon whose attempt crossed the end of an owner saw its link cut: that attempt counted as unknown, so work that must not be repeated got 502, and replies that the owner was still sending on the link were dropped, though their work was done.

Cause: an owner that had closed destroyed the link of a dispatch. A frame for a link that has been ended did the same, because writing to an ended socket destroys it.

Evidence: a reply of 8,000,000 bytes and an attempt that arrives while it is sent. Before: PeerCut for both. After: the whole reply, and OwnerLeaving with outcome not-executed. The test fails on the earlier code.

--- a/src/edge/peer_link/frame_socket.ts
+++ b/src/edge/peer_link/frame_socket.ts
@@ -34,8 +34,11 @@
         this.ended = this.read(handlers);
     }
 
+    /** Drops the frame when the connection has been closed; an error would drop those that are still being sent. */
     send(frame: LinkFrame): void {
-        this.socket.write(sizeDelimitedEncode(LinkFrameSchema, frame));
+        if (this.socket.writable) {
+            this.socket.write(sizeDelimitedEncode(LinkFrameSchema, frame));
+        }
     }
 
     /** Sends what is waiting and closes the connection. */
--- a/src/edge/peer_link/link_forwarder.test.ts
+++ b/src/edge/peer_link/link_forwarder.test.ts
@@ -85,17 +85,24 @@
     const listener = (await HttpListener.open("127.0.0.1:0", (_, response) => response.end()))
         ._unsafeUnwrap();
     let leases = 0;
+    let closed = false;
     const links = new LinkListener({
         identity,
         owner: { apply: async dispatch => ok(await handle(dispatch)) },
         registerRequest: () => {
+            if (closed) {
+                return undefined;
+            }
             leases += 1;
             return { close: () => void (leases -= 1) };
         },
     });
     listener.setUpgradeHandler((...upgrade) => links.handleUpgrade(...upgrade));
     closers.push(() => links.close(), () => listener.close());
-    return { port: listener.getPort(), countLeases: () => leases };
+    const setClosed = () => {
+        closed = true;
+    };
+    return { port: listener.getPort(), countLeases: () => leases, setClosed };
 }
 
 test("a reply that is not whole is unknown, and the attempt is not sent again", async () => {
@@ -151,6 +158,27 @@
     assert.equal(owner.countLeases(), 0);
 });
 
+test("an attempt that crosses the close of its owner is not executed and cuts no reply that is being sent", async () => {
+    // More than the kernel takes at once.
+    const body = Buffer.alloc(8_000_000);
+    const forwarder = createForwarder();
+    const { signal } = new AbortController();
+    let second: Promise<OwnerReply> | undefined;
+    const owner = await openOwner(async dispatch => {
+        owner.setClosed();
+        second = forwarder.forward(selectOwner(owner.port, 2), signal);
+        await new Promise(resolve => setImmediate(resolve));
+        return buildOwnerReply(identity, dispatch, {
+            code: Code.Ok,
+            answer: { status: 200, headers: [], body },
+        });
+    });
+    const first = await forwarder.forward(selectOwner(owner.port), signal);
+    assert.deepEqual([first.code, first.answer?.body.length], [Code.Ok, body.length]);
+    const crossed = await second;
+    assert.deepEqual([crossed?.code, crossed?.outcome], [Code.OwnerLeaving, Outcome.NotExecuted]);
+});
+
 test("an attempt that is abandoned aborts the owner's signal, so that its upstream stops working", async () => {
     const caller = new AbortController();
     const aborted = createDeferred();
--- a/src/edge/peer_link/link_listener.ts
+++ b/src/edge/peer_link/link_listener.ts
@@ -6,6 +6,8 @@
 import { create, type MessageInitShape } from "@bufbuild/protobuf";
 import type { IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
+import { Code } from "../../core/code.ts";
+import { createFailure } from "../../core/create_failure.ts";
 import type { Failure } from "../../core/failure.ts";
 import type { Filter } from "../../core/filter.ts";
 import { buildOwnerReply } from "../../forward/build_owner_reply.ts";
@@ -97,25 +99,29 @@
         id: number,
         { body, head }: LinkDispatch,
     ): Promise<void> {
-        const lease = this.options.registerRequest();
-        if (head === undefined || lease === undefined) {
-            // The daemon has closed, or the frame is not one of this version: the entry daemon sees a cut link.
-            lease?.close(false);
+        if (head === undefined) {
+            // The frame is not one of this version: the entry daemon sees a cut link.
             link.cancel();
             return;
         }
         const send = (content: Content): void => link.send(create(LinkFrameSchema, { id, content }));
-        send({ case: "accepted", value: {} });
+        const sendReply = (reply: OwnerReply): void =>
+            send({
+                case: "reply",
+                value: { head: encodeReply(reply), body: reply.answer?.body ?? new Uint8Array() },
+            });
         const controller = new AbortController();
-        running.set(id, controller);
         const dispatch = decodeDispatch(head, body, controller.signal);
+        const lease = this.options.registerRequest();
+        if (lease === undefined) {
+            sendReply(this.refuse(dispatch, createFailure(Code.OwnerLeaving)));
+            return;
+        }
+        send({ case: "accepted", value: {} });
+        running.set(id, controller);
         const result = await this.options.owner.apply(dispatch);
-        const reply = result.match(value => value, (failure: Failure) => this.refuse(dispatch, failure));
         running.delete(id);
-        send({
-            case: "reply",
-            value: { head: encodeReply(reply), body: reply.answer?.body ?? new Uint8Array() },
-        });
+        sendReply(result.match(value => value, (failure: Failure) => this.refuse(dispatch, failure)));
         lease.close(!controller.signal.aborted);
     }
 
