--- a/src/edge/http/create_lease_middleware.ts
+++ b/src/edge/http/create_lease_middleware.ts
@@ -1,12 +1,15 @@
-import type { Middleware } from "koa";
+import type { Context, Middleware } from "koa";
 import type { Answer } from "../../core/answer.ts";
 import type { RequestLease } from "../../lifecycle/request_lease.ts";
+import { ServerExchange } from "./server_exchange.ts";
 
 interface LeaseOptions {
     /** Builds the answer to a request that is refused. */
     readonly createRefusal: () => Answer;
-    /** Undefined when the daemon has closed. */
-    readonly registerRequest: () => RequestLease | undefined;
+    /** Builds the answer to a request whose outcome is not known when the process is about to end. */
+    readonly createLastAnswer: () => Answer;
+    /** Undefined when the daemon has closed. `answer` ends the request with the last answer. */
+    readonly registerRequest: (answer: () => void) => RequestLease | undefined;
     /** True when new requests are refused as not executed; never for those of other daemons. */
     readonly refuse: () => boolean;
     /** True while the daemon drains: responses then ask the peer to close its connection. */
@@ -16,19 +19,30 @@
 /** Keeps each request registered as in flight until the last byte of its response was handed to the connection. */
 export function createLeaseMiddleware(options: LeaseOptions): Middleware {
     return async (context, next) => {
-        const lease = options.refuse() ? undefined : options.registerRequest();
+        const exchange = ServerExchange.get(context.res);
+        let stopWait: () => void = () => undefined;
+        const ending = new Promise<"ending">(resolve => {
+            stopWait = () => resolve("ending");
+        });
+        const lease = options.refuse() ? undefined : options.registerRequest(stopWait);
         if (lease === undefined) {
-            const problem = options.createRefusal();
-            context.status = problem.status;
-            problem.headers.forEach(header => context.set(header.name, header.value));
-            context.set("connection", "close");
-            context.body = Buffer.from(problem.body);
+            setProblem(context, options.createRefusal());
+            exchange.closeConnection();
             return;
         }
-        context.res.once("close", () => lease.close());
-        await next();
+        exchange.handleEnd(answered => lease.close(answered));
+        if (await Promise.race([next(), ending]) === "ending") {
+            exchange.cancel();
+            setProblem(context, options.createLastAnswer());
+        }
         if (options.isDraining()) {
-            context.set("connection", "close");
+            exchange.closeConnection();
         }
     };
 }
+
+function setProblem(context: Context, problem: Answer): void {
+    context.status = problem.status;
+    problem.headers.forEach(header => context.set(header.name, header.value));
+    context.body = Buffer.from(problem.body);
+}
