Close connections of callers that are read without end

Other callers of a daemon waited while one wrote empty lines, spaces before a header value or zeros of a chunk size without end: they were read at full speed, empty lines after an answer for as long as the caller liked.

Cause: the parser of Node.js bounds headers, trailers and chunk extensions, and its time limits (60 s for a head, 300 s for a request, checked each 30 s) begin with a request. What it does not count it reads on.

Ruled out: shorter time limits, since none runs between requests; a listener for each read of a connection, which takes the sockets of all requests off the native path of Node.js.

Connections that change their protocol (links) are not watched. The listener for callers names its own largest body.

Measured: the tests with empty lines (two), spaces and zeros fail without the change (still open after 3.5 s), none with it.

--- a/src/edge/daemon_servers.ts
+++ b/src/edge/daemon_servers.ts
@@ -101,7 +101,7 @@
         }).callback();
         const listener = await HttpListener.open(settings.callerAddress, (request, response) => {
             void app(request, response);
-        }, { isDraining: () => this.isDraining() });
+        }, { isDraining: () => this.isDraining(), maxBodyBytes: settings.maxRequestBytes });
         return this.addDrainable(listener);
     }
 
--- a/src/edge/http/http_listener.ts
+++ b/src/edge/http/http_listener.ts
@@ -5,6 +5,7 @@
 import { createFailure } from "../../core/create_failure.ts";
 import type { Failure } from "../../core/failure.ts";
 import type { DrainableListener } from "../../lifecycle/drainable_listener.ts";
+import { ReadGuard } from "./read_guard.ts";
 import { ServerConnection } from "./server_connection.ts";
 import { splitAddress } from "./split_address.ts";
 
@@ -13,12 +14,17 @@
 /** Headers of a caller (16 KB at most) grow by a third when they travel in base64 between daemons. */
 const MAX_HEADER_BYTES = 65_536;
 
+/** Bytes of the largest body unless a listener names its own, as in the settings of the callers' interface. */
+const MAX_BODY_BYTES = 67_108_864;
+
 /** Time in milliseconds after which connections that are still open are closed. */
 const CLOSE_LIMIT_MS = 500;
 
 interface Options {
     /** While true, requests behind an unanswered one of their connection are not handed on. */
     readonly isDraining?: () => boolean;
+    /** Bytes of the largest body of a request. */
+    readonly maxBodyBytes?: number;
 }
 
 /** An HTTP/1.1 server on one address. */
@@ -27,8 +33,9 @@
     private readonly connections = new Set<ServerConnection>();
     private stopped = false;
 
-    private constructor(private readonly server: Server) {
+    private constructor(private readonly server: Server, private readonly guard: ReadGuard) {
         server.on("connection", socket => {
+            guard.add(socket);
             const connection = ServerConnection.get(socket);
             this.connections.add(connection);
             socket.once("close", () => this.connections.delete(connection));
@@ -42,12 +49,15 @@
     static async open(
         address: string,
         handler: RequestListener,
-        { isDraining = () => false }: Options = {},
+        { isDraining = () => false, maxBodyBytes = MAX_BODY_BYTES }: Options = {},
     ): Promise<Result<HttpListener, Failure>> {
+        // A head, its separators and the empty lines before it.
+        const guard = new ReadGuard({ maxHeadBytes: 2 * MAX_HEADER_BYTES, maxBodyBytes });
         const server = createServer({
             keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
             maxHeaderSize: MAX_HEADER_BYTES,
         }, (request, response) => {
+            guard.recordRequest(request.socket, response);
             if (ServerConnection.get(request.socket).addExchange(response, isDraining())) {
                 handler(request, response);
             }
@@ -57,15 +67,19 @@
         });
         return new Promise(resolve => {
             server.once("error", error => {
+                guard.close();
                 resolve(err(createFailure(Code.PortUnavailable, { detail: `${address}: ${error.message}` })));
             });
-            server.listen(splitAddress(address), () => resolve(ok(new HttpListener(server))));
+            server.listen(splitAddress(address), () => resolve(ok(new HttpListener(server, guard))));
         });
     }
 
     /** Hands connections that change their protocol to `handle`. */
     setUpgradeHandler(handle: (message: IncomingMessage, socket: Socket, head: Buffer) => void): void {
-        this.server.on("upgrade", (message, socket, head) => handle(message, socket as Socket, head));
+        this.server.on("upgrade", (message, socket, head) => {
+            this.guard.remove(message.socket);
+            handle(message, socket as Socket, head);
+        });
     }
 
     getPort(): number {
@@ -91,5 +105,6 @@
         const timer = setTimeout(() => this.server.closeAllConnections(), CLOSE_LIMIT_MS);
         await this.ended;
         clearTimeout(timer);
+        this.guard.close();
     }
 }
