Close the connection of a caller whose body is above the limit

A caller that was answered 413 kept its connection, and the rest of its body was read at full speed and dropped, or left waiting in the buffers for up to five minutes.

Cause: Node.js reads what is left of a body before the next request; nothing said that no next request will be read.

Ruled out: the guard of the listener alone. It ends a declared body after 0.25 s, but a chunked one is paused by the reader of the body and stays open.

--- a/src/edge/caller_http/caller_flood.test.ts
+++ b/src/edge/caller_http/caller_flood.test.ts
@@ -46,7 +46,14 @@
         { name: "header lines", prefix: get, unit: "a:b\r\n", status: "431" },
         { name: "a chunk extension", prefix: `${chunked}1;`, unit: "x", status: "413" },
         { name: "zeros before a chunk size", prefix: chunked, unit: "0" },
+        { name: "chunks", prefix: chunked, unit: "1\r\nx\r\n", status: "413" },
         { name: "trailers", prefix: `${chunked}0\r\n`, unit: "a:b\r\n", status: "431" },
+        {
+            name: "a body above the limit",
+            prefix: `${post}Content-Length: 1000000000\r\n\r\n`,
+            unit: "x",
+            status: "413",
+        },
     ]
 ) {
     test(`${name} of a caller without end close its connection, so that other callers do not wait`, async () => {
--- a/src/edge/caller_http/create_caller_app.ts
+++ b/src/edge/caller_http/create_caller_app.ts
@@ -41,6 +41,10 @@
                 signal: ServerExchange.get(context.res).getSignal(),
             });
         sendAnswer(context, answer);
+        if (body.isErr()) {
+            // Node.js would read and drop the rest of the body before the next request.
+            context.set("connection", "close");
+        }
     });
     // A caller that breaks its connection is not an error of the daemon; the pipeline has been aborted.
     app.on("error", () => undefined);
