Bound the memory of all answers that are being read

Bodies of several upstreams that do not end could take the memory of a daemon together, which ends its process and the requests of all callers. A route without a limit of its own allows 64 MB for an answer; daemons have 250 to 602 MB.

Cause: the limit of a body holds for one answer, and the buffer that collects it doubles beyond that limit.

Ruled out: a smaller limit of one answer; the platform states none below 64 MB.

Change: the answers that a daemon reads hold 64 MB together. One that exceeds it is cut, and may have run. The buffer of a body keeps no room beyond the limit of the body.

--- a/src/edge/http/body_buffer.ts
+++ b/src/edge/http/body_buffer.ts
@@ -6,6 +6,9 @@
     private buffer: Buffer = Buffer.alloc(0);
     private length = 0;
 
+    /** `maxBytes` is the largest length for which room is kept in advance. */
+    constructor(private readonly maxBytes: number) {}
+
     add(part: Buffer): void {
         const start = this.length;
         this.length += part.length;
@@ -15,7 +18,9 @@
             return;
         }
         if (this.length > this.buffer.length) {
-            const grown = Buffer.allocUnsafe(Math.max(this.length, 2 * this.buffer.length));
+            const grown = Buffer.allocUnsafe(
+                Math.max(this.length, Math.min(2 * this.buffer.length, this.maxBytes)),
+            );
             this.buffer.copy(grown, 0, 0, start);
             this.buffer = grown;
         }
--- a/src/edge/http/read_body.ts
+++ b/src/edge/http/read_body.ts
@@ -17,14 +17,15 @@
         return Promise.resolve(err("too-large"));
     }
     return new Promise((resolve, reject) => {
-        const body = new BodyBuffer();
+        const body = new BodyBuffer(maxBytes);
         const reportClose = (): void => reject(new Error("the body was cut"));
         const reportPart = (part: Buffer): void => {
-            body.add(part);
-            if (body.getLength() > maxBytes) {
+            if (body.getLength() + part.length > maxBytes) {
                 stream.off("data", reportPart).off("end", reportEnd).off("close", reportClose).pause();
                 resolve(err("too-large"));
+                return;
             }
+            body.add(part);
         };
         const reportEnd = (): void => {
             if (declaredBytes !== undefined && declaredBytes !== body.getLength()) {
--- a/src/edge/upstream_http/answer_budget.ts
+++ b/src/edge/upstream_http/answer_budget.ts
@@ -8,6 +8,7 @@
  */
 import type { Socket } from "node:net";
 import { maxInterimResponses } from "../http/max_interim_responses.ts";
+import type { AnswerMemory } from "./answer_memory.ts";
 
 /**
  * Bytes of an answer that are not its body: 16 KB for the head, as callers may send it, and as much again for interim
@@ -33,6 +34,10 @@
     private startBytes = 0;
     private allowedBytes = 0;
     private interimResponses = 0;
+    /** Bytes of the body that were read. */
+    private bodyBytes = 0;
+
+    constructor(private readonly memory: AnswerMemory) {}
 
     /** Watches a new connection. */
     setSocket(socket: Socket): void {
@@ -60,11 +65,17 @@
     /** Allows `bytes` of the body that have been read, with their framing. */
     addBody(bytes: number): void {
         this.allowedBytes += bytes * (1 + maxFramingRatio);
+        this.bodyBytes += bytes;
+        if (!this.memory.add(bytes)) {
+            this.socket?.destroy(new Error("the answers of all upstreams take too much memory"));
+        }
     }
 
-    /** Allows no further bytes, because the answer is complete. */
+    /** Allows no further bytes, because the answer is complete or given up. */
     close(): void {
         this.isWaiting = false;
+        this.memory.release(this.bodyBytes);
+        this.bodyBytes = 0;
     }
 
     private check(socket: Socket): void {
--- a/src/edge/upstream_http/undici_upstream_client.ts
+++ b/src/edge/upstream_http/undici_upstream_client.ts
@@ -16,6 +16,7 @@
 import { isConnectError } from "../http/is_connect_error.ts";
 import { readBody } from "../http/read_body.ts";
 import { RequestDeadline } from "../http/request_deadline.ts";
+import { AnswerMemory } from "./answer_memory.ts";
 import { UpstreamConnection } from "./upstream_connection.ts";
 
 interface Options {
@@ -35,6 +36,7 @@
     /** Connections that carry no request. */
     private readonly idle = new Map<string, UpstreamConnection[]>();
     private readonly connections = new Set<UpstreamConnection>();
+    private readonly memory = new AnswerMemory();
 
     constructor(private readonly options: Options) {}
 
@@ -107,7 +109,7 @@
         if (known !== undefined) {
             return known;
         }
-        const connection = new UpstreamConnection(address);
+        const connection = new UpstreamConnection(address, this.memory);
         this.connections.add(connection);
         return connection;
     }
--- a/src/edge/upstream_http/upstream_connection.ts
+++ b/src/edge/upstream_http/upstream_connection.ts
@@ -1,6 +1,7 @@
 import { Socket } from "node:net";
 import { buildConnector, Client, type Dispatcher } from "undici";
 import { AnswerBudget } from "./answer_budget.ts";
+import type { AnswerMemory } from "./answer_memory.ts";
 
 const CONNECT_TIMEOUT_MS = 1_000;
 /** For upstreams that do not say when they close idle connections; Node.js servers do after five seconds. */
@@ -13,9 +14,10 @@
 /** One connection to an upstream, opened again when it was closed; carries one request at a time. */
 export class UpstreamConnection {
     private readonly client: Client;
-    private readonly budget = new AnswerBudget();
+    private readonly budget: AnswerBudget;
 
-    constructor(address: string) {
+    constructor(address: string, memory: AnswerMemory) {
+        this.budget = new AnswerBudget(memory);
         this.client = new Client(`http://${address}`, {
             pipelining: 1,
             connect: (options, handle) =>
@@ -52,6 +54,7 @@
 
     /** Closes the connection at once. */
     cancel(): void {
+        this.budget.close();
         void this.client.destroy();
     }
 
--- a/src/edge/upstream_http/upstream_flood.test.ts
+++ b/src/edge/upstream_http/upstream_flood.test.ts
@@ -121,6 +121,32 @@
     }
 });
 
+test("large answers at the same time do not take the memory of the daemon together", async () => {
+    const limitBytes = 67_108_864;
+    const unit = `1000\r\n${"x".repeat(0x1000)}\r\n`;
+    const options = { prefix: chunked, unit, writeBytes: 65_536, maxBytes: 2 * limitBytes };
+    const servers = await Promise.all([1, 2, 3].map(() => FloodingServer.open(options)));
+    const upstreams = servers.map((server, index) => {
+        return { id: `u${index}`, service: "payments", address: `127.0.0.1:${server.getPort()}`, slots: 1 };
+    });
+    const client = new UndiciUpstreamClient({
+        upstreams: new ConfiguredUpstreams(upstreams),
+        codec: new HeaderUpstreamCodec(),
+    });
+    closers.push(() => client.close(), ...servers.map(server => () => server.close()));
+    const [route] = buildOwnerRequest().service.routes;
+    const results = await Promise.all(upstreams.map(({ id: upstreamId }) => {
+        const request = buildOwnerRequest({ upstreamId, route: { ...route!, maxAnswerBytes: limitBytes } });
+        return client.send(request, 10_000, new AbortController().signal);
+    }));
+    assert.ok(results.every(result => result.kind === Cut || result.kind === AnswerTooLarge));
+    const ends = await Promise.all(servers.map(server => server.waitForEnd()));
+    const writtenBytes = ends.reduce((sum, end) => sum + end.writtenBytes, 0);
+    // The first answer to be given up makes room for the others, at most one of which reaches its own limit; 16 MB can
+    // wait in the buffers of each pair of sockets.
+    assert.ok(writtenBytes <= 2 * limitBytes + 3 * 16_777_216, `${writtenBytes} bytes were written`);
+});
+
 test("a large answer at full speed is complete", async () => {
     const length = 32 * 1_048_576;
     const { client, server } = await openUpstream({
