Eject a gray upstream although another one was slow by chance

Callers kept being sent to an upstream that had been 27 times slower than the others for nine seconds: "not reached within 10000 ms: accounts-2 out of rotation". Two daemons had ejected it after 0.4 s. The third sent it 3 to 5 requests a second, all slow, and knew a fresh score of 26.8 nats (alarm at 21.4) all the time.

Hypotheses, with what the log of the failing run said: - Evidence discarded as taken during pauses of a starved daemon: ruled out, the score rose from 0 to its limit within 350 ms at all daemons. - Too few requests, or a baseline that drifted: ruled out likewise; the floor of 2 of 3 allows the ejection, and two daemons made it. - The reference that the score is compared with: accounts-3 had one slow answer (36 ms, 3.2 nats) 0.2 s after the fault began. That is the cause.

A score ejects when it exceeds twice the median of the peaks of the other upstreams by the alarm score. Peaks are remembered for 10 s and renewed by any equal one, and the score ends at 1.25 times the alarm. So the reference has room for 2.7 nats, one slow answer is 3.2, and with two other upstreams the median is the higher one. Slow answers by chance come with the requests: the busier the service, the longer its gray upstream stays. Processor pressure only makes them more frequent.

A peak now counts for nothing when it is below half of the alarm score, its upstream's score has since fallen back to zero, and the suspected upstream was at its highest score more than 300 ms after that. A cause that was common would have lasted at both. Higher peaks are remembered as before, because at the end of a common fault the others recover first.

The measurement knew services of 6 and 12 upstreams whose answers are hardly ever slow by chance, where a median of five or more hides it.

--- a/features/failure.feature
+++ b/features/failure.feature
@@ -35,6 +35,13 @@
         When upstream "accounts-2" becomes slow while callers read
         Then every daemon has upstream "accounts-2" out of rotation within 10 s
 
+    Scenario: a gray upstream leaves the rotation while healthy ones are slow by chance
+        Given the service accounts has a floor of 2
+        And upstream "accounts-1" is slow in one of 60 requests
+        And upstream "accounts-3" is slow in one of 60 requests
+        When upstream "accounts-2" becomes slow while callers read
+        Then every daemon has upstream "accounts-2" out of rotation within 10 s
+
     Scenario: the floor keeps a gray upstream in rotation when too few upstreams are live
         Given the service accounts has a floor of 3
         When upstream "accounts-2" becomes slow while callers read
--- a/features/steps/failure_steps.ts
+++ b/features/steps/failure_steps.ts
@@ -142,6 +142,13 @@
     await fleet.setBehaviour(upstreamId, { fault: "slow", slowFactor: 40 });
 });
 
+// Eight times as slow is above the baseline and below three baselines, so such an answer counts once.
+Given(
+    "upstream {string} is slow in one of {int} requests",
+    (upstreamId: string, requests: number) =>
+        fleetWorld.get().setBehaviour(upstreamId, { fault: "slow", slowFactor: 8, faultShare: 1 / requests }),
+);
+
 Given(
     "the service accounts has a floor of {int}",
     (floor: number) =>
--- a/measure/detection/deployment.ts
+++ b/measure/detection/deployment.ts
@@ -12,4 +12,6 @@
     /** One-way latency between failure domains in milliseconds. */
     readonly pathMs: number;
     readonly longPercent: number;
+    /** Standard deviation of the logarithm of the service time. */
+    readonly spread: number;
 }
--- a/measure/detection/deployments.ts
+++ b/measure/detection/deployments.ts
@@ -12,6 +12,7 @@
         otherReplies: 5.5,
         pathMs: 0.5,
         longPercent: 0,
+        spread: 0.4,
     },
     {
         name: "Safai",
@@ -23,5 +24,6 @@
         otherReplies: 7.5,
         pathMs: 1.5,
         longPercent: 5,
+        spread: 0.4,
     },
 ];
--- a/measure/detection/fake_upstream.ts
+++ b/measure/detection/fake_upstream.ts
@@ -6,9 +6,6 @@
 import type { OwnerRequest } from "../../src/queue/owner_request.ts";
 import { FaultKind } from "./fault_kind.ts";
 
-/** Spread of the service time: standard deviation of its logarithm. */
-const spread = 0.4;
-
 /** With all slots busy an upstream takes longer by this share. */
 const contention = 0.5;
 
@@ -24,6 +21,8 @@
         private readonly random: RandomSource,
         private readonly timers: Timers,
         private readonly slots: number,
+        /** Standard deviation of the logarithm of the service time. */
+        private readonly spread: number,
     ) {}
 
     /** `nowMs` is the virtual time; calls `finish` once. */
@@ -44,7 +43,7 @@
             Math.cos(2 * Math.PI * this.random.take());
         const serviceMs = fault === FaultKind.Hanging
             ? Number.POSITIVE_INFINITY
-            : request.route.serviceMs * Math.exp(spread * normal) * (1 + contention * busy)
+            : request.route.serviceMs * Math.exp(this.spread * normal) * (1 + contention * busy)
                 * this.dependencyFactor * (fault === FaultKind.Slow ? 5 : 1);
         const handleEnd = (result: UpstreamResult): void => {
             this.running -= 1;
--- a/measure/detection/scenario_run.ts
+++ b/measure/detection/scenario_run.ts
@@ -46,7 +46,7 @@
 
     constructor(private readonly deployment: Deployment, private readonly scenario: Scenario, seed: number) {
         const { time } = this;
-        const { slots } = deployment;
+        const { slots, spread } = deployment;
         const random = new SeededRandom(seed);
         const service = buildService(deployment);
         const members = Array.from({ length: deployment.upstreams }, (_, index) => ({
@@ -84,7 +84,7 @@
         // A single sender must send ten requests a second to each upstream to show how it leaves a cut path. It is
         // in the failure domain of the upstream and owns none.
         this.senders = this.isCutPath ? this.daemons.slice(-3, -2) : this.daemons;
-        const upstreams = members.map(() => new FakeUpstream(random, time, slots));
+        const upstreams = members.map(() => new FakeUpstream(random, time, slots, spread));
         this.upstreams = upstreams;
         this.owners = new Map(members.map(({ id }, index) => {
             const { evidence, watch, board } = this.daemons[index]!;
--- a/src/health/ejection_table.test.ts
+++ b/src/health/ejection_table.test.ts
@@ -4,23 +4,31 @@
 import { buildTestMembers } from "../../proof/health/build_test_members.ts";
 import { buildTestService } from "../../proof/health/build_test_service.ts";
 import type { AuditEntry } from "../audit/audit_entry.ts";
+import type { ServiceConfig } from "../config/service_config.ts";
+import type { Upstream } from "../core/upstream.ts";
 import { EjectionTable } from "./ejection_table.ts";
 import { ScoreBoard } from "./score_board.ts";
 import { TrialResult } from "./trial_result.ts";
 
 const service = buildTestService();
-const members = buildTestMembers(6);
 
 class Setup {
+    private readonly members: readonly Upstream[];
+    private readonly service: ServiceConfig;
     readonly board = new ScoreBoard();
     readonly entries: AuditEntry[] = [];
     readonly table = new EjectionTable({
         random: new SeededRandom(1),
-        membership: { list: () => members, getFirstSeenMs: () => -60_000, getVersion: () => 7 },
+        membership: { list: () => this.members, getFirstSeenMs: () => -60_000, getVersion: () => 7 },
         audit: { record: entry => void this.entries.push(entry) },
         board: this.board,
     });
 
+    constructor(upstreams = 6) {
+        this.members = buildTestMembers(upstreams);
+        this.service = buildTestService({ members: upstreams, floor: Math.floor(upstreams * 2 / 3) });
+    }
+
     /** Records scores computed at `atMs` for the upstreams in order, raised for one second. */
     record(scores: readonly number[], atMs: number): void {
         for (const [index, score] of scores.entries()) {
@@ -30,7 +38,7 @@
     }
 
     listEjected(nowMs: number): readonly string[] {
-        return [...this.table.update(service, members, new Set(), nowMs).ejected];
+        return [...this.table.update(this.service, this.members, new Set(), nowMs).ejected];
     }
 
     recordTrial(result: TrialResult, nowMs: number): void {
@@ -39,7 +47,7 @@
     }
 
     findTrial(idempotent: boolean, nowMs: number): string | undefined {
-        return this.table.findTrial(service.name, members, { idempotent, nowMs })?.id;
+        return this.table.findTrial(service.name, this.members, { idempotent, nowMs })?.id;
     }
 }
 
@@ -58,6 +66,45 @@
     assert.deepEqual(setup.listEjected(5_000), []);
 });
 
+/** The second of three upstreams fails from 5,000 ms on; the third has one slow answer at the same time. */
+function buildChanceSetup(chanceScore: number): Setup {
+    const setup = new Setup(3);
+    setup.record([0, 0, 0], 4_900);
+    const failing = { upstreamId: "u1", service: service.name, raisedSinceMs: 5_000 };
+    setup.board.record({ ...failing, score: 10, atMs: 5_100 });
+    setup.board.record({ upstreamId: "u2", service: service.name, score: chanceScore, atMs: 5_200 });
+    setup.board.record({ ...failing, score: 18, atMs: 5_250 });
+    setup.record([0], 5_400);
+    setup.board.record({ upstreamId: "u2", service: service.name, score: 0, atMs: 5_400 });
+    return setup;
+}
+
+function recordFailing(setup: Setup, score: number, atMs: number): void {
+    setup.board.record({ upstreamId: "u1", service: service.name, score, atMs, raisedSinceMs: 5_000 });
+}
+
+test("one slow answer of another upstream does not keep a failing one in the rotation of three", () => {
+    const setup = buildChanceSetup(3.2);
+    recordFailing(setup, 18, 5_800);
+    assert.deepEqual(setup.listEjected(5_800), ["u1"]);
+});
+
+test("a short fault of all upstreams that shows as one slow answer at the others ejects none after its end", () => {
+    const setup = buildChanceSetup(3.2);
+    assert.deepEqual(setup.listEjected(5_500), []);
+    // A result of the common fault that ends late.
+    recordFailing(setup, 18, 5_600);
+    assert.deepEqual(setup.listEjected(5_650), []);
+    recordFailing(setup, 17.3, 5_800);
+    assert.deepEqual(setup.listEjected(5_800), []);
+});
+
+test("a score that no healthy upstream reaches is remembered after it has fallen, as at the end of a common fault", () => {
+    const setup = buildChanceSetup(9.6);
+    recordFailing(setup, 18, 5_800);
+    assert.deepEqual(setup.listEjected(5_800), []);
+});
+
 test("without fresh scores of other upstreams nothing is ejected, because the cause may be common", () => {
     const setup = new Setup();
     setup.record([0, 0, 0, 0, 0, 0], 1_000);
--- a/src/health/ejection_table.ts
+++ b/src/health/ejection_table.ts
@@ -36,6 +36,12 @@
 /** Scores older than this in milliseconds do not eject: the others may have recovered from a common fault since. */
 const scoreLifeMs = 1_500;
 
+/**
+ * Peaks below this share of the alarm score may be chance: a healthy upstream reaches half of the alarm score in a run
+ * with at most the square root of the probability of a false alarm. The number of runs grows with the requests.
+ */
+const chanceShare = 0.5;
+
 /** Wait in milliseconds after a trial request that showed nothing. */
 const nextTrialMs = 500;
 
@@ -183,10 +189,23 @@
         const isKnown = (id: string): boolean =>
             board.getScore(id, raisedSinceMs + commonDelayMs) !== undefined
             || (board.getScore(id, beginMs) !== undefined && board.getPeak(id, beginMs) >= raisedScore);
-        const peaks = others.filter(([id]) => isKnown(id)).map(([id]) => board.getPeak(id, beginMs));
+        const peaks = others.filter(([id]) => isKnown(id)).map(([id]) => {
+            const peak = board.getPeak(id, beginMs);
+            return peak < chanceShare * alarmScore && this.isOutlasted(id, upstreamId) ? 0 : peak;
+        });
         return score - computeReferenceScore(others.length, peaks);
     }
 
+    /**
+     * True when the score of `id` has fallen to zero and that of `upstreamId` was at its highest later, by more than
+     * the delay of a common cause: whatever raised the first score is over, and the second fault is not.
+     */
+    private isOutlasted(id: string, upstreamId: string): boolean {
+        const zeroSinceMs = this.options.board.getZeroSinceMs(id);
+        return zeroSinceMs !== undefined
+            && this.options.board.isAtPeak(upstreamId, zeroSinceMs + commonDelayMs);
+    }
+
     /** Ejects, or extends an ejection. The hold doubles unless the upstream was in rotation for the longest hold. */
     private startHold(service: ServiceConfig, state: EjectionState, excess: number, nowMs: number): void {
         const { holdMinMs, holdMaxMs } = service.health;
--- a/src/health/score_board.ts
+++ b/src/health/score_board.ts
@@ -45,6 +45,8 @@
     readonly raisedSinceMs: number | undefined;
     readonly peak: number;
     readonly peakAtMs: number;
+    /** Undefined when the score is not 0. */
+    readonly zeroSinceMs: number | undefined;
 }
 
 /** Keeps the freshest score of each upstream. */
@@ -73,6 +75,7 @@
             raisedSinceMs: score >= raisedScore ? raisedSinceMs : undefined,
             peak: isPeak ? score : known.peak,
             peakAtMs: isPeak ? atMs : known.peakAtMs,
+            zeroSinceMs: score > 0 ? undefined : known?.zeroSinceMs ?? atMs,
         });
         if (score >= reportedScore) {
             this.high.add(upstreamId);
@@ -111,6 +114,17 @@
         return known.peakAtMs >= sinceMs ? known.peak : known.score;
     }
 
+    /** Time since which the score has been 0, as far as is known; undefined when it is not. */
+    getZeroSinceMs(upstreamId: string): number | undefined {
+        return this.observations.get(upstreamId)?.zeroSinceMs;
+    }
+
+    /** True when the score was at its highest at or after `sinceMs` and has not fallen since. */
+    isAtPeak(upstreamId: string, sinceMs: number): boolean {
+        const known = this.observations.get(upstreamId);
+        return known !== undefined && known.atMs >= sinceMs && known.score >= known.peak;
+    }
+
     /** Time since which the score has been raised; undefined when it is not. */
     getRaisedSinceMs(upstreamId: string): number | undefined {
         return this.observations.get(upstreamId)?.raisedSinceMs;
