Ignore what others pass on of a process that has been replaced

What callers would see: work kept away from an upstream for 30 s after its daemon has restarted in an orderly way.

Cause: reports now pass through other daemons and may arrive up to 3 s after they were made. One that says "leaving", of the process before, arrives after this daemon has heard of the new process, and sets a mark of the new one.

Why this works: the time at which a restart was noticed is kept, and a report that was made before it and does not come from the owner itself is dropped.

--- a/src/beacon/beacon_exchange.ts
+++ b/src/beacon/beacon_exchange.ts
@@ -34,6 +34,7 @@
 import type { BeaconTransport } from "./beacon_transport.ts";
 import type { CountExchange } from "./count_exchange.ts";
 import { DomainPeers } from "./domain_peers.ts";
+import { IncarnationTimes } from "./incarnation_times.ts";
 import { NewsSender } from "./news_sender.ts";
 import type { PathObserver } from "./path_observer.ts";
 import { PeerLiveness } from "./peer_liveness.ts";
@@ -74,6 +75,7 @@
     private readonly peers: DomainPeers;
     private readonly liveness = new PeerLiveness();
     private readonly reports = new ReportTable();
+    private readonly restarts: IncarnationTimes;
     private readonly sender: BeaconSender;
     private readonly news: NewsSender;
     private readonly groupRotation: PeerRotation;
@@ -91,6 +93,7 @@
         this.peers = peers;
         this.sender = new BeaconSender({ ...options, peers, liveness: this.liveness });
         this.news = new NewsSender({ ...options, peers, reports, sender: this.sender });
+        this.restarts = new IncarnationTimes(membership);
         this.groupRotation = new PeerRotation(random);
         this.otherRotation = new PeerRotation(random);
     }
@@ -122,12 +125,14 @@
         if (this.closed || daemonId === identity.ownerId) {
             return;
         }
+        const nowMs = clock.getMonotonicMs();
+        this.restarts.update(daemonId, nowMs);
         const before = membership.getIncarnation(daemonId);
         membership.recordIncarnation(daemonId, incarnation, false);
         const hasRestarted = before !== undefined && before !== incarnation
             && membership.getIncarnation(daemonId) === incarnation;
+        this.restarts.update(daemonId, nowMs);
         this.updatePeers();
-        const nowMs = clock.getMonotonicMs();
         const peer = this.peers.find(daemonId);
         if (peer !== undefined && kind === BeaconKind.Probe) {
             this.sender.send(peer, BeaconKind.Answer, []);
@@ -164,12 +169,13 @@
         for (const report of reports) {
             const { upstreamId } = report.state;
             const upstream = membership.find(upstreamId);
-            if (upstream?.ownerId === identity.ownerId) {
+            const ownerId = upstream?.ownerId;
+            if (ownerId === identity.ownerId || this.isReplaced(ownerId, daemonId, nowMs - report.ageMs)) {
                 continue;
             }
             const isLocal = upstream?.failureDomain === failureDomain;
             // The clock of the instance may have stepped back before the restart, and with it the sequence.
-            const isFirst = hasRestarted && upstream?.ownerId === daemonId;
+            const isFirst = hasRestarted && ownerId === daemonId;
             const novelty = this.reports.record(report, { isLocal, isFirst, nowMs });
             if (novelty !== ReportNovelty.Known) {
                 observer.recordState(report.state, nowMs - report.ageMs);
@@ -181,6 +187,12 @@
         }
     }
 
+    /** True when another daemon passes on what the owner reported before this daemon noticed its restart. */
+    private isReplaced(ownerId: string | undefined, fromId: string, madeAtMs: number): boolean {
+        return ownerId !== undefined && ownerId !== fromId
+            && madeAtMs < this.restarts.update(ownerId, this.options.clock.getMonotonicMs());
+    }
+
     /** Probes a daemon of the group, another one of the failure domain, and some that have not answered. */
     private sendRound(): void {
         const { clock, listStates, timers } = this.options;
@@ -229,6 +241,7 @@
         if (this.peers.update()) {
             const { membership } = this.options;
             this.liveness.removeExcept(id => this.peers.find(id) !== undefined);
+            this.restarts.removeExcept(id => membership.getDaemons().has(id));
             this.reports.removeExcept(id => membership.find(id) !== undefined);
         }
     }
