--- a/proof/fakes/beacon_network.ts
+++ b/proof/fakes/beacon_network.ts
@@ -26,6 +26,8 @@
     /** Upstreams of each daemon. */
     readonly upstreams: number;
     readonly seed: number;
+    /** Share of the datagrams that get lost; the default is none. */
+    readonly lossShare?: number;
 }
 
 /** Milliseconds that a datagram travels. */
@@ -42,8 +44,10 @@
     /** Paths that drop datagrams, as sender and receiver. */
     private readonly cuts = new Set<string>();
     private readonly random: SeededRandom;
+    private readonly lossShare: number;
 
-    constructor({ domains, seed, upstreams }: Options) {
+    constructor({ domains, lossShare = 0, seed, upstreams }: Options) {
+        this.lossShare = lossShare;
         this.random = new SeededRandom(seed);
         const owned = domains.flatMap((size, domain) =>
             Array.from({ length: size }, (_, index) => createUpstreams(domain, index, upstreams))
@@ -66,7 +70,8 @@
         const bytes = encodeBeacon(beacon).length + headerBytes;
         sender.countDatagram(bytes);
         const receiver = this.byAddress.get(address);
-        if (receiver === undefined || this.cuts.has(`${sender.id} ${receiver.id}`)) {
+        const isLost = this.lossShare > 0 && this.random.take() < this.lossShare;
+        if (receiver === undefined || isLost || this.cuts.has(`${sender.id} ${receiver.id}`)) {
             return;
         }
         this.time.start(delayMs, () => {
