End connections in order before a process that ends at the time limit of its drain

Replies of an owner that were still being sent, and answers to callers on connections with unread bytes, could be dropped when the process ended at the time limit of its drain: the kernel resets a connection with unread bytes.

Cause: the process ended without closing its connections. It is the same class as the ready answers that were lost behind others: the end of the process cut what was finished.

Evidence: a trial with a daemon that a request holds until its limit.

At the limit the listeners close as at the end of a drain, for 200 ms at most of the 500 ms that are left.

--- a/src/build_daemon.test.ts
+++ b/src/build_daemon.test.ts
@@ -70,3 +70,29 @@
     await daemon.close();
     assert.equal(drained.isOk(), true, "the drain reached its time limit with no request in flight");
 });
+
+test("a process that ends at the time limit of a drain ends its links in order, so that replies on them arrive", async () => {
+    const port = await findFreePort();
+    const callerPort = await findFreePort();
+    const daemon = buildDaemon({
+        ...settings,
+        callerAddress: `127.0.0.1:${callerPort}`,
+        peerAddress: `127.0.0.1:${port}`,
+        drainTimeoutMs: 100,
+    });
+    await daemon.start();
+    const link = await openLink(port, true);
+    const linkEnd = once(link, "end");
+    // A request whose body never ends holds the drain until its limit.
+    const caller = connect(callerPort, "127.0.0.1");
+    caller.on("error", () => undefined);
+    caller.write("POST / HTTP/1.1\r\nHost: test\r\nContent-Length: 9\r\n\r\n1");
+    await new Promise(resolve => setTimeout(resolve, 50));
+    assert.equal((await daemon.drain("SIGTERM")).isErr(), true);
+    await daemon.closeConnections();
+    await linkEnd;
+    caller.destroy();
+    link.destroy();
+    await daemon.waitForClose();
+    await daemon.close();
+});
--- a/src/cli/run_serve.ts
+++ b/src/cli/run_serve.ts
@@ -18,6 +18,7 @@
     }
     await Promise.race([waitForSignal().then(signal => daemon.drain(signal)), daemon.waitForClose()]);
     if (options.endsAtLimit === true) {
+        await daemon.closeConnections();
         await daemon.closeLog();
         return ExitCode.Ok;
     }
--- a/src/daemon.ts
+++ b/src/daemon.ts
@@ -14,6 +14,8 @@
     watchSettings(source: SettingsSource): SettingsWatch;
     /** Leaves the fleet without cutting a request; the result comes when no work is left. */
     drain(cause: string): Promise<Result<DrainReport, Failure>>;
+    /** Sends what is waiting on connections and ends them, for a bounded time, before a process that ends now. */
+    closeConnections(): Promise<void>;
     /** Writes the lines of the log that still wait. */
     closeLog(): Promise<void>;
     /** Resolves when a drain has finished. */
--- a/src/running_daemon.ts
+++ b/src/running_daemon.ts
@@ -27,6 +27,9 @@
     readonly closers: readonly { close(): void | Promise<void>; }[];
 }
 
+/** Milliseconds for the end of connections; on the platform 500 are left before the process is killed. */
+const lastCloseMs = 200;
+
 /** Starts the parts of a daemon in order and stops them in the reverse order. */
 export class RunningDaemon implements Daemon {
     private readonly ended: Promise<void>;
@@ -82,6 +85,15 @@
         await this.closeLog();
     }
 
+    async closeConnections(): Promise<void> {
+        const listeners = this.options.servers.getDrainable();
+        const closed = Promise.all(listeners.map(listener => listener.close()));
+        await Promise.race([
+            closed,
+            new Promise<void>(resolve => void this.options.timers.start(lastCloseMs, resolve)),
+        ]);
+    }
+
     closeLog(): Promise<void> {
         const { logger, output } = this.options;
         logger.write(LogLevel.Info, "process_stopped", { uptimeS: Math.round(process.uptime()) });
