Give all trusted upstreams work by sampling the belief

Cause: a sender took the upstream with the smallest expected loss, and its random part of 0.005 is smaller than what one idle half second adds to the expected loss, since the belief fades towards the usual share of faults. The upstreams that were used last got all the work of a failure domain until their slots were taken, and the others became less attractive by getting none. Only requests that may learn went elsewhere, and these need retry budget.

Fix: senders sample the state of each upstream from the belief (posterior sampling) in place of comparing expected values. Each trusted upstream gets its share, less the probability of a fault, with reports of any age. A request that has no free upstream still compares expected losses, because it may face suspected ones.

Ruled out: the loss of another failure domain (0.02 against 0.005) leaves each domain to its own senders, which is no cause while each domain has callers.

--- a/proof/health/selection_floor.test.ts
+++ b/proof/health/selection_floor.test.ts
@@ -47,4 +47,20 @@
         const { leastUnsuspectedShare } = await runFleet(seed, { streams: [payments], lateFailShare: 0.1 });
         assert.ok(leastUnsuspectedShare >= minShare, `${leastUnsuspectedShare}`);
     });
+
+    test(`work goes only to the upstreams that were used last, seed ${seed}`, async () => {
+        const { leastShare } = await runFleet(seed, {});
+        assert.ok(leastShare >= minShare, `${leastShare}`);
+    });
+
+    test(`work goes only to the upstreams that were used last while demand is low, seed ${seed}`, async () => {
+        const streams = [{ ...payments, perSecond: 70 }, { ...ledgerChecks, perSecond: 36 }];
+        const { leastShare } = await runFleet(seed, { streams });
+        assert.ok(leastShare >= minShare, `${leastShare}`);
+    });
+
+    test(`work goes only to the upstreams that were used last while reports are 2 s old, seed ${seed}`, async () => {
+        const { leastShare } = await runFleet(seed, { reportMs: 2_000 });
+        assert.ok(leastShare >= minShare, `${leastShare}`);
+    });
 }
--- a/src/select/belief_selector.test.ts
+++ b/src/select/belief_selector.test.ts
@@ -110,6 +110,19 @@
     assert.ok(trials > 0 && trials < selections / 10, `${trials} trials`);
 });
 
+test("upstreams that work get nothing because others were used a little later", () => {
+    const setup = new Setup(4);
+    setup.hasBudget = false;
+    for (const [index, faultProbability] of [0.002, 0.01, 0.02, 0.04].entries()) {
+        setup.report(`u${index}`, { faultProbability });
+    }
+    for (const idempotent of [true, false]) {
+        for (const upstreamId of ["u0", "u1", "u2", "u3"]) {
+            assert.ok(setup.countSelections(idempotent, upstreamId) > selections / 8);
+        }
+    }
+});
+
 test("an upstream that may work again stays suspected when no retry budget is left", () => {
     const setup = new Setup(2);
     setup.hasBudget = false;
--- a/src/select/belief_selector.ts
+++ b/src/select/belief_selector.ts
@@ -240,7 +240,7 @@
             ? otherDomainLoss
             : otherRegionLoss;
         const overdue = view.load.hasOverdue(nowMs) ? overdueLoss : 0;
-        return computeFaultLoss(view, place === 0, purpose) + place +
+        return computeFaultLoss(view, purpose, { isNear: place === 0, random }) + place +
             computeWaitLoss(view.load, request, nowMs) +
             overdue +
             jitterLoss * random.take();
--- a/src/select/compute_fault_loss.ts
+++ b/src/select/compute_fault_loss.ts
@@ -1,3 +1,4 @@
+import type { RandomSource } from "../core/random_source.ts";
 import { faultModel } from "../health/fault_model.ts";
 import type { SelectionPurpose } from "./selection_purpose.ts";
 import type { UpstreamView } from "./upstream_view.ts";
@@ -10,14 +11,22 @@
 /** Value of a trial: more than any loss of an upstream that works, so that a trial that is due goes first. */
 const trialValue = 1;
 
+interface Options {
+    /** True for the own failure domain: results of others are the business of the daemons there. */
+    readonly isNear: boolean;
+    readonly random: RandomSource;
+}
+
 /**
- * Loss by a fault that the upstream may have, less the value of the result, in shares of a request's value. `isNear` says
- * that the upstream is in the own failure domain: results of others are the business of the daemons there.
+ * Loss by a fault that the upstream may have, less the value of the result, in shares of a request's value.
+ *
+ * Trusted upstreams are compared by samples of their state (posterior sampling). The expected loss would give all work to
+ * those that were used last, because the belief about the others fades towards the usual share of faults.
  */
 export function computeFaultLoss(
     view: UpstreamView,
-    isNear: boolean,
     { canLearn, isLast, nowMs, usualLimit }: SelectionPurpose,
+    { isNear, random }: Options,
 ): number {
     const probability = view.getFaultProbability(nowMs);
     if (!isLast && probability > usualLimit) {
@@ -27,5 +36,8 @@
         const ageShare = Math.min(1, view.getAgeMs(nowMs) / learnMs);
         return repeatLoss * probability - learnValue * probability * (1 - probability) * ageShare;
     }
-    return probability * faultModel.failShareFaulty;
+    if (isLast) {
+        return probability * faultModel.failShareFaulty;
+    }
+    return random.take() < probability ? faultModel.failShareFaulty : 0;
 }
