Stop sending news of upstreams that a daemon no longer owns

What callers would see: nothing; a daemon would send empty news to each other failure domain ten times a second for ever.

Cause: the sends that are left are kept by upstream, and an upstream that has gone from the own ones, for example because its instance was given to another, never used them up. With it go two smaller faults: news that found no token were counted as sent, and counts of the retry budget travelled with news although the receiver does not read them.

The test of the endless news failed before; that of an upstream that flaps passed and bounds the token bucket.

--- a/proof/fakes/beacon_daemon.ts
+++ b/proof/fakes/beacon_daemon.ts
@@ -22,7 +22,7 @@
     readonly id: string;
     readonly address: string;
     readonly failureDomain: string;
-    readonly upstreamIds: readonly string[];
+    upstreamIds: readonly string[];
     readonly exchange: BeaconExchange;
     /** Newest state of each upstream that was heard of, with its time. */
     readonly heard = new Map<string, { readonly state: UpstreamState; readonly atMs: number; }>();
@@ -74,6 +74,10 @@
         this.exchange.sendLeaving();
     }
 
+    removeUpstreams(): void {
+        this.upstreamIds = [];
+    }
+
     setRunning(running: number): void {
         this.running = running;
         this.exchange.recordChange();
--- a/src/beacon/beacon_sender.ts
+++ b/src/beacon/beacon_sender.ts
@@ -2,7 +2,7 @@
 import type { UpstreamState } from "../core/upstream_state.ts";
 import type { Daemon } from "../membership/daemon.ts";
 import type { OwnerIdentity } from "../operations/owner_identity.ts";
-import type { BeaconKind } from "./beacon_kind.ts";
+import { BeaconKind } from "./beacon_kind.ts";
 import type { BeaconTransport } from "./beacon_transport.ts";
 import type { CountExchange } from "./count_exchange.ts";
 import type { DomainPeers } from "./domain_peers.ts";
@@ -41,7 +41,9 @@
             daemonId: identity.ownerId,
             incarnation: identity.incarnation,
             reports,
-            counts: peers.isInGroup(peer.id) ? counts.listCounts(countsPerBeacon) : [],
+            counts: kind !== BeaconKind.News && peers.isInGroup(peer.id)
+                ? counts.listCounts(countsPerBeacon)
+                : [],
             revision: revisions.getRevision(),
             // The one that was probed last comes first next time, so that all are named in turn.
             suspects: liveness.listSuspects().slice(-suspectsPerBeacon),
--- a/src/beacon/news_budget.ts
+++ b/src/beacon/news_budget.ts
@@ -11,12 +11,17 @@
 
     constructor(private readonly clock: Clock) {}
 
-    /** False when the beacon must not be sent now. */
-    take(): boolean {
+    /** False when no beacon may be sent now. */
+    has(): boolean {
         const nowMs = this.clock.getMonotonicMs();
         this.tokens = Math.min(burst, this.tokens + (nowMs - this.updatedAtMs) / 1_000 * perSecond);
         this.updatedAtMs = nowMs;
-        if (this.tokens < 1) {
+        return this.tokens >= 1;
+    }
+
+    /** False when the beacon must not be sent now. */
+    take(): boolean {
+        if (!this.has()) {
             return false;
         }
         this.tokens -= 1;
--- a/src/beacon/news_sender.ts
+++ b/src/beacon/news_sender.ts
@@ -73,12 +73,15 @@
 
     /** Passes on news that a daemon has sent. */
     sendHeard(fromId: string, nowMs: number): void {
-        this.send(this.options.reports.takeNews(reportsPerNews, nowMs), relayFanOut, fromId);
+        if (this.budget.has()) {
+            this.send(this.options.reports.takeNews(reportsPerNews, nowMs), relayFanOut, fromId);
+        }
     }
 
     /** Sends the states of own upstreams whose news class has changed. */
     recordStates(states: readonly UpstreamState[]): void {
         const { sender } = this.options;
+        this.removeExcept(states);
         const changed: UpstreamState[] = [];
         for (const state of states) {
             const newsClass = decideNewsClass(state);
@@ -96,6 +99,18 @@
         }
     }
 
+    /** Forgets upstreams that this daemon no longer owns. */
+    private removeExcept(states: readonly UpstreamState[]): void {
+        for (
+            const id of [...this.told.keys()].filter(id =>
+                !states.some(({ upstreamId }) => upstreamId === id)
+            )
+        ) {
+            this.told.delete(id);
+            this.foreignNews.delete(id);
+        }
+    }
+
     private send(reports: readonly UpstreamReport[], fanOut: number, fromId?: string): void {
         for (let sent = 0; sent < fanOut; sent += 1) {
             const peer = this.rotation.take(this.options.peers.listDomain());
@@ -108,12 +123,12 @@
     /** Sends news to one daemon of each other failure domain, which passes them on. */
     private sendForeign(): void {
         this.foreignTimer = undefined;
-        if (this.closed || this.foreignNews.size === 0) {
+        const { listStates, peers, random, sender, timers } = this.options;
+        const states = listStates().filter(({ upstreamId }) => this.foreignNews.has(upstreamId))
+            .slice(0, reportsPerNews);
+        if (this.closed || states.length === 0) {
             return;
         }
-        const { peers, random, sender, timers } = this.options;
-        const states = this.options.listStates().filter(({ upstreamId }) => this.foreignNews.has(upstreamId))
-            .slice(0, reportsPerNews);
         const reports = states.map(state => sender.buildReport(state));
         for (const { upstreamId } of states) {
             const left = this.foreignNews.get(upstreamId)! - 1;
