Forget a raised score of another upstream when the requests of a common fault have ended

An upstream that was 20 times slower than the others stayed in rotation of three for the 10 s of the scenario: accounts-1 had been paused for 0.8 s, its score reached 22.5 nats and was back at zero 1.8 s later, but its peak was remembered for 10 s and kept the excess of accounts-2 (26.8 nats, fresh, six to ten slow answers a second for 5.4 s more) below the alarm.

The peak is remembered because after a common fault the others recover first, while late results of requests that began during it still arrive. These end with their deadlines. So a high peak now counts for nothing when the score was back at zero and the suspected upstream was at its highest later than that by the longest deadline of the service's routes. Peaks that may be chance keep the margin of 300 ms.

--- a/src/health/ejection_table.ts
+++ b/src/health/ejection_table.ts
@@ -69,7 +69,7 @@
         const candidates = members.map(({ id }) => {
             const state = states.get(id)!;
             this.updateHold(service, id, state, nowMs);
-            const excess = this.computeExcess(id, states, alarmScore, nowMs);
+            const excess = this.computeExcess(service, id, states, nowMs);
             const raisedSinceMs = this.options.board.getRaisedSinceMs(id) ?? nowMs;
             return {
                 upstreamId: id,
@@ -172,12 +172,13 @@
      * their score is newer by the delay of a common cause: older ones say nothing about it. Peaks, because present scores may be older or newer than this one.
      */
     private computeExcess(
+        service: ServiceConfig,
         upstreamId: string,
         states: ReadonlyMap<string, EjectionState>,
-        alarmScore: number,
         nowMs: number,
     ): number {
         const { board } = this.options;
+        const alarmScore = computeAlarmScore(service.health);
         const sinceMs = Math.max(states.get(upstreamId)!.changedAtMs, nowMs - scoreLifeMs);
         const score = board.getScore(upstreamId, sinceMs) ?? 0;
         if (score < alarmScore) {
@@ -189,21 +190,23 @@
         const isKnown = (id: string): boolean =>
             board.getScore(id, raisedSinceMs + commonDelayMs) !== undefined
             || (board.getScore(id, beginMs) !== undefined && board.getPeak(id, beginMs) >= raisedScore);
+        const longestMs = Math.max(commonDelayMs, ...service.routes.map(({ deadlineMs }) => deadlineMs));
         const peaks = others.filter(([id]) => isKnown(id)).map(([id]) => {
             const peak = board.getPeak(id, beginMs);
-            return peak < chanceShare * alarmScore && this.isOutlasted(id, upstreamId) ? 0 : peak;
+            const marginMs = peak < chanceShare * alarmScore ? commonDelayMs : longestMs;
+            return this.isOutlasted(id, upstreamId, marginMs) ? 0 : peak;
         });
         return score - computeReferenceScore(others.length, peaks);
     }
 
     /**
-     * True when the score of `id` has fallen to zero and that of `upstreamId` was at its highest later, by more than
-     * the delay of a common cause: whatever raised the first score is over, and the second fault is not.
+     * True when the score of `id` has fallen to zero and that of `upstreamId` was at its highest later by `marginMs`:
+     * whatever raised the first score is over, and the second fault is not. A fault may raise a score until the
+     * requests that began during it have reached their deadlines, which is the margin unless the peak may be chance.
      */
-    private isOutlasted(id: string, upstreamId: string): boolean {
+    private isOutlasted(id: string, upstreamId: string, marginMs: number): boolean {
         const zeroSinceMs = this.options.board.getZeroSinceMs(id);
-        return zeroSinceMs !== undefined
-            && this.options.board.isAtPeak(upstreamId, zeroSinceMs + commonDelayMs);
+        return zeroSinceMs !== undefined && this.options.board.isAtPeak(upstreamId, zeroSinceMs + marginMs);
     }
 
     /** Ejects, or extends an ejection. The hold doubles unless the upstream was in rotation for the longest hold. */
