Keep the last answer of a request apart from that of its aborted work

What a caller could see: 504 at the end of a drain with the status of another answer (503, not executed, with the body of the 504) if the aborted work answers at once; and work that began after its request had got the 504. Cause: two answers were set on one response, and only the order of microtasks decided which one counted. Nothing looked at the exchange after the body had been read. Ruled out: an unhandled rejection, and changes after the head was written. Evidence: two new tests, work that answers in the abort listener and a body that ends after the last answer. Why this works: a request that is aborted is neither handed on nor answered by its work; the lease or the end of the connection answers for it.

The test of a ready answer waits for the bytes at its caller too.

--- a/src/edge/caller_http/create_caller_app.ts
+++ b/src/edge/caller_http/create_caller_app.ts
@@ -28,8 +28,12 @@
     const app = new Koa();
     app.use(options.lease);
     app.use(async context => {
+        const signal = ServerExchange.get(context.res).getSignal();
         const declaredLength = context.get("content-length") || undefined;
         const body = await readBody(context.req, options.maxRequestBytes, declaredLength);
+        if (signal.aborted) {
+            return;
+        }
         const answer = body.isErr()
             ? options.codec.encodeProblem(createFailure(Code.RequestTooLarge), "")
             : await options.handle({
@@ -38,8 +42,12 @@
                 target: context.url,
                 headers: formatEndToEndHeaders(context.req.headers),
                 body: body.value,
-                signal: ServerExchange.get(context.res).getSignal(),
+                signal,
             });
+        // The exchange may have got its last answer meanwhile, which this one must not mix with.
+        if (signal.aborted) {
+            return;
+        }
         sendAnswer(context, answer);
         if (body.isErr()) {
             // Node.js would read and drop the rest of the body before the next request.
--- a/src/edge/caller_http/pipelined_requests.test.ts
+++ b/src/edge/caller_http/pipelined_requests.test.ts
@@ -156,13 +156,42 @@
     sendAnswer("/ready");
     await new Promise(resolve => setTimeout(resolve, 20));
     sendLastAnswers();
-    await waitFor(() => state.inFlight === 0);
+    await waitFor(() => state.inFlight === 0 && caller.listAnswers().length === 1);
     assert.deepEqual(caller.listAnswers(), ["/ready"]);
     assert.deepEqual([...handed.values()].map(({ incoming }) => incoming.signal.aborted), [true, false]);
     assert.match(caller.getReceived(), /^HTTP\/1\.1 504 /);
     caller.socket.destroy();
 });
 
+test("the answer of work that the last answer aborts does not mix with the last answer", async () => {
+    const { sendAnswer, sendLastAnswers, handed, port, state } = await openCallers();
+    const caller = await openCaller(port);
+    send(caller.socket, "/long");
+    await waitFor(() => handed.size === 1);
+    handed.get("/long")!.incoming.signal.addEventListener("abort", () => sendAnswer("/long"));
+    state.draining = true;
+    sendLastAnswers();
+    await once(caller.socket, "close");
+    assert.match(caller.getReceived(), /^HTTP\/1\.1 504 /);
+    assert.doesNotMatch(caller.getReceived(), /answer to/);
+});
+
+test("a request whose body ends after its last answer does not reach an upstream", async () => {
+    const { sendLastAnswers, handed, port, state } = await openCallers();
+    const socket = connect({ port, host: "127.0.0.1", allowHalfOpen: true });
+    socket.on("error", () => undefined);
+    socket.write("POST /late HTTP/1.1\r\nHost: t\r\nContent-Length: 9\r\n\r\n1234");
+    await waitFor(() => state.inFlight === 1);
+    state.draining = true;
+    sendLastAnswers();
+    const [chunk] = await once(socket, "data") as [Buffer];
+    assert.match(chunk.toString(), /^HTTP\/1\.1 504 /);
+    socket.write("56789");
+    await new Promise(resolve => setTimeout(resolve, 50));
+    assert.deepEqual([...handed.keys()], []);
+    socket.destroy();
+});
+
 test("a refusal behind a request that is with an upstream does not cut its answer", async () => {
     const { sendAnswer, handed, port, state } = await openCallers();
     const caller = await openCaller(port);
