End the processes of a fleet that does not start

Cause: Fleet.start threw without closing what it had started, and no one else knew these processes. Ruled out: scenarios that fail later; their fleet is known and closed. Evidence: the new test, a fleet with a start limit of 1 ms, fails on the code before ('not reached within 1000 ms: all processes ended') and passes now. Conclusion: a failed start closes its processes and then reports its error.

--- /dev/null
+++ b/standin/fleet.test.ts
@@ -0,0 +1,22 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Fleet } from "./fleet.ts";
+import { waitUntil } from "./wait_until.ts";
+
+function countProcesses(): number {
+    return process.getActiveResourcesInfo().filter(name => name === "ProcessWrap").length;
+}
+
+test("a fleet that does not start in time leaves processes behind, so that the test run never ends", async () => {
+    const before = countProcesses();
+    const start = Fleet.start({
+        configuration: "",
+        services: ["accounts"],
+        daemons: 1,
+        slots: 1,
+        failureDomains: ["zone-a"],
+        startLimitMs: 1,
+    });
+    await assert.rejects(start, /platform started/);
+    await waitUntil("all processes ended", 1_000, () => countProcesses() === before);
+});
--- a/standin/fleet.ts
+++ b/standin/fleet.ts
@@ -42,7 +42,9 @@
         private readonly options: FleetOptions,
         private readonly platform: ProcessHandle,
         readonly platformUrl: string,
-    ) {}
+    ) {
+        this.started.push({ name: "platform", process: platform });
+    }
 
     static async start(options: FleetOptions): Promise<Fleet> {
         const upstreamCount = options.daemons * options.services.length;
@@ -52,23 +54,13 @@
         const address = `127.0.0.1:${platformPort}`;
         const platform = new ProcessHandle(process.execPath, [standinProgram, "platform", address]);
         const fleet = new Fleet(options, platform, `http://${address}`);
-        fleet.started.push({ name: "platform", process: platform });
-        await waitUntil("platform started", START_LIMIT_MS, () => platform.output.length > 0);
-        fleet.startUpstreams(ports.splice(0, upstreamCount));
-        await waitUntil(
-            "upstreams started",
-            START_LIMIT_MS,
-            () => fleet.upstreams.every(upstream => upstream.process.output.length > 0),
-        );
-        fleet.addDaemons(ports);
-        if (options.links === true) {
-            for (const daemon of fleet.daemons) {
-                daemon.link = await Link.open(daemon.peerAddress);
-            }
+        try {
+            await fleet.open(ports.slice(0, upstreamCount), ports.slice(upstreamCount));
+        }
+        catch (error) {
+            await fleet.close();
+            throw error;
         }
-        await fleet.setValue("head", options.configuration);
-        await fleet.setInstances(new Set());
-        await Promise.all(fleet.daemons.map((_, index) => fleet.startDaemon(index)));
         return fleet;
     }
 
@@ -137,11 +129,30 @@
     }
 
     async close(): Promise<void> {
-        const processes = [...this.daemons, ...this.upstreams].map(part => part.process);
-        await Promise.all([...processes, this.platform].map(child => child.close()));
+        await Promise.all(this.started.map(({ process }) => process.close()));
         await Promise.all(this.daemons.map(async daemon => daemon.link?.close()));
     }
 
+    private async open(upstreamPorts: readonly number[], daemonPorts: readonly number[]): Promise<void> {
+        const { configuration, links, startLimitMs = START_LIMIT_MS } = this.options;
+        await waitUntil("platform started", startLimitMs, () => this.platform.output.length > 0);
+        this.startUpstreams(upstreamPorts);
+        await waitUntil(
+            "upstreams started",
+            startLimitMs,
+            () => this.upstreams.every(upstream => upstream.process.output.length > 0),
+        );
+        this.addDaemons(daemonPorts);
+        if (links === true) {
+            for (const daemon of this.daemons) {
+                daemon.link = await Link.open(daemon.peerAddress);
+            }
+        }
+        await this.setValue("head", configuration);
+        await this.setInstances(new Set());
+        await Promise.all(this.daemons.map((_, index) => this.startDaemon(index)));
+    }
+
     private startUpstreams(ports: readonly number[]): void {
         for (const [index, port] of ports.entries()) {
             const service = this.options.services[index % this.options.services.length]!;
--- a/standin/fleet_options.ts
+++ b/standin/fleet_options.ts
@@ -13,4 +13,6 @@
     readonly links?: boolean;
     /** Further flags of each daemon, for example `--drain-grace-ms=100`. */
     readonly flags?: readonly string[];
+    /** Milliseconds for each step of the start; the default is 20 s. */
+    readonly startLimitMs?: number;
 }
