Use only the own part of the retry slack until the group is known

Found by review.

Cause: what a group has not reported yet was estimated over the daemons that had reported. One that had not, or not for a whole window, counted as zero, so that each daemon took the whole slack of the group for its own.

The budget now knows the other daemons of its group. The part of a daemon without a report within the window is left to it. Until each daemon that joined the group in the last window has reported, a daemon also keeps to what its own requests and its own part of the slack allow. The sum of these parts is the slack of the group, whoever knows of whom, so that cold or separated daemons cannot exceed it. A daemon that stays silent, because it ended and is still listed, costs the group its part and no more.

Ruled out: keeping to the own part for as long as any listed daemon is silent. One that ended would then keep its whole group from sharing. Also to reserve only the parts of unknown daemons while a group is cold: two daemons that know a third one, and not each other, would both use its part.

--- a/measure/beacons/beacon_fleet.ts
+++ b/measure/beacons/beacon_fleet.ts
@@ -77,10 +77,15 @@
         const { clock, random, timers } = this;
         const membership = new MembershipTable({ clock, audit: sinks, logger: sinks, metrics: sinks });
         membership.merge({ version: 1, upstreams }, "1", "measure");
-        const budget = new FleetRetryBudget({ clock, getBounds: () => bounds, getGroupShare: () => 1 });
+        const budget = new FleetRetryBudget({
+            clock,
+            getBounds: () => bounds,
+            getGroupShare: () => 1,
+            getGroupPeerIds: () => exchange.getGroupPeerIds(),
+        });
         const transport = new UdpBeaconTransport(sinks);
         const state = { running: 0 };
-        const exchange = new BeaconExchange({
+        const exchange: BeaconExchange = new BeaconExchange({
             clock,
             timers,
             random,
--- a/proof/health/selection_fleet.ts
+++ b/proof/health/selection_fleet.ts
@@ -22,6 +22,8 @@
 import { SelectionOwner } from "./selection_owner.ts";
 
 const domains = ["domain 0", "domain 1", "domain 2"];
+/** All senders of a failure domain use one budget. */
+const noPeerIds: ReadonlySet<string> = new Set();
 const sendersPerDomain = 10;
 /** Milliseconds one way between two daemons. */
 const pathMs = 1;
@@ -108,6 +110,7 @@
             clock: time,
             getBounds: () => ({ percent: 10, slack: 192, windowMs: 10_000 }),
             getGroupShare: () => 1 / domains.length,
+            getGroupPeerIds: () => noPeerIds,
         });
         this.budgets.set(failureDomain, budget);
         const buildSelector = () =>
--- a/src/beacon/beacon_exchange.ts
+++ b/src/beacon/beacon_exchange.ts
@@ -163,6 +163,12 @@
         return this.peers.getGroupShare();
     }
 
+    /** Identifiers of the other daemons that share their counts with this one; the same set until the list changes. */
+    getGroupPeerIds(): ReadonlySet<string> {
+        this.updatePeers();
+        return this.peers.getGroupPeerIds();
+    }
+
     private handleReports({ daemonId, reports }: Beacon, hasRestarted: boolean, nowMs: number): void {
         const { failureDomain, identity, membership, observer } = this.options;
         let hasNews = false;
--- a/src/beacon/domain_peers.ts
+++ b/src/beacon/domain_peers.ts
@@ -26,6 +26,7 @@
     private domain: readonly Daemon[] = [];
     private group: readonly Daemon[] = [];
     private groupIds: ReadonlySet<string> = new Set();
+    private groupPeerIds: ReadonlySet<string> = new Set();
     private others: readonly Daemon[] = [];
     private foreign: readonly (readonly Daemon[])[] = [];
     private groupShare = 1;
@@ -73,6 +74,11 @@
         return this.groupIds.has(daemonId);
     }
 
+    /** Identifiers of the daemons of the own group, without this one; the same set until the list changes. */
+    getGroupPeerIds(): ReadonlySet<string> {
+        return this.groupPeerIds;
+    }
+
     /** Share of all daemons that are in the own group. */
     getGroupShare(): number {
         return this.groupShare;
@@ -103,6 +109,7 @@
         this.groupIds = new Set(ids.filter((_, index) => findGroup(index) === own));
         this.domain = domain;
         this.group = domain.filter(({ id }) => this.groupIds.has(id));
+        this.groupPeerIds = new Set(this.group.map(({ id }) => id));
         this.others = domain.filter(({ id }) => !this.groupIds.has(id));
         this.foreign = [...foreign.values()];
         this.groupShare = this.groupIds.size / Math.max(daemons.size, ids.length);
--- a/src/forward/fleet_retry_budget.test.ts
+++ b/src/forward/fleet_retry_budget.test.ts
@@ -7,11 +7,13 @@
 const slack = 60;
 const windowMs = 10_000;
 
-function createBudget(time: VirtualTime, domains = 3): FleetRetryBudget {
+function createBudget(time: VirtualTime, domains = 3, peerIds: readonly string[] = []): FleetRetryBudget {
+    const groupPeerIds = new Set(peerIds);
     return new FleetRetryBudget({
         clock: time,
         getBounds: () => ({ percent, slack, windowMs }),
         getGroupShare: () => 1 / domains,
+        getGroupPeerIds: () => groupPeerIds,
     });
 }
 
@@ -25,7 +27,7 @@
 
 test("the daemons of a failure domain together stay within their part, however requests are spread", () => {
     const time = new VirtualTime();
-    const budgets = [createBudget(time), createBudget(time)];
+    const budgets = [createBudget(time, 3, ["d1"]), createBudget(time, 3, ["d0"])];
     for (let request = 0; request < 100; request += 1) {
         budgets[0]!.add("payments");
     }
@@ -54,7 +56,7 @@
 
 test("a daemon that restarts counts from 0, and its former counts stay in the window", () => {
     const time = new VirtualTime();
-    const budget = createBudget(time, 1);
+    const budget = createBudget(time, 1, ["d2"]);
     budget.recordPeer("d2", "first", [{ service: "payments", requests: 0, repeats: 40 }]);
     budget.recordPeer("d2", "second", [{ service: "payments", requests: 0, repeats: 5 }]);
     budget.recordPeer("d2", "second", [{ service: "payments", requests: 0, repeats: 5 }]);
@@ -75,7 +77,10 @@
     for (const requestsPerSecond of [0.5, 3, 20]) {
         const gapMs = 1_000 / requestsPerSecond;
         const time = new VirtualTime();
-        const budgets = Array.from({ length: size }, () => createBudget(time, 10));
+        const budgets = Array.from({ length: size }, (_, index) => {
+            const peers = Array.from({ length: size }, (__, peer) => `d${peer}`);
+            return createBudget(time, 10, peers.filter(id => id !== `d${index}`));
+        });
         const sent: { readonly atMs: number; readonly isRepeat: boolean; }[] = [];
         const startRequest = (budget: FleetRetryBudget): void => {
             const atMs = time.getMonotonicMs();
--- a/src/forward/fleet_retry_budget.ts
+++ b/src/forward/fleet_retry_budget.ts
@@ -3,12 +3,13 @@
  *
  * The fleet may send a share of its requests once more, and a fixed number of further attempts in each window. The
  * daemons of a group tell each other how many attempts they have sent lately and use their part together; the fixed
- * number is divided between the groups, which do not talk about it, by their size.
+ * number is divided between the groups, which do not talk about it, by their size. The part of a daemon that does not
+ * report is left to it; while a new one has not reported yet, each daemon also keeps to its own part.
  *
  * @example
  * ```ts
  * const getBounds = () => ({ percent: 20, slack: 64, windowMs: 10_000 });
- * const budget = new FleetRetryBudget({ clock, getBounds, getGroupShare: () => 8 / 90 });
+ * const budget = new FleetRetryBudget({ clock, getBounds, getGroupShare: () => 8 / 90, getGroupPeerIds: () => peerIds });
  * budget.recordPeer("daemon-2", "incarnation", counts);
  * ```
  *
@@ -26,6 +27,8 @@
     readonly getBounds: () => RetryBounds;
     /** Share of all daemons that tell this one their counts, with this one. */
     readonly getGroupShare: () => number;
+    /** The other daemons that share their counts with this one; the same set until they change. */
+    readonly getGroupPeerIds: () => ReadonlySet<string>;
 }
 
 /** Attempts of one service that this daemon has counted lately. */
@@ -65,6 +68,9 @@
     private readonly peerCounts = new Map<string, Map<string, PeerCount>>();
     /** Time of the last report of each daemon. */
     private readonly reportedAtMs = new Map<string, number>();
+    private groupPeerIds: ReadonlySet<string> = new Set();
+    /** Time at which this daemon first saw each other one in its group. */
+    private joinedAtMs: ReadonlyMap<string, number> = new Map();
 
     constructor(private readonly options: Options) {}
 
@@ -76,15 +82,21 @@
         const { clock, getBounds, getGroupShare } = this.options;
         const { percent, slack, windowMs } = getBounds();
         const nowMs = clock.getMonotonicMs();
+        this.updateGroup(nowMs);
         const window = this.getWindow(service);
         let requests = window.requests.get(nowMs);
         let repeats = window.repeats.get(nowMs);
+        const ownSlack = slack * getGroupShare() / (1 + this.groupPeerIds.size);
+        const ownAllowed = requests * percent / 100 + ownSlack;
+        if (this.isAwaitingReport(nowMs - windowMs) && repeats + 1 > share * usedShare * ownAllowed) {
+            return false;
+        }
         for (const count of this.listPeerCounts(service, nowMs - windowMs)) {
             requests += count.requests;
             repeats += count.repeats;
         }
         const unreported = this.computeUnreported(window, nowMs - windowMs, nowMs);
-        const allowed = requests * percent / 100 + slack * getGroupShare();
+        const allowed = requests * percent / 100 + ownSlack * (1 + this.countReporting(nowMs - windowMs));
         return repeats + unreported + 1 <= share * usedShare * allowed;
     }
 
@@ -122,6 +134,7 @@
 
     recordPeer(daemonId: string, incarnation: string, counts: readonly ServiceCount[]): void {
         const atMs = this.options.clock.getMonotonicMs();
+        this.updateGroup(atMs);
         this.reportedAtMs.set(daemonId, atMs);
         for (const { repeats, requests, service } of counts) {
             let peers = this.peerCounts.get(service);
@@ -138,6 +151,39 @@
         }
     }
 
+    private updateGroup(nowMs: number): void {
+        const groupPeerIds = this.options.getGroupPeerIds();
+        if (groupPeerIds === this.groupPeerIds) {
+            return;
+        }
+        this.groupPeerIds = groupPeerIds;
+        this.joinedAtMs = new Map([...groupPeerIds].map(id => [id, this.joinedAtMs.get(id) ?? nowMs]));
+    }
+
+    /**
+     * True while a daemon that joined the group lately has not reported. What it sends is not known then, and it may
+     * not know of this daemon either. One that stays silent for a whole window only has its part left to it.
+     */
+    private isAwaitingReport(sinceMs: number): boolean {
+        for (const [daemonId, joinedAtMs] of this.joinedAtMs) {
+            if (joinedAtMs >= sinceMs && (this.reportedAtMs.get(daemonId) ?? -Infinity) < joinedAtMs) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Number of other daemons of the group whose reports are not older than `sinceMs`. */
+    private countReporting(sinceMs: number): number {
+        let reporting = 0;
+        for (const [daemonId, joinedAtMs] of this.joinedAtMs) {
+            if ((this.reportedAtMs.get(daemonId) ?? -Infinity) >= Math.max(sinceMs, joinedAtMs)) {
+                reporting += 1;
+            }
+        }
+        return reporting;
+    }
+
     private addRepeats(service: string, amount: number): void {
         const nowMs = this.options.clock.getMonotonicMs();
         const { groupRepeats, ownRepeats, repeats } = this.getWindow(service);
--- /dev/null
+++ b/src/forward/fleet_retry_groups.test.ts
@@ -0,0 +1,156 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { VirtualTime } from "../../proof/fakes/virtual_time.ts";
+import { FleetRetryBudget } from "./fleet_retry_budget.ts";
+
+const percent = 20;
+const slack = 64;
+const windowMs = 10_000;
+const daemons = 88;
+const groupSize = 8;
+/** Period in which each daemon exchanges its counts with one other of its group. */
+const periodMs = 300;
+const endMs = 40_000;
+
+interface Trial {
+    readonly requestsPerSecond: number;
+    /** All attempts of a request that arrives later fail. */
+    readonly failFromMs: number;
+    /** Share of the later requests that fail. */
+    readonly failShare?: number;
+    /** Daemons that end at `endAtMs` and stay listed. */
+    readonly ended?: ReadonlySet<number>;
+    readonly endAtMs?: number;
+}
+
+/** Fixed sequence, so that a failure can be repeated. */
+function createRandom(): () => number {
+    let seed = 7;
+    return () => {
+        seed = (seed * 1_103_515_245 + 12_345) % 2_147_483_648;
+        return seed / 2_147_483_648;
+    };
+}
+
+/** Number of ascending times that are later than `sinceMs`. */
+function countSince(times: readonly number[], sinceMs: number): number {
+    return times.length - 1 - times.findLastIndex(atMs => atMs <= sinceMs);
+}
+
+/** Repeats of the whole fleet, as a multiple of those allowed, in the window in which that is greatest. */
+async function measureWorst(trial: Trial): Promise<number> {
+    const { ended = new Set(), endAtMs = 0, failFromMs, failShare = 1, requestsPerSecond } = trial;
+    const time = new VirtualTime();
+    const random = createRandom();
+    const isEnded = (index: number): boolean => ended.has(index) && time.getMonotonicMs() >= endAtMs;
+    const listGroup = (index: number): readonly number[] => {
+        const first = Math.floor(index / groupSize) * groupSize;
+        return Array.from({ length: groupSize }, (_, place) => first + place);
+    };
+    const budgets = Array.from({ length: daemons }, (_, index) => {
+        const peerIds = new Set(listGroup(index).filter(peer => peer !== index).map(peer => `d${peer}`));
+        return new FleetRetryBudget({
+            clock: time,
+            getBounds: () => ({ percent, slack, windowMs }),
+            getGroupShare: () => groupSize / daemons,
+            getGroupPeerIds: () => peerIds,
+        });
+    });
+    const requests: number[] = [];
+    const repeats: number[] = [];
+    const startRequest = (index: number): void => {
+        time.start(-Math.log(1 - random()) * 1_000 / requestsPerSecond, () => startRequest(index));
+        const nowMs = time.getMonotonicMs();
+        if (isEnded(index)) {
+            return;
+        }
+        budgets[index]!.add("payments");
+        requests.push(nowMs);
+        const hasFailed = random() < failShare && nowMs >= failFromMs;
+        for (let repeat = 0; hasFailed && repeat < 2 && budgets[index]!.take("payments"); repeat += 1) {
+            repeats.push(nowMs);
+        }
+    };
+    const runRound = (round: number): void => {
+        for (const index of budgets.keys()) {
+            const group = listGroup(index);
+            const peer = group[(group.indexOf(index) + 1 + round % (groupSize - 1)) % groupSize]!;
+            if (!isEnded(index) && !isEnded(peer)) {
+                budgets[peer]!.recordPeer(`d${index}`, "i", budgets[index]!.listCounts(6));
+                budgets[index]!.recordPeer(`d${peer}`, "i", budgets[peer]!.listCounts(6));
+            }
+        }
+        time.start(periodMs, () => runRound(round + 1));
+    };
+    for (const index of budgets.keys()) {
+        time.start(random() * 1_000 / requestsPerSecond, () => startRequest(index));
+    }
+    time.start(periodMs, () => runRound(0));
+    let worst = 0;
+    for (let nowMs = 0; nowMs < endMs; nowMs += 100) {
+        await time.run(100);
+        const sinceMs = time.getMonotonicMs() - windowMs;
+        const allowed = countSince(requests, sinceMs) * percent / 100 + slack;
+        worst = Math.max(worst, countSince(repeats, sinceMs) / allowed);
+    }
+    return worst;
+}
+
+for (const requestsPerSecond of [1, 3, 8]) {
+    test(`daemons that have not heard of each other do not each use the whole number, ${requestsPerSecond} a second`, async t => {
+        const worst = await measureWorst({ requestsPerSecond, failFromMs: 0 });
+        t.diagnostic(`worst ratio ${worst.toFixed(2)}`);
+        assert.ok(worst <= 1, `${worst} of the allowed repeats`);
+        assert.ok(worst > 0.4, `only ${worst} of the allowed repeats`);
+    });
+
+    test(`a group that knows its counts keeps to its part, ${requestsPerSecond} a second`, async t => {
+        const worst = await measureWorst({ requestsPerSecond, failFromMs: 15_000 });
+        t.diagnostic(`worst ratio ${worst.toFixed(2)}`);
+        assert.ok(worst <= 1, `${worst} of the allowed repeats`);
+        assert.ok(worst > 0.4, `only ${worst} of the allowed repeats`);
+    });
+}
+
+test("daemons that end and stay listed take only their own part from their group", async t => {
+    const ended = new Set(Array.from({ length: daemons / groupSize }, (_, group) => group * groupSize));
+    const worst = await measureWorst({ requestsPerSecond: 3, failFromMs: 25_000, ended, endAtMs: 8_000 });
+    t.diagnostic(`worst ratio ${worst.toFixed(2)}`);
+    assert.ok(worst <= 1, `${worst} of the allowed repeats`);
+    assert.ok(worst > 0.6, `only ${worst} of the allowed repeats`);
+});
+
+test("a few failing requests from the start do not use more than the allowed repeats", async t => {
+    const worst = await measureWorst({ requestsPerSecond: 3, failFromMs: 0, failShare: 0.3 });
+    t.diagnostic(`worst ratio ${worst.toFixed(2)}`);
+    assert.ok(worst <= 1, `${worst} of the allowed repeats`);
+    assert.ok(worst > 0.4, `only ${worst} of the allowed repeats`);
+});
+
+test("daemons cut off from each other for longer than the window use one part each", async t => {
+    const time = new VirtualTime();
+    const peerIds = ["d0", "d1", "d2", "d3"];
+    const budgets = peerIds.map(own => {
+        const others = new Set(peerIds.filter(id => id !== own));
+        return new FleetRetryBudget({
+            clock: time,
+            getBounds: () => ({ percent, slack, windowMs }),
+            getGroupShare: () => 1,
+            getGroupPeerIds: () => others,
+        });
+    });
+    for (const [index, budget] of budgets.entries()) {
+        for (const id of peerIds.filter(other => other !== peerIds[index])) {
+            budget.recordPeer(id, "i", []);
+        }
+    }
+    await time.run(2 * windowMs);
+    let taken = 0;
+    for (const budget of budgets) {
+        while (budget.take("payments")) {
+            taken += 1;
+        }
+    }
+    t.diagnostic(`${taken} of ${slack}`);
+    assert.ok(taken <= slack && taken > slack / 2, `${taken} of ${slack}`);
+});
--- a/src/wiring/build_entry.ts
+++ b/src/wiring/build_entry.ts
@@ -36,6 +36,9 @@
 /** Where the daemon runs. */
 type Place = Pick<ServeSettings, "failureDomain" | "region">;
 
+/** Without beacons no daemon tells its counts. */
+const noPeerIds: ReadonlySet<string> = new Set();
+
 /** The entry's side: from a caller's request to its answer. */
 export function buildEntry(
     place: Place,
@@ -58,6 +61,7 @@
         clock,
         getBounds: () => adapters.getRetryBounds(),
         getGroupShare: () => control.beacons?.exchange.getGroupShare() ?? 0,
+        getGroupPeerIds: () => control.beacons?.exchange.getGroupPeerIds() ?? noPeerIds,
     });
     const budget = fleetBudget ?? new TokenRetryBudget(clock);
     const parts = { ...base, ...place, membership, leaving: membership };
