Count the requests of a daemon for the retry budget of one group only

Found by review. When a daemon joins or leaves, the borders of the groups move.

Cause: a report raised the allowance of the group that had received it until it was a window old, although the daemon already reported the same requests in its new group.

When the group changes, the budget now drops the requests of daemons that are listed and in another group. It keeps their repeats, which were sent from the part of this group, and both figures of daemons that have gone, whose requests are told nowhere else.

Ruled out: to decide at each use of a report whether its daemon is in the group or gone. A daemon that moves and then ends would count in both groups again.

--- a/measure/beacons/beacon_fleet.ts
+++ b/measure/beacons/beacon_fleet.ts
@@ -82,6 +82,7 @@
             getBounds: () => bounds,
             getGroupShare: () => 1,
             getGroupPeerIds: () => exchange.getGroupPeerIds(),
+            isListed: daemonId => membership.getDaemons().has(daemonId),
         });
         const transport = new UdpBeaconTransport(sinks);
         const state = { running: 0 };
--- a/proof/health/selection_fleet.ts
+++ b/proof/health/selection_fleet.ts
@@ -111,6 +111,7 @@
             getBounds: () => ({ percent: 10, slack: 192, windowMs: 10_000 }),
             getGroupShare: () => 1 / domains.length,
             getGroupPeerIds: () => noPeerIds,
+            isListed: () => true,
         });
         this.budgets.set(failureDomain, budget);
         const buildSelector = () =>
--- a/src/forward/fleet_retry_budget.test.ts
+++ b/src/forward/fleet_retry_budget.test.ts
@@ -14,6 +14,7 @@
         getBounds: () => ({ percent, slack, windowMs }),
         getGroupShare: () => 1 / domains,
         getGroupPeerIds: () => groupPeerIds,
+        isListed: () => true,
     });
 }
 
--- a/src/forward/fleet_retry_budget.ts
+++ b/src/forward/fleet_retry_budget.ts
@@ -9,7 +9,7 @@
  * @example
  * ```ts
  * const getBounds = () => ({ percent: 20, slack: 64, windowMs: 10_000 });
- * const budget = new FleetRetryBudget({ clock, getBounds, getGroupShare: () => 8 / 90, getGroupPeerIds: () => peerIds });
+ * const budget = new FleetRetryBudget({ clock, getBounds, getGroupShare, getGroupPeerIds, isListed });
  * budget.recordPeer("daemon-2", "incarnation", counts);
  * ```
  *
@@ -29,6 +29,8 @@
     readonly getGroupShare: () => number;
     /** The other daemons that share their counts with this one; the same set until they change. */
     readonly getGroupPeerIds: () => ReadonlySet<string>;
+    /** True for each daemon of the fleet, in whatever group. */
+    readonly isListed: (daemonId: string) => boolean;
 }
 
 /** Attempts of one service that this daemon has counted lately. */
@@ -43,6 +45,7 @@
 
 /** What another daemon has reported of one service. */
 interface PeerCount {
+    readonly daemonId: string;
     readonly requests: number;
     readonly repeats: number;
     readonly atMs: number;
@@ -147,7 +150,7 @@
             if (added > 0) {
                 this.getWindow(service).groupRepeats.add(added, atMs);
             }
-            peers.set(key, { requests, repeats, atMs });
+            peers.set(key, { daemonId, requests, repeats, atMs });
         }
     }
 
@@ -158,6 +161,21 @@
         }
         this.groupPeerIds = groupPeerIds;
         this.joinedAtMs = new Map([...groupPeerIds].map(id => [id, this.joinedAtMs.get(id) ?? nowMs]));
+        this.removeMovedRequests();
+    }
+
+    /**
+     * The requests of a daemon that is in another group now raise the allowance there. Those of one that has gone are
+     * told nowhere else. The repeats of both were sent from the part of this group.
+     */
+    private removeMovedRequests(): void {
+        for (const peers of this.peerCounts.values()) {
+            for (const [key, count] of peers) {
+                if (!this.groupPeerIds.has(count.daemonId) && this.options.isListed(count.daemonId)) {
+                    peers.set(key, { ...count, requests: 0 });
+                }
+            }
+        }
     }
 
     /**
--- a/src/forward/fleet_retry_groups.test.ts
+++ b/src/forward/fleet_retry_groups.test.ts
@@ -21,6 +21,9 @@
     /** Daemons that end at `endAtMs` and stay listed. */
     readonly ended?: ReadonlySet<number>;
     readonly endAtMs?: number;
+    /** Places by which the borders of the groups move at each of these times. */
+    readonly step?: number;
+    readonly shiftAtMs?: readonly number[];
 }
 
 /** Fixed sequence, so that a failure can be repeated. */
@@ -40,20 +43,32 @@
 /** Repeats of the whole fleet, as a multiple of those allowed, in the window in which that is greatest. */
 async function measureWorst(trial: Trial): Promise<number> {
     const { ended = new Set(), endAtMs = 0, failFromMs, failShare = 1, requestsPerSecond } = trial;
+    const { shiftAtMs = [], step = 0 } = trial;
     const time = new VirtualTime();
     const random = createRandom();
     const isEnded = (index: number): boolean => ended.has(index) && time.getMonotonicMs() >= endAtMs;
+    let shift = 0;
     const listGroup = (index: number): readonly number[] => {
-        const first = Math.floor(index / groupSize) * groupSize;
-        return Array.from({ length: groupSize }, (_, place) => first + place);
+        const first = Math.floor((index + shift) % daemons / groupSize) * groupSize;
+        return Array.from({ length: groupSize }, (_, place) => (first + place - shift + daemons) % daemons);
     };
+    const listPeerIds = (index: number): ReadonlySet<string> =>
+        new Set(listGroup(index).filter(peer => peer !== index).map(peer => `d${peer}`));
+    let peerIds = Array.from({ length: daemons }, (_, index) => listPeerIds(index));
+    const startShift = (atMs: number): void => {
+        time.start(atMs, () => {
+            shift = (shift + step) % daemons;
+            peerIds = peerIds.map((_, index) => listPeerIds(index));
+        });
+    };
+    shiftAtMs.forEach(startShift);
     const budgets = Array.from({ length: daemons }, (_, index) => {
-        const peerIds = new Set(listGroup(index).filter(peer => peer !== index).map(peer => `d${peer}`));
         return new FleetRetryBudget({
             clock: time,
             getBounds: () => ({ percent, slack, windowMs }),
             getGroupShare: () => groupSize / daemons,
-            getGroupPeerIds: () => peerIds,
+            getGroupPeerIds: () => peerIds[index]!,
+            isListed: () => true,
         });
     });
     const requests: number[] = [];
@@ -112,6 +127,55 @@
     });
 }
 
+for (const failShare of [0.3, 1]) {
+    for (const { shifts, step } of [{ shifts: 1, step: 4 }, { shifts: 6, step: 1 }, { shifts: 6, step: 4 }]) {
+        const label = `${shifts} shifts by ${step}, ${failShare} of the requests fail`;
+        test(`requests of a daemon raise the allowance of one group at a time: ${label}`, async t => {
+            const shiftAtMs = Array.from({ length: shifts }, (_, index) => 12_000 + 1_000 * index);
+            const before = await measureWorst({
+                requestsPerSecond: 3,
+                failFromMs: 15_500,
+                failShare,
+                shiftAtMs,
+                step,
+            });
+            const laterAtMs = shiftAtMs.map(atMs => atMs + 8_000);
+            const during = await measureWorst({
+                requestsPerSecond: 3,
+                failFromMs: 9_000,
+                failShare,
+                shiftAtMs: laterAtMs,
+                step,
+            });
+            t.diagnostic(`worst ratio ${before.toFixed(2)}, shifts during the fault ${during.toFixed(2)}`);
+            assert.ok(before <= 1 && during <= 1, `${before} and ${during} of the allowed repeats`);
+            assert.ok(before > 0.4 && during > 0.4, `only ${before} and ${during} of the allowed repeats`);
+        });
+    }
+}
+
+for (const isListed of [true, false]) {
+    test(`the requests of a daemon ${isListed ? "in another group" : "that has gone"}, and its repeats`, () => {
+        let peerIds = new Set(["d1", "d2"]);
+        const budget = new FleetRetryBudget({
+            clock: new VirtualTime(),
+            getBounds: () => ({ percent, slack, windowMs }),
+            getGroupShare: () => 1,
+            getGroupPeerIds: () => peerIds,
+            isListed: () => isListed,
+        });
+        budget.recordPeer("d1", "i", [{ service: "payments", requests: 200, repeats: 30 }]);
+        budget.recordPeer("d2", "i", [{ service: "payments", requests: 100, repeats: 0 }]);
+        peerIds = new Set(["d2"]);
+        let taken = 0;
+        while (budget.take("payments")) {
+            taken += 1;
+        }
+        const requests = isListed ? 100 : 300;
+        assert.equal(taken, Math.floor(0.9 * (requests * percent / 100 + slack)) - 30);
+    });
+}
+
 test("daemons that end and stay listed take only their own part from their group", async t => {
     const ended = new Set(Array.from({ length: daemons / groupSize }, (_, group) => group * groupSize));
     const worst = await measureWorst({ requestsPerSecond: 3, failFromMs: 25_000, ended, endAtMs: 8_000 });
@@ -137,6 +201,7 @@
             getBounds: () => ({ percent, slack, windowMs }),
             getGroupShare: () => 1,
             getGroupPeerIds: () => others,
+            isListed: () => true,
         });
     });
     for (const [index, budget] of budgets.entries()) {
--- a/src/wiring/build_entry.ts
+++ b/src/wiring/build_entry.ts
@@ -62,6 +62,7 @@
         getBounds: () => adapters.getRetryBounds(),
         getGroupShare: () => control.beacons?.exchange.getGroupShare() ?? 0,
         getGroupPeerIds: () => control.beacons?.exchange.getGroupPeerIds() ?? noPeerIds,
+        isListed: daemonId => membership.getDaemons().has(daemonId),
     });
     const budget = fleetBudget ?? new TokenRetryBudget(clock);
     const parts = { ...base, ...place, membership, leaving: membership };
