Cut the answer that holds most of the shared memory

What callers would see: one upstream that stalls shortly before the end of an answer of 64 MB ends the answers of all other upstreams of the daemon as cut until the stalled request's time limit; callers of run-once routes get 502.

Cause: all answers that a daemon reads share 64 MB, and the answer that added bytes beyond them was cut. The stalled one adds none, so it kept its share.

Ruled out: a leak in the count. Answers of 20 KB, of which one fits beside the stalled answer and releases its bytes, were complete on the old code.

The new test in upstream_flood.test.ts fails on the old code with "cut" instead of "answered". The 48 tests of the folder passed.

Why it works: AnswerMemory counts the bytes of each answer and cancels the largest one, which frees the most; its bytes count no more from that moment, so that no second answer is cut until its connection has closed.

Found by review.

--- a/src/edge/upstream_http/answer_budget.ts
+++ b/src/edge/upstream_http/answer_budget.ts
@@ -8,6 +8,7 @@
  */
 import type { Socket } from "node:net";
 import { maxInterimResponses } from "../http/max_interim_responses.ts";
+import type { AnswerHolder } from "./answer_holder.ts";
 import type { AnswerMemory } from "./answer_memory.ts";
 
 /**
@@ -21,7 +22,7 @@
 const maxFramingRatio = 5;
 
 /** Destroys the socket when the upstream writes more than an answer can take, or anything while no request waits. */
-export class AnswerBudget {
+export class AnswerBudget implements AnswerHolder {
     /**
      * Bytes of header names and values for the parser, which the budget reaches first: undici creates an error for each
      * field beyond its limit, and 64 KB of short ones hold the event loop for 200 ms.
@@ -34,8 +35,6 @@
     private startBytes = 0;
     private allowedBytes = 0;
     private interimResponses = 0;
-    /** Bytes of the body that were read. */
-    private bodyBytes = 0;
 
     constructor(private readonly memory: AnswerMemory) {}
 
@@ -53,6 +52,7 @@
         this.startBytes = this.socket === undefined ? 0 : countParsed(this.socket);
         this.allowedBytes = maxHeadBytes;
         this.interimResponses = 0;
+        this.memory.open(this);
     }
 
     addInterimResponse(): void {
@@ -65,17 +65,18 @@
     /** Allows `bytes` of the body that have been read, with their framing. */
     addBody(bytes: number): void {
         this.allowedBytes += bytes * (1 + maxFramingRatio);
-        this.bodyBytes += bytes;
-        if (!this.memory.add(bytes)) {
-            this.socket?.destroy(new Error("the answers of all upstreams take too much memory"));
-        }
+        this.memory.add(this, bytes);
+    }
+
+    /** Gives the answer up, because it holds most of the memory that all answers share. */
+    cancel(): void {
+        this.socket?.destroy(new Error("the answers of all upstreams take too much memory"));
     }
 
     /** Allows no further bytes, because the answer is complete or given up. */
     close(): void {
         this.isWaiting = false;
-        this.memory.release(this.bodyBytes);
-        this.bodyBytes = 0;
+        this.memory.release(this);
     }
 
     private check(socket: Socket): void {
--- a/src/edge/upstream_http/upstream_flood.test.ts
+++ b/src/edge/upstream_http/upstream_flood.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { after, test } from "node:test";
+import { setTimeout as wait } from "node:timers/promises";
 import { buildOwnerRequest } from "../../../proof/operations/build_owner_request.ts";
 import { FloodingServer } from "../../../standin/flooding_server.ts";
 import { Outcome } from "../../core/outcome.ts";
@@ -147,6 +148,46 @@
     assert.ok(writtenBytes <= 2 * limitBytes + 3 * 16_777_216, `${writtenBytes} bytes were written`);
 });
 
+test("an answer that stalls with most of the memory is cut, so that it does not end those of other upstreams", async () => {
+    const limitBytes = 67_108_864;
+    const stallMs = 15_000;
+    const stalled = await FloodingServer.open({
+        prefix: `${ok}content-length: ${limitBytes}\r\n\r\n${"x".repeat(limitBytes - 10_000)}`,
+        unit: "x",
+        delayMs: stallMs,
+    });
+    const laterAnswer = `${ok}content-length: 400000\r\n\r\n${"x".repeat(400_000)}`;
+    const whole = await FloodingServer.open({ unit: "x", floods: 0, laterAnswer });
+    const upstreams = [stalled, whole].map((server, index) => {
+        return { id: `u${index}`, service: "payments", address: `127.0.0.1:${server.getPort()}`, slots: 1 };
+    });
+    const client = new UndiciUpstreamClient({
+        upstreams: new ConfiguredUpstreams(upstreams),
+        codec: new HeaderUpstreamCodec(),
+    });
+    closers.push(() => client.close(), () => stalled.close(), () => whole.close());
+    const [route] = buildOwnerRequest().service.routes;
+    const send = (upstreamId: string) => {
+        const request = buildOwnerRequest({ upstreamId, route: { ...route!, maxAnswerBytes: limitBytes } });
+        return client.send(request, stallMs, new AbortController().signal);
+    };
+    let isStalled = true;
+    const ending = send("u0").finally(() => {
+        isStalled = false;
+    });
+    // The other answers are sent until the stalled one has been read up to its last 10 KB.
+    while (isStalled) {
+        const result = await send("u1");
+        assert.equal(result.kind, Answered, result.detail);
+        await wait(50);
+    }
+    const result = await ending;
+    assert.equal(result.kind, Cut, result.detail);
+    assert.match(result.detail, /too much memory/);
+    assert.notEqual(decideVerdict(route!, result).outcome, Outcome.NotExecuted);
+    assert.equal((await send("u1")).kind, Answered);
+});
+
 test("a large answer at full speed is complete", async () => {
     const length = 32 * 1_048_576;
     const { client, server } = await openUpstream({
