Try suspected upstreams whose own failure domain has no callers

Found by review.

Cause: only senders of the upstream's own failure domain tried it. Without a result its belief fades to the prior of 0.286, above the limit of 0.25 for run-once work, so nothing ended the suspicion.

Fix: senders of other domains try it too once its belief has faded to 0.5. The senders of its own domain try from 0.6 (run-once) or 0.8, so a belief passes 0.6 and 0.5, some 2 s apart, only where they make no trials. The age of the sender's view does not serve, since replies renew it with the states of neighbours that nobody has tried. The owner still lets one trial in 250 ms through, and its result keeps the belief out of that range: a success for some 10 s, a failure for some 6 s.

The simulation did not deliver the states of neighbours with replies to other failure domains, which the product does.

Ruled out: late delivery of beliefs. The new tests fail in the same way with and without the neighbours' states while the trials stay in one domain.

Service with idempotent work only is not mended by this.

--- a/proof/health/selection_fleet.ts
+++ b/proof/health/selection_fleet.ts
@@ -21,7 +21,7 @@
 import { buildTestMembers } from "./build_test_members.ts";
 import { SelectionOwner } from "./selection_owner.ts";
 
-const domains = ["domain 0", "domain 1", "domain 2"];
+const allDomains = ["domain 0", "domain 1", "domain 2"];
 const sendersPerDomain = 10;
 /** Milliseconds one way between two daemons. */
 const pathMs = 1;
@@ -46,6 +46,8 @@
     readonly lateFailShare: number;
     /** Milliseconds between two reports of an owner that has no news about faults. */
     readonly reportMs: number;
+    /** Failure domains with callers; all of them by default. */
+    readonly callerDomains?: readonly string[];
 }
 
 /** End of one request. */
@@ -80,7 +82,7 @@
                 new SelectionOwner({ id, time, random: this.random, slots, durationMs, lateFailShare }),
             );
         }
-        for (const domain of domains) {
+        for (const domain of allDomains) {
             this.addDomain(domain);
         }
         const metrics = { addCount: () => undefined, setGauge: () => undefined, recordTime: () => undefined };
@@ -107,7 +109,7 @@
         const budget = new FleetRetryBudget({
             clock: time,
             getBounds: () => ({ percent: 10, slack: 192, windowMs: 10_000 }),
-            getGroupShare: () => 1 / domains.length,
+            getGroupShare: () => 1 / allDomains.length,
         });
         this.budgets.set(failureDomain, budget);
         const buildSelector = () =>
@@ -131,7 +133,13 @@
                 await wait();
                 const reply = await this.owners.get(request.upstream.id)!.forwarder.forward(request, signal);
                 await wait();
-                return reply;
+                if (request.remote !== true) {
+                    return reply;
+                }
+                // As NeighbourFilter does. All daemons of a failure domain hear the same reports here.
+                const { failureDomain, id } = request.upstream;
+                const [neighbour] = this.senders.get(failureDomain)!;
+                return { ...reply, neighbours: neighbour!.listNeighbours(request.service.name, id) };
             },
             revoke: request => this.owners.get(request.upstream.id)!.forwarder.revoke(request),
         };
@@ -174,6 +182,7 @@
 
     private async runRequest(route: RouteConfig): Promise<void> {
         const { exchanger, random, time } = this;
+        const domains = this.options.callerDomains ?? allDomains;
         const domain = domains[Math.floor(random.take() * domains.length)]!;
         const selector = this.senders.get(domain)![Math.floor(random.take() * sendersPerDomain)]!;
         const budget = this.budgets.get(domain)!;
--- a/proof/health/selection_floor.test.ts
+++ b/proof/health/selection_floor.test.ts
@@ -63,4 +63,21 @@
         const { leastShare } = await runFleet(seed, { reportMs: 2_000 });
         assert.ok(leastShare >= minShare, `${leastShare}`);
     });
+
+    for (
+        const { name, streams } of [
+            { name: "run-once work", streams: [payments] },
+            { name: "little run-once work", streams: [{ ...payments, perSecond: 40 }] },
+            {
+                name: "little work",
+                streams: [{ ...payments, perSecond: 40 }, { ...ledgerChecks, perSecond: 20 }],
+            },
+        ]
+    ) {
+        test(`upstreams stay suspected whose failure domain has no callers, ${name}, seed ${seed}`, async () => {
+            const parts = { streams, lateFailShare: 0.1, callerDomains: ["domain 0"] };
+            const { leastUnsuspectedShare } = await runFleet(seed, parts);
+            assert.ok(leastUnsuspectedShare >= minShare, `${leastUnsuspectedShare}`);
+        });
+    }
 }
--- a/src/health/suspicion.ts
+++ b/src/health/suspicion.ts
@@ -10,6 +10,12 @@
      */
     repeatableTrialLimit: 0.8,
     singleTrialLimit: 0.6,
+    /**
+     * Probability of a fault up to which senders of other failure domains try a suspected upstream. A belief that a
+     * failure has left takes some 2 s from `singleTrialLimit` to fade to this, so it gets there only where the senders of
+     * its own failure domain have not tried it, which is so when they have no callers of the service.
+     */
+    foreignTrialLimit: 0.5,
     /** Milliseconds between two trials. A failing trial ends within milliseconds and costs the fleet one retry. */
     trialMs: 250,
 } as const;
--- a/src/select/belief_selector.ts
+++ b/src/select/belief_selector.ts
@@ -253,8 +253,10 @@
         const view = this.getView(upstream.id);
         return view.load.measure(nowMs) < 1
             && (view.getFaultProbability(nowMs) <= usualLimit
-                // Daemons of other failure domains learn the result from those there.
-                || (upstream.failureDomain === failureDomain && isTrialDue(view, purpose, random.take())));
+                || isTrialDue(view, purpose, {
+                    isNear: upstream.failureDomain === failureDomain,
+                    draw: random.take(),
+                }));
     }
 
     private getView(upstreamId: string): UpstreamView {
