Allow the rest of an upload after an early answer

What callers would see: a caller of a 2 MB upload gets a write error after some 520 KB and never the 503, 413 or 504 that was sent before its body had arrived.

Cause: ReadGuard counted from the answer and allowed 128 KB up to the next head, although the body of the answered request was still arriving. It destroyed the socket before the lingering close of ServerConnection, 1 s, had ended.

Ruled out: the lingering close alone; an upload of 100 KB got its answer before.

Measured: the two new tests (2 MB in 0.7 s, connection closed and kept) got EPIPE before and pass after; the 8 tests of http_listener.test.ts passed. The test of an open request without end was red once as first written: its first read of the flood, with the head, did not count towards the bound. It now waits after the head, so that the same bound is tested.

Why it works: until the answered request is complete, the bound stays that of its body, counted from its head; the 128 KB count from its end.

Found by review.

--- a/src/edge/http/http_listener.test.ts
+++ b/src/edge/http/http_listener.test.ts
@@ -54,6 +54,79 @@
     await listener.close();
 });
 
+for (const closes of [true, false]) {
+    test(`an answer before the end of an upload reaches its caller, connection ${closes ? "closed" : "kept"}`, async () => {
+        // More than the guard allows between an answer and the next head, sent while the guard checks twice.
+        const bodyBytes = 2_000_000;
+        const parts = 50;
+        const listener = (await HttpListener.open("127.0.0.1:0", (_, response) => {
+            if (closes) {
+                response.setHeader("connection", "close");
+            }
+            response.end("early");
+        }, { maxBodyBytes: bodyBytes }))._unsafeUnwrap();
+        const socket = connect(listener.getPort(), "127.0.0.1");
+        let received = "";
+        const errors: string[] = [];
+        socket.on("error", error => errors.push(error.message));
+        // Such a caller reads after it has written its request, and a reset drops what it has not read.
+        socket.on("data", data => {
+            received += data.toString();
+        });
+        socket.pause();
+        socket.write(`POST / HTTP/1.1\r\nHost: test\r\nContent-Length: ${bodyBytes}\r\n\r\n`);
+        for (let index = 0; index < parts && !socket.destroyed; index += 1) {
+            socket.write(Buffer.alloc(bodyBytes / parts));
+            await new Promise(resolve => setTimeout(resolve, 12));
+        }
+        socket.resume();
+        await waitForLoop();
+        assert.deepEqual(errors, []);
+        assert.match(received, /early/);
+        socket.destroy();
+        await listener.close();
+    });
+}
+
+for (const isWhole of [true, false]) {
+    test(`bytes without end after an early answer close the connection, request ${isWhole ? "whole" : "open"}`, async () => {
+        const maxBodyBytes = 100_000;
+        const listener = (await HttpListener.open("127.0.0.1:0", (_, response) => response.end("early"), {
+            maxBodyBytes,
+        }))._unsafeUnwrap();
+        const socket = connect(listener.getPort(), "127.0.0.1");
+        socket.on("error", () => undefined);
+        socket.resume();
+        const head = "POST / HTTP/1.1\r\nHost: test\r\n";
+        if (isWhole) {
+            socket.write(`${head}Content-Length: ${maxBodyBytes}\r\n\r\n`);
+            await waitForLoop();
+            socket.write(Buffer.alloc(maxBodyBytes));
+            await waitForLoop();
+        }
+        else {
+            // The zeros of a chunk size are not counted by the parser.
+            socket.write(`${head}Transfer-Encoding: chunked\r\n\r\n`);
+            await waitForLoop();
+        }
+        // A whole request allows only the bytes up to the next head, an open one those of its body as well.
+        const allowedBytes = 131_072 + (isWhole ? 0 : 6 * maxBodyBytes);
+        const units = Buffer.from(isWhole ? "\r\n".repeat(5_000) : "0".repeat(10_000));
+        const startMs = performance.now();
+        let writtenBytes = 0;
+        while (!socket.destroyed && writtenBytes < allowedBytes + units.length) {
+            socket.write(units);
+            writtenBytes += units.length;
+            await new Promise(resolve => setTimeout(resolve, 1));
+        }
+        while (!socket.destroyed && performance.now() - startMs < 5_000) {
+            await waitForLoop();
+        }
+        assert.ok(socket.destroyed, `open after ${writtenBytes} bytes`);
+        await listener.close();
+    });
+}
+
 test("a port that is in use is a failure with its address and not an exception", async () => {
     const listener = (await HttpListener.open("127.0.0.1:0", () => undefined))._unsafeUnwrap();
     const second = await HttpListener.open(`127.0.0.1:${listener.getPort()}`, () => undefined);
--- a/src/edge/http/read_guard.ts
+++ b/src/edge/http/read_guard.ts
@@ -7,7 +7,7 @@
 const maxFramingRatio = 5;
 
 interface Options {
-    /** Bytes from an answer to the next request, which is read as soon as its head is whole. */
+    /** Bytes from an answered and complete request to the next one, which is read as soon as its head is whole. */
     readonly maxHeadBytes: number;
     /** Bytes of the body of a request. */
     readonly maxBodyBytes: number;
@@ -45,10 +45,20 @@
     /** The head of the request to which `response` belongs has been read. */
     recordRequest(socket: Socket, response: ServerResponse): void {
         this.setState(socket, response);
-        response.once("close", () => {
+        const setEnded = (): void => {
             if (this.states.get(socket)?.response === response) {
                 this.setState(socket, undefined);
             }
+        };
+        const { req: request } = response;
+        response.once("close", () => {
+            if (request.complete) {
+                setEnded();
+            }
+            else {
+                // The rest of the body may follow an early answer; a caller whose write fails does not read that answer.
+                request.once("end", setEnded);
+            }
         });
     }
 
