Believe a replaced owner again whatever the first datagram of its new process is

What callers would see: no work for an upstream whose daemon was restarted while it was leaving, after the clock of its instance had stepped back, until the clock has caught up. Cause: the restart was remembered for one datagram only. An answer holds no reports and used it up, and a probe holds one upstream of several, so the later reports were dropped by their lower sequences. Ruled out: late reports of the old process that others pass on; these are dropped by the time of the restart, as before. Why this works: the reports of the old process are marked as replaced, all at once; they are not passed on, and the next one counts whatever its sequence.

--- a/src/beacon/beacon_exchange.ts
+++ b/src/beacon/beacon_exchange.ts
@@ -149,7 +149,10 @@
                 this.liveness.recordSuspicion(peerId, nowMs);
             }
         }
-        this.handleReports(beacon, hasRestarted, nowMs);
+        if (hasRestarted) {
+            this.reports.setReplaced(id => membership.find(id)?.ownerId === daemonId);
+        }
+        this.handleReports(beacon, nowMs);
     }
 
     /** True when the path to a daemon of the own failure domain is cut in either direction. */
@@ -169,7 +172,7 @@
         return this.peers.getGroupPeerIds();
     }
 
-    private handleReports({ daemonId, reports }: Beacon, hasRestarted: boolean, nowMs: number): void {
+    private handleReports({ daemonId, reports }: Beacon, nowMs: number): void {
         const { failureDomain, identity, membership, observer } = this.options;
         let hasNews = false;
         for (const report of reports) {
@@ -180,9 +183,7 @@
                 continue;
             }
             const isLocal = upstream?.failureDomain === failureDomain;
-            // The clock of the instance may have stepped back before the restart, and with it the sequence.
-            const isFirst = hasRestarted && ownerId === daemonId;
-            const novelty = this.reports.record(report, { isLocal, isFirst, nowMs });
+            const novelty = this.reports.record(report, { isLocal, nowMs });
             if (novelty !== ReportNovelty.Known) {
                 observer.recordState(report.state, nowMs - report.ageMs);
             }
--- a/src/beacon/report_table.ts
+++ b/src/beacon/report_table.ts
@@ -3,7 +3,7 @@
  *
  * @example
  * ```ts
- * if (table.record(report, { isLocal: true, isFirst: false, nowMs }) === ReportNovelty.News) {
+ * if (table.record(report, { isLocal: true, nowMs }) === ReportNovelty.News) {
  *     send(table.takeNews(6, nowMs));
  * }
  * ```
@@ -29,13 +29,13 @@
     readonly sequence: number;
     /** Monotonic time of this daemon at which the owner made the report. */
     readonly madeAtMs: number;
+    /** True when another process has taken the place of the one that made the report. */
+    readonly isReplaced: boolean;
 }
 
 interface Arrival {
     /** True when the upstream is in the own failure domain, whose daemons keep each other up to date. */
     readonly isLocal: boolean;
-    /** True when the report is the first one of a process that has replaced another one. */
-    readonly isFirst: boolean;
     readonly nowMs: number;
 }
 
@@ -48,13 +48,13 @@
     private readonly replaced = new Set<string>();
 
     /** Takes a report unless a newer one is known. */
-    record({ ageMs, sequence, state }: UpstreamReport, { isFirst, isLocal, nowMs }: Arrival): ReportNovelty {
+    record({ ageMs, sequence, state }: UpstreamReport, { isLocal, nowMs }: Arrival): ReportNovelty {
         const { upstreamId } = state;
         const known = this.entries.get(upstreamId);
-        if (known !== undefined && !isFirst && sequence <= known.sequence) {
+        if (known !== undefined && !known.isReplaced && sequence <= known.sequence) {
             return ReportNovelty.Known;
         }
-        this.entries.set(upstreamId, { state, sequence, madeAtMs: nowMs - ageMs });
+        this.entries.set(upstreamId, { state, sequence, madeAtMs: nowMs - ageMs, isReplaced: false });
         const before = known === undefined ? NewsClass.Working : decideNewsClass(known.state);
         if (decideNewsClass(state) !== before) {
             this.news.set(upstreamId, newsSends);
@@ -98,6 +98,18 @@
         return reports;
     }
 
+    /**
+     * The process that made these reports has been replaced: they are not passed on any more, and the next one counts
+     * whatever its sequence, because the clock of the instance may have stepped back and the sequence with it.
+     */
+    setReplaced(isOwned: (upstreamId: string) => boolean): void {
+        for (const [upstreamId, entry] of this.entries) {
+            if (isOwned(upstreamId)) {
+                this.entries.set(upstreamId, { ...entry, isReplaced: true });
+            }
+        }
+    }
+
     remove(upstreamId: string): void {
         this.entries.delete(upstreamId);
         this.news.delete(upstreamId);
@@ -113,7 +125,7 @@
 
     private buildReport(upstreamId: string, nowMs: number): UpstreamReport | undefined {
         const entry = this.entries.get(upstreamId);
-        if (entry === undefined || nowMs - entry.madeAtMs > maxAgeMs) {
+        if (entry === undefined || entry.isReplaced || nowMs - entry.madeAtMs > maxAgeMs) {
             return undefined;
         }
         const { madeAtMs, sequence, state } = entry;
--- a/src/beacon/restarted_owner.test.ts
+++ b/src/beacon/restarted_owner.test.ts
@@ -50,3 +50,18 @@
     assert.equal(receiver!.heard.get(upstreamId)?.state.leaving, false);
     network.close();
 });
+
+test("an owner whose clock stepped back is not believed when an answer is the first that is heard of its new process", () => {
+    const network = new BeaconNetwork({ domains: [3], upstreams: 2, seed: 1 });
+    const [receiver, owner] = network.daemons;
+    const before = owner!.upstreamIds.map(id => createReport(id, 2e12, 0, true));
+    receiver!.exchange.handleBeacon(createBeacon(owner!.id, "old", before));
+    receiver!.exchange.handleBeacon(createBeacon(owner!.id, "new", []));
+    // A probe holds the state of one own upstream at a time.
+    for (const id of owner!.upstreamIds) {
+        receiver!.exchange.handleBeacon(createBeacon(owner!.id, "new", [createReport(id, 1e12, 0, false)]));
+    }
+    const leaving = owner!.upstreamIds.map(id => receiver!.heard.get(id)?.state.leaving);
+    assert.deepEqual(leaving, [false, false]);
+    network.close();
+});
