Take the ports of test fleets below the range of outgoing connections

Two of 150 starts of the test fleet failed: a port that was free during the call was the local port of an outgoing connection when the daemon bound it.

--- a/standin/find_free_ports.ts
+++ b/standin/find_free_ports.ts
@@ -1,16 +1,32 @@
-import { createServer } from "node:net";
-import type { AddressInfo } from "node:net";
+import { randomInt } from "node:crypto";
+import { createServer, type Server } from "node:net";
 
-/** Returns loopback ports that were free during the call; another process may take one before its use. */
+/**
+ * Ports below the ranges from which Linux (32768) and other systems (49152) take the local ports of outgoing
+ * connections. A port of those ranges can be taken between this call and its use by a daemon.
+ */
+const firstPort = 16_384;
+const endPort = 32_768;
+
+/** Returns loopback ports that were free during the call and that no outgoing connection takes. */
 export async function findFreePorts(count: number): Promise<readonly number[]> {
-    const servers = await Promise.all(
-        Array.from({ length: count }, () =>
-            new Promise<ReturnType<typeof createServer>>(resolve => {
-                const server = createServer();
-                server.listen(0, "127.0.0.1", () => resolve(server));
-            })),
-    );
-    const ports = servers.map(server => (server.address() as AddressInfo).port);
-    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
-    return ports;
+    const servers = new Map<number, Server>();
+    while (servers.size < count) {
+        const port = randomInt(firstPort, endPort);
+        const server = servers.has(port) ? undefined : await openServer(port);
+        if (server !== undefined) {
+            servers.set(port, server);
+        }
+    }
+    await Promise.all([...servers.values()].map(server => new Promise(resolve => server.close(resolve))));
+    return [...servers.keys()];
+}
+
+/** Resolves to undefined when the port is in use. */
+function openServer(port: number): Promise<Server | undefined> {
+    return new Promise(resolve => {
+        const server = createServer();
+        server.once("error", () => resolve(undefined));
+        server.listen(port, "127.0.0.1", () => resolve(server));
+    });
 }
