Let no odd entry of the store or unexpected error end a daemon or its following of the store

An entry with a port out of range, more than 2^32 slots or an overflowing time was accepted. The number of slots did not fit the 32-bit field of a beacon, whose encoding threw in a timer and ended the process, again after each start; an unusable port threw when the upstream's connection was created. An item with an unreadable envelope made its whole page unreadable, and the daemon asked for that page for ever.

--- a/src/edge/upstream_http/undici_upstream_client.test.ts
+++ b/src/edge/upstream_http/undici_upstream_client.test.ts
@@ -136,3 +136,15 @@
     assert.deepEqual(await upstream.send(), { kind: Answered, text: "own" });
     assert.equal(upstream.countConnections(), 2);
 });
+
+test("an address that cannot be used is reported as not sent, and does not end the process", async () => {
+    for (const address of ["127.0.0.1:99999", "127.0.0.1:", "a b:80"]) {
+        const client = new UndiciUpstreamClient({
+            upstreams: new ConfiguredUpstreams([{ id: "u1", service: "payments", address, slots: 1 }]),
+            codec: new HeaderUpstreamCodec(),
+        });
+        const result = await client.send(buildOwnerRequest(), 5_000, new AbortController().signal);
+        assert.equal(result.kind, UpstreamResultKind.NotSent, address);
+        await client.close();
+    }
+});
--- a/src/edge/upstream_http/undici_upstream_client.ts
+++ b/src/edge/upstream_http/undici_upstream_client.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { fromThrowable, ok, type Result } from "neverthrow";
 import type { Dispatcher } from "undici";
 import type { UpstreamClient } from "../../dispatch/upstream_client.ts";
 import type { UpstreamCodec } from "../../dispatch/upstream_codec.ts";
@@ -31,6 +32,11 @@
     UpstreamResultKind.Garbled,
 ]);
 
+const createConnection = fromThrowable(
+    (address: string, memoryLimiter: AnswerMemoryLimiter) => new UpstreamConnection(address, memoryLimiter),
+    error => String(error),
+);
+
 /** Sends each request once, on a connection that carries no other request at the same time. */
 export class UndiciUpstreamClient implements UpstreamClient {
     /** Connections without a request, by address. */
@@ -46,7 +52,11 @@
         if (upstream === undefined) {
             return createResult(UpstreamResultKind.NotSent, "the upstream is not owned by this daemon");
         }
-        const connection = this.takeConnection(upstream.address);
+        const taken = this.takeConnection(upstream.address);
+        if (taken.isErr()) {
+            return createResult(UpstreamResultKind.NotSent, taken.error);
+        }
+        const connection = taken.value;
         const deadline = new RequestDeadline(signal, Math.max(1, Math.ceil(timeoutMs)));
         try {
             const response = await connection.send({
@@ -105,14 +115,16 @@
         return this.options.codec.decode(request, answer);
     }
 
-    private takeConnection(address: string): UpstreamConnection {
+    /** Fails with a detail when the address is malformed. */
+    private takeConnection(address: string): Result<UpstreamConnection, string> {
         const idleConnection = this.idleConnections.get(address)?.pop();
         if (idleConnection !== undefined) {
-            return idleConnection;
+            return ok(idleConnection);
         }
-        const connection = new UpstreamConnection(address, this.memoryLimiter);
-        this.connections.add(connection);
-        return connection;
+        return createConnection(address, this.memoryLimiter).map(connection => {
+            this.connections.add(connection);
+            return connection;
+        });
     }
 
     private releaseConnection(address: string, connection: UpstreamConnection): void {
--- a/src/published/store_change.ts
+++ b/src/published/store_change.ts
@@ -30,6 +30,8 @@
     readonly kind: typeof StoreChangeKind.Unreadable;
     readonly key: string;
     readonly detail: string;
+    /** The upstream that the value should describe; it counts as removed. */
+    readonly upstreamId?: string;
 }
 
 /** Decoded change of one value of the platform's store. */
--- a/src/published/store_change_kind.ts
+++ b/src/published/store_change_kind.ts
@@ -4,7 +4,7 @@
     /** An upstream that was added or changed. */
     Upstream: "upstream",
     UpstreamRemoved: "upstream-removed",
-    /** A value that cannot be decoded; it is ignored. */
+    /** A value that cannot be decoded. A configuration in force stays; an upstream counts as removed. */
     Unreadable: "unreadable",
 } as const;
 
--- a/src/published/store_follower.test.ts
+++ b/src/published/store_follower.test.ts
@@ -238,3 +238,43 @@
     await time.run(2_500);
     assert.equal(listIds(), "");
 });
+
+test("a change that cannot be applied hides no other change and does not end the following of the store", async () => {
+    const { follower, store, time, configs, listIds } = createSetup();
+    const update = configs.update.bind(configs);
+    configs.update = (...parameters) => {
+        if (parameters[0].version === 2) {
+            throw new RangeError("the value is nested too deeply");
+        }
+        return update(...parameters);
+    };
+    void follower.start();
+    store.send(buildPage(5, buildConfiguration(1, 5)));
+    await time.run(1_000);
+    store.send(buildPage(7, buildConfiguration(2, 6), buildUpstream("u1", 7)));
+    await time.run(1_000);
+    assert.equal(listIds(), "u1");
+    store.send(buildPage(8, buildUpstream("u2", 8)));
+    await time.run(1_000);
+    assert.equal(listIds(), "u1,u2");
+});
+
+test("an upstream whose entry another writer made unreadable is not used, and the others hold", async () => {
+    const { follower, store, time, listIds } = createSetup();
+    void follower.start();
+    store.send(buildPage(5, buildConfiguration(1, 3), buildUpstream("u1", 4), buildUpstream("u2", 5)));
+    await time.run(1_000);
+    const odd: StoreChange = {
+        kind: StoreChangeKind.Unreadable,
+        revision: 6,
+        key: "upstreams/u1",
+        detail: "a port out of range",
+        upstreamId: "u1",
+    };
+    store.send(buildPage(6, odd));
+    await time.run(1_000);
+    assert.equal(listIds(), "u2");
+    store.send(buildPage(7, buildUpstream("u1", 7)));
+    await time.run(1_000);
+    assert.equal(listIds(), "u1,u2");
+});
--- a/src/published/store_follower.ts
+++ b/src/published/store_follower.ts
@@ -67,6 +67,8 @@
  * not an outage.
  */
 const minOutageMs = 1_500;
+/** Most characters of the reason why a value is unreadable, in a log line. */
+const maxDetailLength = 300;
 /** Shortest and longest back-off in milliseconds after failed calls. */
 const backoffMinMs = 100;
 const backoffMaxMs = 1_000;
@@ -140,7 +142,7 @@
 
     private async run(): Promise<void> {
         while (!this.closed) {
-            const delayMs = await this.runOnce();
+            const delayMs = await this.runOnce().catch((error: unknown) => this.handleUnexpectedError(error));
             if (delayMs > 0) {
                 await this.waitMs(delayMs);
             }
@@ -206,9 +208,7 @@
 
     private apply(page: StorePage, isComplete: boolean): void {
         this.revision = page.revision;
-        for (const change of page.changes) {
-            this.applyChange(change);
-        }
+        page.changes.forEach(change => this.applyChangeSafely(change));
         if (isComplete) {
             this.upstreams.removeUnlisted(page);
         }
@@ -218,8 +218,21 @@
         }
     }
 
+    /** A change that cannot be applied must not hide the others of its page. */
+    private applyChangeSafely(change: StoreChange): void {
+        try {
+            this.applyChange(change);
+        }
+        catch (error) {
+            this.options.logger.write(LogLevel.Error, "platform_change_failed", {
+                revision: change.revision,
+                detail: String(error).slice(0, maxDetailLength),
+            });
+        }
+    }
+
     private applyChange(change: StoreChange): void {
-        const { configs, logger } = this.options;
+        const { configs, logger, metrics } = this.options;
         switch (change.kind) {
             case StoreChangeKind.Configuration: {
                 const { configuration, source, version } = change;
@@ -232,12 +245,15 @@
             case StoreChangeKind.UpstreamRemoved:
                 this.upstreams.remove(change.upstreamId, change.revision);
                 break;
-            case StoreChangeKind.Unreadable:
-                logger.write(LogLevel.Warn, "platform_value_unreadable", {
-                    key: change.key,
-                    revision: change.revision,
-                    detail: change.detail,
-                });
+            case StoreChangeKind.Unreadable: {
+                const { key, revision, upstreamId } = change;
+                const detail = change.detail.slice(0, maxDetailLength);
+                metrics.addCount("platform.unreadable_values");
+                logger.write(LogLevel.Warn, "platform_value_unreadable", { key, revision, detail });
+                if (upstreamId !== undefined) {
+                    this.upstreams.remove(upstreamId, revision);
+                }
+            }
         }
     }
 
@@ -269,6 +285,11 @@
         return delayMs * (0.5 + random.getFloat() / 2);
     }
 
+    /** Keeps following the store after an error that no call reports. */
+    private handleUnexpectedError(error: unknown): number {
+        return this.handleFailure(createFailure(Code.PlatformBadValue, { detail: String(error) }));
+    }
+
     private waitMs(delayMs: number): Promise<void> {
         return new Promise(resolve => {
             this.timer = this.options.timers.start(delayMs, resolve);
--- a/src/running_daemon.ts
+++ b/src/running_daemon.ts
@@ -7,6 +7,7 @@
 import type { Daemon } from "./daemon.ts";
 import type { PauseDetector } from "./dispatch/pause_detector.ts";
 import type { DaemonServers } from "./edge/daemon_servers.ts";
+import type { UnexpectedErrorLog } from "./edge/system/unexpected_error_log.ts";
 import { DaemonState } from "./lifecycle/daemon_state.ts";
 import type { DrainReport } from "./lifecycle/drain_report.ts";
 import type { Lifecycle } from "./lifecycle/lifecycle.ts";
@@ -24,6 +25,7 @@
     readonly lifecycle: Lifecycle;
     readonly pauses: PauseDetector;
     readonly eventLoopMonitor: EventLoopMonitor;
+    readonly unexpectedErrors: UnexpectedErrorLog;
     readonly output: { close(): Promise<void>; };
     /** Clients to close at the end. */
     readonly closers: readonly { close(): void | Promise<void>; }[];
@@ -44,8 +46,10 @@
     }
 
     async start(): Promise<Result<void, Failure>> {
-        const { controlPlane, lifecycle, logger, eventLoopMonitor, pauses, servers } = this.options;
+        const { controlPlane, lifecycle, logger, eventLoopMonitor, pauses, servers, unexpectedErrors } =
+            this.options;
         logger.write(LogLevel.Info, "process_started", { pid: process.pid });
+        unexpectedErrors.open();
         eventLoopMonitor.start();
         const internal = await servers.openInternal();
         if (internal.isErr()) {
@@ -98,7 +102,8 @@
     }
 
     closeLog(): Promise<void> {
-        const { logger, output } = this.options;
+        const { logger, output, unexpectedErrors } = this.options;
+        unexpectedErrors.close();
         logger.write(LogLevel.Info, "process_stopped", { uptimeS: Math.round(process.uptime()) });
         return output.close();
     }
--- a/src/wiring/build_base.ts
+++ b/src/wiring/build_base.ts
@@ -6,6 +6,7 @@
 import { SystemClock } from "../edge/system/system_clock.ts";
 import { SystemRandom } from "../edge/system/system_random.ts";
 import { SystemTimers } from "../edge/system/system_timers.ts";
+import { UnexpectedErrorLog } from "../edge/system/unexpected_error_log.ts";
 import { HealthScoreTable } from "../health/health_score_table.ts";
 import { CombinedMetrics } from "../metrics/combined_metrics.ts";
 import { IoActivity } from "../metrics/io_activity.ts";
@@ -42,6 +43,7 @@
         : new StatsdMetrics({ address: metricsAddress, daemonId });
     const registry = metricsListenAddress === undefined ? undefined : new RegistryMetrics(daemonId);
     const metrics = new CombinedMetrics([...statsd ? [statsd] : [], ...registry ? [registry] : []]);
+    const unexpectedErrors = new UnexpectedErrorLog({ process, logger, metrics });
     const scoreTable = new HealthScoreTable();
     return {
         clock,
@@ -56,5 +58,6 @@
         metrics,
         scoreTable,
         activity,
+        unexpectedErrors,
     };
 }
