--- a/src/select/compute_fault_loss.ts
+++ b/src/select/compute_fault_loss.ts
@@ -16,6 +16,12 @@
  */
 const trialValue = 1;
 
+/**
+ * Loss of a failure when no upstream can serve the request at once. A request that waits for a trusted upstream
+ * is late at worst, while one that fails has used one of its few executions, or ends with an unknown outcome.
+ */
+const lastResortLoss = 1;
+
 interface Options {
     /** True in the local failure domain. Upstreams of others are explored by the daemons there. */
     readonly isLocal: boolean;
@@ -44,7 +50,7 @@
         return retryLoss * probability - informationValue * probability * (1 - probability) * ageShare;
     }
     if (isLastResort) {
-        return probability * faultModel.faultyFailureRate;
+        return lastResortLoss * probability;
     }
     return random.getFloat() < probability ? faultModel.faultyFailureRate : 0;
 }
--- a/src/select/compute_wait_loss.ts
+++ b/src/select/compute_wait_loss.ts
@@ -6,7 +6,7 @@
  * value.
  */
 const fullLoss = 0.05;
-const lateLoss = 0.65;
+const lateLoss = 0.45;
 /** Lower bound of the milliseconds left before the target, so that waits stay comparable after the target. */
 const minSlackMs = 50;
 /** Assumed service time as a fraction of the target. */
