--- a/proof/health/selection_owner.ts
+++ b/proof/health/selection_owner.ts
@@ -4,6 +4,7 @@
 import { DispatchFilter } from "../../src/dispatch/dispatch_filter.ts";
 import { LocalForwarder } from "../../src/forward/local_forwarder.ts";
 import { BayesianEvidenceRecorder } from "../../src/health/bayesian_evidence_recorder.ts";
+import { CallFailureHistory } from "../../src/health/call_failure_history.ts";
 import { DispatchMonitor } from "../../src/health/dispatch_monitor.ts";
 import { SuspectedUpstreamFilter } from "../../src/health/suspected_upstream_filter.ts";
 import { DaemonState } from "../../src/lifecycle/daemon_state.ts";
@@ -50,6 +51,7 @@
         const faultEstimates = new BayesianEvidenceRecorder({
             clock: time,
             logger: { write: () => undefined },
+            callFailures: new CallFailureHistory(),
         });
         const queue = new QueueFilter({
             clock: time,
--- a/src/answer/caller_handler.ts
+++ b/src/answer/caller_handler.ts
@@ -27,8 +27,12 @@
     readonly clock: Clock;
     readonly logger: Logger;
     readonly metrics: Metrics;
+    /** Records the failures of requests from this instance. */
+    readonly callFailures: { record(nowMs: number): void; };
 }
 
+const firstServerErrorStatus = 500;
+
 /** Answers every request, with the answer of the upstream or with a problem document. */
 export class CallerHandler {
     constructor(private readonly options: CallerHandlerOptions) {}
@@ -41,7 +45,11 @@
         }
         const request = received.value;
         const result = await this.options.serve.apply(request);
-        const durationMs = this.options.clock.getMonotonicMs() - startMs;
+        const endMs = this.options.clock.getMonotonicMs();
+        const durationMs = endMs - startMs;
+        if (result.isErr() || result.value.status >= firstServerErrorStatus) {
+            this.options.callFailures.record(endMs);
+        }
         this.options.metrics.recordTime("caller.request", durationMs);
         const { requestId } = request;
         if (result.isOk()) {
--- a/src/health/bayesian_evidence_recorder.ts
+++ b/src/health/bayesian_evidence_recorder.ts
@@ -2,6 +2,7 @@
 import { LogLevel } from "../core/log_level.ts";
 import type { Logger } from "../core/logger.ts";
 import { UpstreamResultKind } from "../dispatch/upstream_result_kind.ts";
+import type { CallFailureHistory } from "./call_failure_history.ts";
 import type { Evidence } from "./evidence.ts";
 import type { EvidenceRecorder } from "./evidence_recorder.ts";
 import { FaultEstimator } from "./fault_estimator.ts";
@@ -18,6 +19,7 @@
 interface Options {
     readonly clock: Clock;
     readonly logger: Logger;
+    readonly callFailures: CallFailureHistory;
 }
 
 /** Estimates the fault probability of each owned upstream. */
@@ -70,7 +72,10 @@
             }
         }
         else if (kind === UpstreamResultKind.Answered && serviceMs > promptFailureMs) {
-            estimator.recordLateFailure(atMs);
+            // The fault is that of the called service, and this upstream would be suspected in its place.
+            if (!this.options.callFailures.hasRecent(atMs)) {
+                estimator.recordLateFailure(atMs);
+            }
         }
         else {
             estimator.recordResult(true, atMs);
--- a/src/wiring/build_entry.ts
+++ b/src/wiring/build_entry.ts
@@ -108,6 +108,7 @@
             ? new KeyRequestFilter({ issuer: new KeyIssuer({ owners, clock, random }), inner: serve })
             : serve,
         metrics,
+        callFailures: owner.callFailures,
     });
     return { codec, handler, remote, selector };
 }
--- a/src/wiring/build_owner.ts
+++ b/src/wiring/build_owner.ts
@@ -9,6 +9,7 @@
 import { NodeProcessUsage } from "../edge/system/node_process_usage.ts";
 import { UndiciUpstreamClient } from "../edge/upstream_http/undici_upstream_client.ts";
 import { BayesianEvidenceRecorder } from "../health/bayesian_evidence_recorder.ts";
+import { CallFailureHistory } from "../health/call_failure_history.ts";
 import { DispatchMonitor } from "../health/dispatch_monitor.ts";
 import { HealthReportFilter } from "../health/health_report_filter.ts";
 import { PauseMeter } from "../health/pause_meter.ts";
@@ -78,7 +79,10 @@
         daemonState: lifecycle,
         ...(adapters === undefined ? {} : platformPolicies),
     });
-    const faultEstimates = adapters === undefined ? undefined : new BayesianEvidenceRecorder(base);
+    const callFailures = new CallFailureHistory();
+    const faultEstimates = adapters === undefined
+        ? undefined
+        : new BayesianEvidenceRecorder({ ...base, callFailures });
     const evidence = faultEstimates ??
         new SequentialEvidenceRecorder({ config: control.store, scoreTable: base.scoreTable });
     const states = new UpstreamStateBuilder({
@@ -146,6 +150,7 @@
     const closers = [client, pauseMeter, observer, eventLoopMonitor];
     return {
         upstreams,
+        callFailures,
         closers,
         eventLoopMonitor,
         lifecycle,
