--- a/src/forward/attempt_filter.ts
+++ b/src/forward/attempt_filter.ts
@@ -68,6 +68,7 @@
             ...this.options,
             forward: (selected, handleUnconfirmed) => this.forward(selected, handleUnconfirmed),
             revokeAfterHopFailure: (selected, reply) => this.revokeAfterHopFailure(selected, reply),
+            handleStop: (reason, attempts) => this.options.observer?.recordStop(request, reason, attempts),
         }).run();
     }
 
--- a/src/forward/attempt_log.ts
+++ b/src/forward/attempt_log.ts
@@ -2,10 +2,12 @@
 import { LogLevel } from "../core/log_level.ts";
 import type { Logger } from "../core/logger.ts";
 import type { Metrics } from "../core/metrics.ts";
+import type { RoutedRequest } from "../route/routed_request.ts";
 import type { SelectedRequest } from "../select/selected_request.ts";
 import type { AttemptObserver } from "./attempt_observer.ts";
 import type { OwnerReply } from "./owner_reply.ts";
 import { redirectCodes } from "./redirect_codes.ts";
+import { StopReason } from "./stop_reason.ts";
 
 interface Options {
     readonly logger: Logger;
@@ -62,6 +64,19 @@
             reportedProbability: formatNumber(reply.upstream?.faultProbability ?? -1, 3),
         });
     }
+
+    recordStop({ requestId, route, service }: RoutedRequest, reason: StopReason, attempts: number): void {
+        if (reason === StopReason.Answered) {
+            return;
+        }
+        this.options.logger.write(LogLevel.Info, "attempts_stopped", {
+            requestId,
+            service: service.name,
+            idempotent: route.idempotent,
+            reason,
+            attempts,
+        });
+    }
 }
 
 function formatNumber(value: number, digits: number): number {
--- a/src/forward/attempt_observer.ts
+++ b/src/forward/attempt_observer.ts
@@ -1,5 +1,7 @@
+import type { RoutedRequest } from "../route/routed_request.ts";
 import type { SelectedRequest } from "../select/selected_request.ts";
 import type { OwnerReply } from "./owner_reply.ts";
+import type { StopReason } from "./stop_reason.ts";
 
 /** Observes the attempts of this daemon. */
 export interface AttemptObserver {
@@ -9,4 +11,6 @@
         reply: OwnerReply,
         times: { readonly startMs: number; readonly roundTripMs: number; },
     ): void;
+    /** Records why no further attempt of a request is made. */
+    recordStop(request: RoutedRequest, reason: StopReason, attempts: number): void;
 }
--- a/src/forward/attempt_sequence.ts
+++ b/src/forward/attempt_sequence.ts
@@ -11,6 +11,7 @@
  */
 import { err, ok, type Result } from "neverthrow";
 import type { Clock } from "../core/clock.ts";
+import { Code } from "../core/code.ts";
 import type { Failure } from "../core/failure.ts";
 import { Outcome } from "../core/outcome.ts";
 import type { Timer } from "../core/timer.ts";
@@ -30,6 +31,7 @@
 import { redirectCodes } from "./redirect_codes.ts";
 import type { RetryBudget } from "./retry_budget.ts";
 import type { RetryPolicy } from "./retry_policy.ts";
+import { StopReason } from "./stop_reason.ts";
 
 interface Options {
     readonly selector: UpstreamSelector;
@@ -40,6 +42,8 @@
     readonly forward: (selected: SelectedRequest, handleUnconfirmed: () => void) => Promise<OwnerReply>;
     /** Tries to revoke an attempt whose hop failed; on success the outcome becomes `not-executed`. */
     readonly revokeAfterHopFailure: (selected: SelectedRequest, reply: OwnerReply) => Promise<OwnerReply>;
+    /** Called with the reason why no further attempt is made and the number of attempts. */
+    readonly handleStop?: (reason: StopReason, attempts: number) => void;
 }
 
 interface RunningAttempt {
@@ -98,9 +102,11 @@
                 continue;
             }
             const reply = await this.recordEnd(ended);
-            if (this.isFinal(reply, ended.running)) {
+            const reason = this.decideStop(reply, ended.running);
+            if (reason !== undefined) {
                 hedgeTimer?.close();
                 this.cancelRunning();
+                this.options.handleStop?.(reason, this.attempts);
                 return ok(reply);
             }
         }
@@ -194,25 +200,34 @@
         return result;
     }
 
-    /** True when the reply is final; otherwise another attempt is running or is started. */
-    private isFinal(reply: OwnerReply, ended: RunningAttempt): boolean {
+    /** Undefined when another attempt is running or was started; otherwise the reply is final. */
+    private decideStop(reply: OwnerReply, ended: RunningAttempt): StopReason | undefined {
         const { budget, clock } = this.options;
         const { deadlineMs, route, service, signal } = this.request;
-        if (!this.policy.isRetryable(reply) || signal.aborted || clock.getMonotonicMs() >= deadlineMs) {
-            return true;
+        if (!this.policy.isRetryable(reply)) {
+            return reply.code === Code.Ok ? StopReason.Answered : StopReason.NotRetryable;
+        }
+        if (signal.aborted) {
+            return StopReason.CallerLeft;
+        }
+        if (clock.getMonotonicMs() >= deadlineMs) {
+            return StopReason.Deadline;
         }
         if (this.running.size > 0) {
-            return false;
+            return undefined;
+        }
+        if (this.possibleExecutions >= route.maxAttempts) {
+            return StopReason.Executions;
         }
-        if (this.possibleExecutions >= route.maxAttempts || this.refusals >= maxRefusals) {
-            return true;
+        if (this.refusals >= maxRefusals) {
+            return StopReason.Refusals;
         }
         // A charged attempt with such a code has returned its charge, so its retry is charged again.
         const isFreeRetry = freeRetryCodes.has(reply.code) && !ended.isCharged;
         if (!isFreeRetry && !budget.take(service.name)) {
-            return true;
+            return StopReason.Budget;
         }
-        return this.start(!isFreeRetry).isErr();
+        return this.start(!isFreeRetry).isErr() ? StopReason.NoUpstream : undefined;
     }
 
     private cancelRunning(): void {
