Pass on all values after the store has lost its history, and detect watches that deliver nothing

The store forgot its history and its watches delivered nothing for two seconds. The watching daemon's probes still counted as contact although they found a newer revision, so nobody read the store in its place; and when it had read all values, it announced nothing and held no changes for the others, whose own reads could wait two seconds for the same silent store.

Now a probe that finds a newer revision is no contact and makes the daemon read all values after 200 ms; these are announced and passed on like changes; a read without a wait is given up after 600 ms; and beacons of other failure domains tell again that a daemon lags behind.

--- a/src/beacon/beacon_exchange.ts
+++ b/src/beacon/beacon_exchange.ts
@@ -154,9 +154,11 @@
         if (this.peers.isInGroup(daemonId) && kind !== BeaconKind.Update) {
             this.options.counts.recordPeerCounts(daemonId, incarnation, counts);
         }
-        if (peer !== undefined) {
-            const { revision, storeAgeMs } = beacon;
-            revisions.recordPeer({ address: peer.address, revision, storeAgeMs });
+        // A daemon of another failure domain can tell that this one lags behind, and not who reads the store here.
+        const sender = membership.getDaemons().get(daemonId);
+        if (sender !== undefined) {
+            const storeAgeMs = peer === undefined ? undefined : beacon.storeAgeMs;
+            revisions.recordPeer({ address: sender.address, revision: beacon.revision, storeAgeMs });
         }
         for (const peerId of beacon.suspects) {
             if (this.peers.find(peerId) !== undefined) {
--- a/src/edge/control/connect_store_peer_client.ts
+++ b/src/edge/control/connect_store_peer_client.ts
@@ -27,9 +27,9 @@
                 { afterRevision: BigInt(afterRevision) },
                 { timeoutMs },
             );
-            const { items, known, recovering, revision } = response;
+            const { complete, items, known, recovering, revision } = response;
             return known
-                ? ok({ items, recovering, revision: Number(revision) })
+                ? ok({ complete, items, recovering, revision: Number(revision) })
                 : err(createFailure(Code.PlatformHistoryGone));
         }
         catch (error) {
--- a/src/published/peer_changes.ts
+++ b/src/published/peer_changes.ts
@@ -4,6 +4,8 @@
     readonly revision: number;
     /** Changed items in the platform's encoding. */
     readonly items: readonly string[];
+    /** True when the items are all values of the store and not only the changes. */
+    readonly complete: boolean;
     /** True while upstreams write again the entries that expired in an outage of the store. */
     readonly recovering: boolean;
 }
--- a/src/published/store_follower.ts
+++ b/src/published/store_follower.ts
@@ -92,6 +92,7 @@
     /** Revision to continue from; undefined when all values must be read. */
     private revision: number | undefined;
     private lagTimer: Timer | undefined;
+    private hasRead = false;
     private closed = false;
     /** Ends the current wait. */
     private wake: () => void = () => undefined;
@@ -219,11 +220,12 @@
         }
         // The store serves the failure domain; `recovering` tells whether it was away before.
         this.reader.recordServing();
-        const { items, recovering } = changes.value;
+        const { complete, items, recovering } = changes.value;
         if (recovering && !this.applier.upstreams.isRecovering()) {
             this.applier.upstreams.recordPlatformRecovery();
         }
-        this.apply({ revision: changes.value.revision, items, changes: store.decode(items) }, revision);
+        const page = { revision: changes.value.revision, items, changes: store.decode(items) };
+        this.apply(page, complete ? undefined : revision);
         return true;
     }
 
@@ -234,16 +236,19 @@
             return 0;
         }
         if (result.isErr()) {
-            this.revision = result.error.historyGone ? undefined : this.revision;
+            this.revision = result.error.mustReadAll ? undefined : this.revision;
             return result.error.delayMs;
         }
         const page = result.value;
+        const isFirst = !this.hasRead;
+        this.hasRead = true;
         this.progress.recordOwn(page.revision, true);
         this.apply(page, afterRevision);
         if (page.changes.length === 0) {
             return 0;
         }
-        if (afterRevision !== undefined) {
+        // At its start, a daemon reads nothing that the others lack.
+        if (!isFirst) {
             this.options.peers.sendRevision();
         }
         return coalescingDelayMs;
@@ -253,12 +258,7 @@
     private apply(page: StorePage, afterRevision: number | undefined): void {
         this.revision = page.revision;
         this.progress.recordOwn(page.revision, false);
-        if (afterRevision === undefined) {
-            this.history.purge();
-        }
-        else {
-            this.history.record(afterRevision, page, this.options.clock.getMonotonicMs());
-        }
+        this.history.record(afterRevision, page, this.options.clock.getMonotonicMs());
         this.applier.apply(page, afterRevision === undefined);
         if (this.options.configs.getActive() !== undefined) {
             this.resolveReady();
--- a/src/published/store_history.ts
+++ b/src/published/store_history.ts
@@ -1,8 +1,9 @@
 /**
- * Recent changes of the platform's store, for daemons that do not read the store themselves.
+ * What this daemon has read of the platform's store lately, for daemons that do not read the store themselves.
  *
  * @example
  * ```ts
+ * history.record(undefined, completePage, nowMs);
  * history.record(5, page, nowMs);
  * history.find(5, nowMs)?.items;
  * ```
@@ -12,34 +13,36 @@
 import type { StorePage } from "./store_page.ts";
 
 interface RecordedPage {
-    /** The page holds all changes after this revision, up to its own. */
-    readonly afterRevision: number;
+    /** The page holds all changes after this revision, up to its own; undefined when it holds all values. */
+    readonly afterRevision: number | undefined;
     readonly page: StorePage;
     readonly atMs: number;
 }
 
-/** Changes in the platform's encoding, complete up to `revision`. */
+/** Values in the platform's encoding, up to `revision`. */
 interface StoredChanges {
     readonly revision: number;
     readonly items: readonly string[];
+    /** True when the items are all values and not only the changes. */
+    readonly complete: boolean;
 }
 
-/** Milliseconds for which changes are kept; the platform keeps them for about as long. */
+/** Milliseconds for which pages are kept; the platform keeps its history for about as long. */
 const maxAgeMs = 20_000;
 /** Most pages that are kept. */
 const maxPages = 100;
 
-/** Keeps the pages of changes that were applied, in order. */
+/** Keeps the pages that were applied, in order. */
 export class StoreHistory {
     private pages: RecordedPage[] = [];
 
-    /** Records a page of the changes after `afterRevision`. */
-    record(afterRevision: number, page: StorePage, nowMs: number): void {
-        if (page.revision <= afterRevision) {
+    /** Records a page of the changes after `afterRevision`, or one with all values. */
+    record(afterRevision: number | undefined, page: StorePage, nowMs: number): void {
+        if (afterRevision !== undefined && page.revision <= afterRevision) {
             return;
         }
         // A gap hides changes from daemons that have read less than the new page starts from.
-        if (this.pages.at(-1)?.page.revision !== afterRevision) {
+        if (afterRevision === undefined || this.pages.at(-1)?.page.revision !== afterRevision) {
             this.pages = [];
         }
         this.pages.push({ afterRevision, page, atMs: nowMs });
@@ -51,15 +54,15 @@
         this.removeOld(nowMs);
         const newest = this.pages.at(-1);
         const [oldest] = this.pages;
-        if (oldest === undefined || newest === undefined || afterRevision < oldest.afterRevision) {
+        if (oldest === undefined || newest === undefined) {
+            return undefined;
+        }
+        const complete = oldest.afterRevision === undefined && afterRevision < oldest.page.revision;
+        if (!complete && afterRevision < (oldest.afterRevision ?? oldest.page.revision)) {
             return undefined;
         }
         const newer = this.pages.filter(({ page }) => page.revision > afterRevision);
-        return { revision: newest.page.revision, items: newer.flatMap(({ page }) => page.items) };
-    }
-
-    purge(): void {
-        this.pages = [];
+        return { revision: newest.page.revision, items: newer.flatMap(({ page }) => page.items), complete };
     }
 
     private removeOld(nowMs: number): void {
--- a/src/published/store_page.ts
+++ b/src/published/store_page.ts
@@ -5,6 +5,6 @@
     /** Revision of the store to continue from. */
     readonly revision: number;
     readonly changes: readonly StoreChange[];
-    /** The changed items in the platform's encoding, to forward to other daemons; empty for a complete page. */
+    /** The items in the platform's encoding, to forward to other daemons. */
     readonly items: readonly string[];
 }
--- a/src/published/store_reader.ts
+++ b/src/published/store_reader.ts
@@ -18,6 +18,7 @@
 import type { Logger } from "../core/logger.ts";
 import type { Metrics } from "../core/metrics.ts";
 import type { RandomSource } from "../core/random_source.ts";
+import type { Timer } from "../core/timer.ts";
 import type { Timers } from "../core/timers.ts";
 import type { PlatformStore } from "./platform_store.ts";
 import { StoreCall } from "./store_call.ts";
@@ -42,14 +43,24 @@
 
 /** A call that brought no page. */
 interface FailedRead {
-    /** True when the changes since the revision are gone, so that all values must be read. */
-    readonly historyGone: boolean;
+    /**
+     * True when the changes since the revision are gone, or when a watch delivers nothing, so that all values
+     * must be read.
+     */
+    readonly mustReadAll: boolean;
     /** Milliseconds to wait before the next call. */
     readonly delayMs: number;
 }
 
 /** Milliseconds in which the store must answer a call, in addition to the time that it waits for a change. */
 const callTimeoutMs = 2_000;
+/**
+ * The same for a read without a wait. Other daemons may wait for its result, and the store answers in
+ * milliseconds.
+ */
+const pollTimeoutMs = 600;
+/** Milliseconds in which a watch must deliver a change that a probe has found. */
+const deliveryMs = 200;
 /** Shortest watch in milliseconds during which the store is probed. */
 const minProbedWatchMs = 1_000;
 
@@ -61,8 +72,9 @@
     private afterRevision: number | undefined;
     /** True when the call was aborted because the watch is stale while the store serves other daemons. */
     private isWatchStale = false;
-    /** True when the last probe during the pending watch found a newer revision. */
-    private hasProbeFoundNewer = false;
+    /** True when a probe found that the pending watch delivers nothing. */
+    private mustReadAll = false;
+    private deliveryTimer: Timer | undefined;
 
     constructor(private readonly options: Options) {
         this.call = new StoreCall(options);
@@ -73,9 +85,10 @@
         const { clock, contact, store } = this.options;
         this.afterRevision = afterRevision;
         this.isWatchStale = false;
-        this.hasProbeFoundNewer = false;
+        this.mustReadAll = false;
         const startMs = clock.getMonotonicMs();
-        const limitMs = waitMs + callTimeoutMs;
+        const isPoll = afterRevision !== undefined && waitMs < minProbedWatchMs;
+        const limitMs = waitMs + (isPoll ? pollTimeoutMs : callTimeoutMs);
         const probe = new StoreProbe({ ...this.options, handleRevision: found => this.recordProbe(found) });
         if (waitMs >= minProbedWatchMs) {
             probe.start();
@@ -86,6 +99,8 @@
             limitMs,
         );
         probe.close();
+        this.deliveryTimer?.close();
+        this.deliveryTimer = undefined;
         const endMs = clock.getMonotonicMs();
         if (result.isErr()) {
             return err(this.recordFailure(result.error, startMs, limitMs));
@@ -107,17 +122,20 @@
     }
 
     /**
-     * Two probes in a row that find a newer revision show that the pending watch delivers nothing; after one,
-     * its answer can be on the way.
+     * A probe that finds a newer revision shows that the pending watch delivers nothing, unless its answer is on
+     * the way. Such a probe is no contact, because this daemon lacks a change.
      */
     private recordProbe(revision: number): void {
-        this.options.contact.record(this.options.clock.getMonotonicMs());
-        this.options.handleContact();
-        const isNewer = this.afterRevision !== undefined && revision > this.afterRevision;
-        if (isNewer && this.hasProbeFoundNewer) {
-            this.cancelStaleWatch(revision);
+        const { clock, contact, handleContact, timers } = this.options;
+        if (this.afterRevision === undefined || revision <= this.afterRevision) {
+            contact.record(clock.getMonotonicMs());
+            handleContact();
+            return;
         }
-        this.hasProbeFoundNewer = isNewer;
+        this.deliveryTimer ??= timers.start(deliveryMs, () => {
+            this.mustReadAll = true;
+            this.cancelStaleWatch(revision);
+        });
     }
 
     private recordFailure({ code, detail }: Failure, startMs: number, limitMs: number): FailedRead {
@@ -126,16 +144,16 @@
         if (this.isWatchStale) {
             // The store serves other daemons, so no entry can have expired by an outage.
             logger.write(LogLevel.Warn, "platform_silent", { code, detail });
-            return { historyGone: false, delayMs: 0 };
+            return { mustReadAll: this.mustReadAll, delayMs: 0 };
         }
         if (code === Code.PlatformHistoryGone) {
-            return { historyGone: true, delayMs: 0 };
+            return { mustReadAll: true, delayMs: 0 };
         }
         const endMs = clock.getMonotonicMs();
         if (this.outage.recordFailure({ startMs, endMs, timedOut: endMs - startMs >= limitMs })) {
             logger.write(LogLevel.Warn, "platform_failed", { code, detail });
         }
-        return { historyGone: false, delayMs: this.outage.computeDelayMs(random.getFloat()) };
+        return { mustReadAll: false, delayMs: this.outage.computeDelayMs(random.getFloat()) };
     }
 
     private recordBack(nowMs: number): void {
--- a/src/published/store_sharing.test.ts
+++ b/src/published/store_sharing.test.ts
@@ -1,8 +1,10 @@
-import { ok } from "neverthrow";
+import { err, ok } from "neverthrow";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { createFollowerSetup } from "../../proof/control/fakes/create_follower_setup.ts";
 import { storePages } from "../../proof/control/fakes/store_pages.ts";
+import { Code } from "../core/code.ts";
+import { createFailure } from "../core/create_failure.ts";
 
 const { buildConfiguration, buildPage, buildPeer, buildRemoval, buildUpstream } = storePages;
 
@@ -21,7 +23,7 @@
 test("a daemon that is no reader puts the changes of another daemon in force without a call to the store", async () => {
     const { follower, listIds, peers, store, time } = await createFollowing();
     store.peerChanges = [buildRemoval("u1", 6), buildUpstream("u2", 7)];
-    peers.changes = ok({ revision: 7, items: ["0", "1"], recovering: false });
+    peers.changes = ok({ revision: 7, items: ["0", "1"], recovering: false, complete: false });
     follower.recordPeer(buildPeer(7, 0));
     await time.run(20);
     assert.deepEqual([listIds(), follower.getRevision()], ["u2", 7]);
@@ -60,7 +62,7 @@
 test("an outage that another daemon noticed keeps the entries that expired in it", async () => {
     const { follower, listIds, peers, store, time } = await createFollowing();
     store.peerChanges = [buildRemoval("u1", 6)];
-    peers.changes = ok({ revision: 6, items: ["0"], recovering: true });
+    peers.changes = ok({ revision: 6, items: ["0"], recovering: true, complete: false });
     follower.recordPeer(buildPeer(6, 0));
     await time.run(20);
     assert.equal(listIds(), "u1");
@@ -69,25 +71,52 @@
 test("a reader announces what it reads and sends it to daemons that have read less", async () => {
     const { follower, peers, store, time } = createFollowerSetup();
     void follower.start();
-    store.send(buildPage(5, buildConfiguration(1, 3)));
+    store.send(ok({ revision: 5, changes: [buildConfiguration(1, 3)], items: ["all"] }));
     await time.run(500);
-    store.send(ok({ revision: 6, changes: [buildUpstream("u1", 6)], items: ["item"] }));
+    assert.equal(peers.announcements, 0, "at its start it reads nothing that the others lack");
+    store.send(ok({ revision: 6, changes: [buildUpstream("u1", 6)], items: ["change"] }));
     await time.run(20);
     assert.equal(peers.announcements, 1);
-    assert.deepEqual(follower.findChanges(5), { revision: 6, items: ["item"], recovering: false });
-    assert.equal(follower.findChanges(4), undefined, "the changes before the complete page are unknown");
+    const parts = { revision: 6, recovering: false };
+    assert.deepEqual(follower.findChanges(5), { ...parts, items: ["change"], complete: false });
+    assert.deepEqual(follower.findChanges(4), { ...parts, items: ["all", "change"], complete: true });
+    await time.run(21_000);
+    assert.equal(follower.findChanges(5), undefined, "old pages are not kept");
 });
 
-test("a watch that delivers nothing is reopened when probes of the store find a newer revision", async () => {
-    const { follower, store, time } = createFollowerSetup();
+// The store forgot its history; the others kept an old configuration for 4 s after the reader had the new one.
+test("after the store has lost its history, the others get all values from the daemon that has read them", async () => {
+    const reader = createFollowerSetup();
+    void reader.follower.start();
+    reader.store.send(
+        buildPage(5, buildConfiguration(1, 3)),
+        err(createFailure(Code.PlatformHistoryGone)),
+        ok({ revision: 9, changes: [buildConfiguration(2, 8)], items: ["0", "1"] }),
+    );
+    await reader.time.run(1_000);
+    assert.equal(reader.peers.announcements, 1);
+    const { configs, follower, listIds, peers, store, time } = await createFollowing();
+    store.peerChanges = [buildConfiguration(2, 8), buildUpstream("u2", 9)];
+    peers.changes = ok(reader.follower.findChanges(5)!);
+    follower.recordPeer(buildPeer(9, 0));
+    await time.run(20);
+    assert.deepEqual([configs.getActive()?.version, listIds(), store.calls], [2, "u2", []]);
+});
+
+test("all values are read when probes of the store find a revision that the watch does not deliver", async () => {
+    const { configs, follower, peers, store, time } = createFollowerSetup();
     void follower.start();
     store.send(buildPage(5, buildConfiguration(1, 3)));
     await time.run(500);
+    store.probedRevision = ok(5);
+    await time.run(1_000);
+    const { contacts } = peers;
+    assert.ok(contacts > 0 && follower.getStoreAgeMs()! <= 500, "probes confirm that the store is reachable");
     store.probedRevision = ok(6);
-    await time.run(1_100);
-    assert.deepEqual(store.calls, ["all", "watch 5", "watch 5"]);
-    store.send(buildPage(6, buildUpstream("u1", 6)));
-    await time.run(5_000);
-    assert.equal(store.calls.length, 4, "a daemon that is not behind waits");
-    assert.ok(follower.getStoreAgeMs()! <= 500, "probes confirm that the store is reachable");
+    await time.run(800);
+    assert.equal(peers.contacts, contacts, "a daemon that lacks a change does not report a contact");
+    assert.deepEqual(store.calls, ["all", "watch 5", "all"]);
+    store.send(buildPage(6, buildConfiguration(2, 6)));
+    await time.run(20);
+    assert.equal(configs.getActive()?.version, 2);
 });
