--- a/src/dispatch/header_upstream_codec.ts
+++ b/src/dispatch/header_upstream_codec.ts
@@ -1,4 +1,5 @@
 import type { Answer } from "../core/answer.ts";
+import { findHeader } from "../core/find_header.ts";
 import type { MessageHeader } from "../core/message_header.ts";
 import { RequestHeader } from "../core/request_header.ts";
 import type { OwnerRequest } from "../queue/owner_request.ts";
@@ -19,7 +20,16 @@
             : [...headers, { name: RequestHeader.IdempotencyKey, value: request.idempotencyKey }];
     }
 
-    decode(_request: OwnerRequest, answer: Answer): UpstreamResult {
+    /** An upstream may echo the identifier of the request, so that a late copy of another answer is recognised. */
+    decode({ requestId }: OwnerRequest, answer: Answer): UpstreamResult {
+        const answerRequestId = findHeader(answer.headers, RequestHeader.RequestId);
+        if (answerRequestId !== undefined && answerRequestId !== requestId) {
+            return {
+                kind: UpstreamResultKind.Garbled,
+                answer: undefined,
+                detail: "an answer to another request",
+            };
+        }
         return { kind: UpstreamResultKind.Answered, answer, detail: "" };
     }
 }
