Do not pass on large changes of the store from one daemon

All daemons of a failure domain ask the watching daemon at the same time: 46 answers with a configuration of 1,400 routes (about 0.5 MB in the platform's encoding) are 21 MB for a link of 20 Mbit/s, 8 s, and 3 s are allowed on the large site. Changes above 64 KB are read from the store by each daemon, as before; the new test fails before.

--- a/src/published/store_history.ts
+++ b/src/published/store_history.ts
@@ -29,6 +29,11 @@
 
 /** Milliseconds for which pages are kept; the platform keeps its history for about as long. */
 const maxAgeMs = 20_000;
+/**
+ * Most characters of the items that are passed on at once. All daemons of a failure domain ask at the same time:
+ * 50 answers of this size take a second and a half on a link of 20 Mbit/s. More is read from the store itself.
+ */
+const maxItemsLength = 65_536;
 /** Most pages that are kept. */
 const maxPages = 100;
 
@@ -49,7 +54,7 @@
         this.removeOld(nowMs);
     }
 
-    /** Undefined when some of the changes after the revision are unknown. */
+    /** Undefined when some of the changes after the revision are unknown, or when they are too large. */
     find(afterRevision: number, nowMs: number): StoredChanges | undefined {
         this.removeOld(nowMs);
         const newest = this.pages.at(-1);
@@ -61,8 +66,10 @@
         if (!complete && afterRevision < (oldest.afterRevision ?? oldest.page.revision)) {
             return undefined;
         }
-        const newer = this.pages.filter(({ page }) => page.revision > afterRevision);
-        return { revision: newest.page.revision, items: newer.flatMap(({ page }) => page.items), complete };
+        const items = this.pages.filter(({ page }) => page.revision > afterRevision)
+            .flatMap(({ page }) => page.items);
+        const length = items.reduce((sum, item) => sum + item.length, 0);
+        return length > maxItemsLength ? undefined : { revision: newest.page.revision, items, complete };
     }
 
     private removeOld(nowMs: number): void {
--- a/src/published/store_sharing.test.ts
+++ b/src/published/store_sharing.test.ts
@@ -120,3 +120,13 @@
     await time.run(20);
     assert.equal(configs.getActive()?.version, 2);
 });
+
+test("large values are not passed on, because all daemons of a failure domain ask for them at the same time", async () => {
+    const { follower, store, time } = createFollowerSetup();
+    void follower.start();
+    store.send(buildPage(5, buildConfiguration(1, 3)));
+    await time.run(500);
+    store.send(ok({ revision: 6, changes: [buildConfiguration(2, 6)], items: ["x".repeat(500_000)] }));
+    await time.run(20);
+    assert.equal(follower.findChanges(5), undefined);
+});
