End a silent watch of the store in time

Cause: while a watch of up to 10 s is pending, a daemon probes the store by cheap reads. Their answers may be seconds old, yet each counted as a contact of the moment of its arrival, so nothing but a probe that found the newer revision ended a silent watch.

Change: a watch waits 0.7 of the time within which a change must be in force, and counts as silent 500 ms after that. The changes are read at once then, and no idle connection is used again. A probe confirms the path only; the end of each watch confirms that it delivers. A contact counts from the moment for which its answer is known to hold. The length of an outage counts from the first call without an answer, which can be a silent watch.

The fake store ends watches after their wait now, as the store does.

--- a/proof/control/fakes/create_follower_setup.ts
+++ b/proof/control/fakes/create_follower_setup.ts
@@ -19,7 +19,7 @@
     const base = { clock: time, timers: time, audit: sinks, logger: sinks, metrics: sinks };
     const configs = new ConfigStore(base);
     const membership = new MembershipTable(base);
-    const store = new FakePlatformStore();
+    const store = new FakePlatformStore(time);
     const peers = new FakeStorePeers();
     const follower = new StoreFollower({
         ...base,
--- a/proof/control/fakes/fake_platform_store.ts
+++ b/proof/control/fakes/fake_platform_store.ts
@@ -1,28 +1,48 @@
-import { err, type Result } from "neverthrow";
+import { err, ok, type Result } from "neverthrow";
 import { Code } from "../../../src/core/code.ts";
 import { createFailure } from "../../../src/core/create_failure.ts";
 import type { Failure } from "../../../src/core/failure.ts";
+import type { Timers } from "../../../src/core/timers.ts";
 import type { PlatformStore } from "../../../src/published/platform_store.ts";
 import type { StoreChange } from "../../../src/published/store_change.ts";
 import type { StorePage } from "../../../src/published/store_page.ts";
 
 type Reply = Result<StorePage, Failure>;
 
-/** Store whose replies are queued by the test; a call without a queued reply stays open. */
+/**
+ * Store whose replies are queued by the test. Without a queued reply a watch ends after its wait with no change,
+ * and a read of all values stays open.
+ */
 export class FakePlatformStore implements PlatformStore {
     readonly calls: string[] = [];
+    /** False while watches without a queued reply stay open beyond their wait. */
+    endsWatches = true;
     probes = 0;
     probedRevision: Result<number, Failure> = err(createFailure(Code.PlatformUnreachable));
     peerChanges: readonly StoreChange[] = [];
     private readonly replies: Reply[] = [];
     private resolve: ((reply: Reply) => void) | undefined;
 
+    constructor(private readonly timers: Timers) {}
+
     fetchAll(): Promise<Reply> {
         return this.read("all");
     }
 
-    watch(afterRevision: number): Promise<Reply> {
-        return this.read(`watch ${afterRevision}`);
+    watch(afterRevision: number, waitMs: number): Promise<Reply> {
+        const reply = this.read(`watch ${afterRevision}`);
+        const { resolve } = this;
+        this.timers.start(waitMs, () => {
+            if (this.endsWatches && resolve !== undefined && this.resolve === resolve) {
+                this.send(ok({ revision: afterRevision, changes: [], items: [] }));
+            }
+        });
+        return reply;
+    }
+
+    /** Leaves the pending call without an answer, as a silent connection does. */
+    removePending(): void {
+        this.resolve = undefined;
     }
 
     fetchRevision(): Promise<Result<number, Failure>> {
--- a/src/published/platform_store.ts
+++ b/src/published/platform_store.ts
@@ -5,8 +5,8 @@
 
 /** Store of the platform for configuration and upstreams, with one revision for all values. */
 export interface PlatformStore {
-    /** Reads all values. Fails with PlatformUnreachable or PlatformBadValue. */
-    fetchAll(): Promise<Result<StorePage, Failure>>;
+    /** Reads all values. Fails with PlatformUnreachable or PlatformBadValue. `signal` aborts the call. */
+    fetchAll(signal?: AbortSignal): Promise<Result<StorePage, Failure>>;
     /**
      * Waits up to `waitMs` milliseconds for changes after a revision and returns them. Fails with
      * PlatformHistoryGone when the store no longer has them. `signal` aborts the call and closes its
--- a/src/published/store_contact.ts
+++ b/src/published/store_contact.ts
@@ -1,5 +1,6 @@
 /**
- * Time of the last answer of the platform's store to any daemon of the failure domain.
+ * Latest moment for which an answer of the platform's store to any daemon of the failure domain is known to hold.
+ * An answer that took long, or that the store made of an older state, does not describe the moment of its arrival.
  *
  * @example
  * ```ts
@@ -15,17 +16,17 @@
 export class StoreContact {
     private atMs = -Infinity;
 
-    /** Records an answer of the store to this daemon. */
-    record(nowMs: number): void {
-        this.recordPeer(0, nowMs);
+    /** Records that this daemon has read everything that the store held at a monotonic time in milliseconds. */
+    record(atMs: number): void {
+        this.atMs = Math.max(this.atMs, atMs);
     }
 
     /** Records an answer of the store that another daemon knows of. */
     recordPeer(ageMs: number, nowMs: number): void {
-        this.atMs = Math.max(this.atMs, nowMs - Math.max(0, ageMs));
+        this.record(nowMs - Math.max(0, ageMs));
     }
 
-    /** Milliseconds since the last answer; infinite when there was none. */
+    /** Milliseconds since the last contact; infinite when there was none. */
     getAgeMs(nowMs: number): number {
         return nowMs - this.atMs;
     }
--- a/src/published/store_follower.ts
+++ b/src/published/store_follower.ts
@@ -51,8 +51,11 @@
     readonly getApplyMs: () => number;
 }
 
-/** Milliseconds that one watch waits for a change; each call has a cost, even one without a change. */
-const watchMs = 10_000;
+/**
+ * Fraction of the time to put a change in force that one watch waits for a change. A connection that has gone
+ * silent is noticed when the watch does not end, so the rest is for that and for one more read.
+ */
+const watchShare = 0.7;
 /** Milliseconds that a read waits for a change when no other daemon is known to read the store. */
 const pollMs = 1;
 /** Milliseconds between a change and the next watch, so that changes in quick succession cost one call. */
@@ -173,7 +176,7 @@
 
     /** Makes one call at most and returns the delay before the next step in milliseconds. */
     private async runOnce(): Promise<number> {
-        const { clock, peers } = this.options;
+        const { clock, getApplyMs, peers } = this.options;
         if (this.revision === undefined) {
             return this.readStore(undefined, 0);
         }
@@ -182,7 +185,7 @@
             return rank === 0 ? coalescingDelayMs : 0;
         }
         if (rank === 0) {
-            return this.readStore(this.revision, watchMs);
+            return this.readStore(this.revision, Math.round(watchShare * getApplyMs()));
         }
         const nowMs = clock.getMonotonicMs();
         const ageMs = this.contact.getAgeMs(nowMs);
--- a/src/published/store_reader.ts
+++ b/src/published/store_reader.ts
@@ -41,6 +41,13 @@
     readonly handleRecovery: () => void;
 }
 
+/** Monotonic milliseconds of a call, and those that the store was asked to wait. */
+interface AnsweredCall {
+    readonly startMs: number;
+    readonly waitMs: number;
+    readonly endMs: number;
+}
+
 /** A call that brought no page. */
 interface FailedRead {
     /**
@@ -55,12 +62,19 @@
 /** Milliseconds in which the store must answer a call, in addition to the time that it waits for a change. */
 const callTimeoutMs = 2_000;
 /**
- * The same for a read without a wait. Other daemons may wait for its result, and the store answers in
- * milliseconds.
+ * The same for a read of a daemon that does not watch the store. Other daemons may wait for its result, and the
+ * store answers in milliseconds.
  */
-const pollTimeoutMs = 600;
+const fallbackTimeoutMs = 600;
+/** Milliseconds that the store may wait for a change in a call that asks for an answer at once. */
+const pollMs = 1;
 /** Milliseconds in which a watch must deliver a change that a probe has found. */
 const deliveryMs = 200;
+/**
+ * Milliseconds after its wait in which a watch must end. Its connection counts as silent then; the store needs
+ * 4 ms for an answer and up to 400 ms when it is slow.
+ */
+const overdueMs = 500;
 /** Shortest watch in milliseconds during which the store is probed. */
 const minProbedWatchMs = 1_000;
 
@@ -74,38 +88,54 @@
     private isWatchStale = false;
     /** True when a probe found that the pending watch delivers nothing. */
     private mustReadAll = false;
+    /** True after a watch without an answer: the next call asks for an answer at once. */
+    private mustPoll = false;
+    /** Start of the first call since the last answer, in monotonic milliseconds; undefined when there was none. */
+    private unansweredSinceMs: number | undefined;
     private deliveryTimer: Timer | undefined;
+    private overdueTimer: Timer | undefined;
 
     constructor(private readonly options: Options) {
         this.call = new StoreCall(options);
     }
 
-    /** Reads all values, or the changes after a revision, for which the store may wait `waitMs` milliseconds. */
+    /**
+     * Reads all values, or the changes after a revision, for which the store may wait `waitMs` milliseconds. After
+     * a watch whose connection was silent, the store is not asked to wait.
+     */
     async read(afterRevision: number | undefined, waitMs: number): Promise<Result<StorePage, FailedRead>> {
-        const { clock, contact, store } = this.options;
+        const { clock, store } = this.options;
         this.afterRevision = afterRevision;
         this.isWatchStale = false;
         this.mustReadAll = false;
         const startMs = clock.getMonotonicMs();
-        const isPoll = afterRevision !== undefined && waitMs < minProbedWatchMs;
-        const limitMs = waitMs + (isPoll ? pollTimeoutMs : callTimeoutMs);
+        this.unansweredSinceMs ??= startMs;
+        const isFallback = afterRevision !== undefined && waitMs < minProbedWatchMs;
+        const callWaitMs = this.mustPoll ? Math.min(waitMs, pollMs) : waitMs;
+        const limitMs = callWaitMs + (isFallback ? fallbackTimeoutMs : callTimeoutMs);
         const probe = new StoreProbe({ ...this.options, handleRevision: found => this.recordProbe(found) });
-        if (waitMs >= minProbedWatchMs) {
+        if (callWaitMs >= minProbedWatchMs) {
             probe.start();
+            this.startOverdueTimer(callWaitMs);
         }
         const result = await this.call.run(
             signal =>
-                afterRevision === undefined ? store.fetchAll() : store.watch(afterRevision, waitMs, signal),
+                afterRevision === undefined
+                    ? store.fetchAll(signal)
+                    : store.watch(afterRevision, callWaitMs, signal),
             limitMs,
         );
         probe.close();
         this.deliveryTimer?.close();
         this.deliveryTimer = undefined;
+        this.overdueTimer?.close();
         const endMs = clock.getMonotonicMs();
         if (result.isErr()) {
             return err(this.recordFailure(result.error, startMs, limitMs));
         }
-        contact.record(endMs);
+        this.mustPoll = false;
+        this.unansweredSinceMs = undefined;
+        this.recordContact(result.value, { startMs, waitMs: callWaitMs, endMs });
         this.recordBack(endMs);
         return ok(result.value);
     }
@@ -121,6 +151,28 @@
         this.outage.takeEnd(this.options.clock.getMonotonicMs());
     }
 
+    /**
+     * An answer holds for some moment of its call. A watch that waited in vain held until the end of its wait; one
+     * that brings changes was answered because of them.
+     */
+    private recordContact(page: StorePage, { startMs, waitMs, endMs }: AnsweredCall): void {
+        const isWatch = this.afterRevision !== undefined && waitMs >= minProbedWatchMs;
+        const heldMs = page.changes.length > 0 ? endMs : Math.min(endMs, startMs + waitMs);
+        this.options.contact.record(isWatch ? heldMs : startMs);
+    }
+
+    /**
+     * The answer to a probe may describe an older state, so it confirms the path to the store and not that the
+     * watch delivers. Only the end of the watch in time shows that.
+     */
+    private startOverdueTimer(waitMs: number): void {
+        this.overdueTimer = this.options.timers.start(waitMs + overdueMs, () => {
+            this.isWatchStale = true;
+            this.mustPoll = true;
+            this.call.cancel("the watch did not end after its wait");
+        });
+    }
+
     /**
      * A probe that finds a newer revision shows that the pending watch delivers nothing, unless its answer is on
      * the way. Such a probe is no contact, because this daemon lacks a change.
@@ -150,7 +202,10 @@
             return { mustReadAll: true, delayMs: 0 };
         }
         const endMs = clock.getMonotonicMs();
-        if (this.outage.recordFailure({ startMs, endMs, timedOut: endMs - startMs >= limitMs })) {
+        // A watch without an answer may have been the first call of the outage.
+        const unansweredSinceMs = this.unansweredSinceMs ?? startMs;
+        const timedOut = endMs - startMs >= limitMs || unansweredSinceMs < startMs;
+        if (this.outage.recordFailure({ startMs: unansweredSinceMs, endMs, timedOut })) {
             logger.write(LogLevel.Warn, "platform_failed", { code, detail });
         }
         return { mustReadAll: false, delayMs: this.outage.computeDelayMs(random.getFloat()) };
--- a/src/published/store_sharing.test.ts
+++ b/src/published/store_sharing.test.ts
@@ -113,6 +113,7 @@
     const { contacts } = peers;
     assert.ok(contacts > 0 && follower.getStoreAgeMs()! <= 500, "probes confirm that the store is reachable");
     store.probedRevision = ok(6);
+    store.endsWatches = false;
     await time.run(800);
     assert.equal(peers.contacts, contacts, "a daemon that lacks a change does not report a contact");
     assert.deepEqual(store.calls, ["all", "watch 5", "all"]);
@@ -121,6 +122,30 @@
     assert.equal(configs.getActive()?.version, 2);
 });
 
+// Review case 3: cheap reads described the store of 2 s before and hid that the watch delivered nothing.
+test("a change is in force in time after the watch has gone silent while probes return an older state", async () => {
+    const { configs, follower, store, time } = createFollowerSetup();
+    void follower.start();
+    store.send(buildPage(5, buildConfiguration(1, 3)));
+    store.probedRevision = ok(5);
+    await time.run(500);
+    store.removePending();
+    store.send(buildPage(6, buildConfiguration(2, 6)));
+    await time.run(2_000);
+    assert.equal(configs.getActive()?.version, 2);
+});
+
+test("a silent watch is no outage of the store, so an upstream that leaves then is removed immediately", async () => {
+    const { follower, listIds, store, time } = createFollowerSetup();
+    void follower.start();
+    store.send(buildPage(5, buildConfiguration(1, 3), buildUpstream("u1", 4), buildUpstream("u2", 5)));
+    await time.run(500);
+    store.removePending();
+    store.send(buildPage(6, buildRemoval("u1", 6)));
+    await time.run(2_000);
+    assert.equal(listIds(), "u2");
+});
+
 test("large values are not passed on, because all daemons of a failure domain ask for them at the same time", async () => {
     const { follower, store, time } = createFollowerSetup();
     void follower.start();
