Notice the end of an outage of the store by an answer

Cause: the first success after a failed call counted as the end of an outage. That call was a watch, which succeeds with the next change, so a cut watch became an outage of 4.5 s that ended with the removal itself, and the removal was held back for the 2 s after an outage. The other daemons counted 2 s of their own from their own fetch.

Change: after a failed call the store is asked for an answer at once, so the next success is the end of the outage. An answer to another daemon of the failure domain ends an outage too, without a change of the back-off. Daemons that fetch changes learn the milliseconds that are left of the 2 s (`recovery_ms` in place of `recovering`).

The fake store forgets calls that are cancelled; the test of calls that time out waits for a pending call, as the pauses between calls changed.

--- a/proof/control/fakes/fake_platform_store.ts
+++ b/proof/control/fakes/fake_platform_store.ts
@@ -29,9 +29,12 @@
         return this.read("all");
     }
 
-    watch(afterRevision: number, waitMs: number): Promise<Reply> {
+    watch(afterRevision: number, waitMs: number, signal?: AbortSignal): Promise<Reply> {
         const reply = this.read(`watch ${afterRevision}`);
         const { resolve } = this;
+        signal?.addEventListener("abort", () => {
+            this.resolve = this.resolve === resolve ? undefined : this.resolve;
+        });
         this.timers.start(waitMs, () => {
             if (this.endsWatches && resolve !== undefined && this.resolve === resolve) {
                 this.send(ok({ revision: afterRevision, changes: [], items: [] }));
@@ -40,6 +43,11 @@
         return reply;
     }
 
+    /** True while a call waits for a reply. */
+    hasPending(): boolean {
+        return this.resolve !== undefined;
+    }
+
     /** Leaves the pending call without an answer, as a silent connection does. */
     removePending(): void {
         this.resolve = undefined;
--- a/src/edge/control/connect_store_peer_client.ts
+++ b/src/edge/control/connect_store_peer_client.ts
@@ -27,9 +27,9 @@
                 { afterRevision: BigInt(afterRevision) },
                 { timeoutMs },
             );
-            const { complete, items, known, recovering, revision } = response;
+            const { complete, items, known, recoveryMs, revision } = response;
             return known
-                ? ok({ complete, items, recovering, revision: Number(revision) })
+                ? ok({ complete, items, recoveryMs, revision: Number(revision) })
                 : err(createFailure(Code.PlatformHistoryGone));
         }
         catch (error) {
--- a/src/edge/control/create_control_routes.ts
+++ b/src/edge/control/create_control_routes.ts
@@ -57,6 +57,7 @@
                         ...changes,
                         known: true,
                         revision: BigInt(changes.revision),
+                        recoveryMs: Math.ceil(changes.recoveryMs),
                         items: [...changes.items],
                     };
             },
--- a/src/published/peer_changes.ts
+++ b/src/published/peer_changes.ts
@@ -6,6 +6,9 @@
     readonly items: readonly string[];
     /** True when the items are all values of the store and not only the changes. */
     readonly complete: boolean;
-    /** True while upstreams write again the entries that expired in an outage of the store. */
-    readonly recovering: boolean;
+    /**
+     * Milliseconds for which upstreams may still write again the entries that expired in an outage of the store;
+     * 0 when there was none lately.
+     */
+    readonly recoveryMs: number;
 }
--- a/src/published/store_follower.test.ts
+++ b/src/published/store_follower.test.ts
@@ -140,12 +140,48 @@
     assert.equal(listIds(), "u2");
 });
 
+// Review case 4: the next change counted as the end of an outage, and its removals were held back for 2 s.
+test("a short outage of the store ends with the next answer, so that an upstream that leaves later is removed immediately", async () => {
+    const { follower, listIds, store, time } = createFollowerSetup();
+    void follower.start();
+    store.send(
+        buildPage(5, buildConfiguration(1, 3), buildUpstream("u1", 4), buildUpstream("u2", 5)),
+        unreachable,
+        unreachable,
+    );
+    await time.run(2_300);
+    store.send(buildPage(7, buildRemoval("u1", 7)));
+    await time.run(100);
+    assert.equal(listIds(), "u2");
+});
+
+test("entries are kept for 2 s from the return of the store and not from the next change", async () => {
+    const { follower, listIds, store, time } = createFollowerSetup();
+    void follower.start();
+    store.send(
+        buildPage(5, buildConfiguration(1, 3), buildUpstream("u1", 4), buildUpstream("u2", 5)),
+        ...Array.from({ length: 8 }, () => unreachable),
+    );
+    while (store.calls.length < 10) {
+        await time.run(10);
+    }
+    await time.run(1_900);
+    store.send(buildPage(7, buildRemoval("u1", 7)));
+    await time.run(50);
+    assert.equal(listIds(), "u1,u2");
+    await time.run(100);
+    assert.equal(listIds(), "u2");
+});
+
 test("entries are kept after a call that timed out, since the outage may have begun when the call started", async () => {
     const { follower, listIds, store, time } = createFollowerSetup();
     void follower.start();
     store.send(buildPage(5, buildConfiguration(1, 3), buildUpstream("u1", 4)));
     store.endsWatches = false;
     await time.run(13_000);
+    while (!store.hasPending()) {
+        await time.run(10);
+    }
     store.send(buildPage(7, buildRemoval("u1", 7)));
     await time.run(100);
     assert.equal(listIds(), "u1");
--- a/src/published/store_follower.ts
+++ b/src/published/store_follower.ts
@@ -106,7 +106,8 @@
 
     constructor(private readonly options: Options) {
         this.applier = new StoreChangeApplier(options);
-        const handleRecovery = () => this.applier.upstreams.recordPlatformRecovery();
+        const handleRecovery = (answeredMs: number) =>
+            this.applier.upstreams.recordPlatformRecovery(answeredMs);
         const handleContact = () => options.peers.sendContact();
         this.reader = new StoreReader({ ...options, contact: this.contact, handleContact, handleRecovery });
     }
@@ -136,13 +137,14 @@
 
     findChanges(afterRevision: number): PeerChanges | undefined {
         const changes = this.history.find(afterRevision, this.options.clock.getMonotonicMs());
-        return changes && { ...changes, recovering: this.applier.upstreams.isRecovering() };
+        return changes && { ...changes, recoveryMs: this.applier.upstreams.getRecoveryMs() };
     }
 
     recordPeer(peer: PeerRevision): void {
         const nowMs = this.options.clock.getMonotonicMs();
         if (peer.storeAgeMs !== undefined) {
             this.contact.recordPeer(peer.storeAgeMs, nowMs);
+            this.reader.recordAnswer(nowMs - this.contact.getAgeMs(nowMs));
         }
         if (this.closed || this.revision === undefined || !this.progress.record(peer, this.revision, nowMs)) {
             return;
@@ -221,12 +223,8 @@
         if (changes.isErr() || changes.value.revision <= revision) {
             return false;
         }
-        // The store serves the failure domain; `recovering` tells whether it was away before.
-        this.reader.recordServing();
-        const { complete, items, recovering } = changes.value;
-        if (recovering && !this.applier.upstreams.isRecovering()) {
-            this.applier.upstreams.recordPlatformRecovery();
-        }
+        const { complete, items, recoveryMs } = changes.value;
+        this.applier.upstreams.startRecovery(recoveryMs);
         const page = { revision: changes.value.revision, items, changes: store.decode(items) };
         this.apply(page, complete ? undefined : revision);
         return true;
--- a/src/published/store_outage.ts
+++ b/src/published/store_outage.ts
@@ -5,7 +5,8 @@
  * ```ts
  * outage.recordFailure({ startMs, endMs, timedOut: false });
  * const delayMs = outage.computeDelayMs(random.getFloat());
- * const { failures, canHaveExpired } = outage.takeEnd(nowMs);
+ * const canHaveExpired = outage.recordAnswer(answeredMs);
+ * const failures = outage.takeFailures();
  * ```
  *
  * @module
@@ -17,12 +18,6 @@
     readonly timedOut: boolean;
 }
 
-interface EndedOutage {
-    readonly failures: number;
-    /** True when entries of live upstreams can have expired in it. */
-    readonly canHaveExpired: boolean;
-}
-
 /**
  * Shortest outage in milliseconds after which removed entries may be written again. Upstreams write every
  * 1.5 s and their entries outlive several missed writes, so none can expire in less time; one failed watch is
@@ -33,20 +28,24 @@
 const backoffMinMs = 100;
 const backoffMaxMs = 1_000;
 
-/** Counts the calls that failed since the last answer of the store. */
+/**
+ * Counts the calls of this daemon that failed since its last answer, and measures the time in which the store
+ * answered no daemon. Another daemon can end the latter only: a store that refuses this daemon alone must not be
+ * called more often because it answers others.
+ */
 export class StoreOutage {
     private failures = 0;
-    private startMs = 0;
+    /** Start of the time without an answer to any daemon; undefined when the store answered after it. */
+    private startMs: number | undefined;
+    private lastFailureMs = -Infinity;
 
     /** Returns true for the first failure. */
     recordFailure({ startMs, endMs, timedOut }: FailedCall): boolean {
         this.failures += 1;
-        if (this.failures > 1) {
-            return false;
-        }
+        this.lastFailureMs = endMs;
         // After a timeout the store may have been unreachable since the start of the call.
-        this.startMs = timedOut ? startMs : endMs;
-        return true;
+        this.startMs ??= timedOut ? startMs : endMs;
+        return this.failures === 1;
     }
 
     /** Back-off before the next call; jitter between half and all of it keeps daemons from calling together. */
@@ -55,10 +54,23 @@
         return delayMs * (0.5 + randomNumber / 2);
     }
 
-    /** Ends the outage; undefined when there was none. */
-    takeEnd(nowMs: number): EndedOutage | undefined {
+    /**
+     * Records that the store answered some daemon at a monotonic time in milliseconds. Returns true when this ends
+     * an outage in which entries of live upstreams can have expired.
+     */
+    recordAnswer(answeredMs: number): boolean {
+        const { startMs } = this;
+        if (startMs === undefined || answeredMs < this.lastFailureMs) {
+            return false;
+        }
+        this.startMs = undefined;
+        return answeredMs - startMs >= minOutageMs;
+    }
+
+    /** Returns the failed calls of this daemon since the last time and counts from 0 again. */
+    takeFailures(): number {
         const { failures } = this;
         this.failures = 0;
-        return failures === 0 ? undefined : { failures, canHaveExpired: nowMs - this.startMs >= minOutageMs };
+        return failures;
     }
 }
--- a/src/published/store_reader.ts
+++ b/src/published/store_reader.ts
@@ -37,8 +37,11 @@
     readonly metrics: Metrics;
     /** Called when a probe has reached the store. */
     readonly handleContact: () => void;
-    /** Called when the store answers after an outage in which entries of live upstreams can have expired. */
-    readonly handleRecovery: () => void;
+    /**
+     * Called with the monotonic milliseconds of the first answer of the store after an outage in which entries of
+     * live upstreams can have expired.
+     */
+    readonly handleRecovery: (answeredMs: number) => void;
 }
 
 /** Monotonic milliseconds of a call, and those that the store was asked to wait. */
@@ -68,6 +71,11 @@
 const fallbackTimeoutMs = 600;
 /** Milliseconds that the store may wait for a change in a call that asks for an answer at once. */
 const pollMs = 1;
+/**
+ * Milliseconds in which the store must answer such a call. The end of an outage is noticed later by as much, and a
+ * slow store answers in up to 400 ms.
+ */
+const pollTimeoutMs = 1_000;
 /** Milliseconds in which a watch must deliver a change that a probe has found. */
 const deliveryMs = 200;
 /**
@@ -88,7 +96,7 @@
     private isWatchStale = false;
     /** True when a probe found that the pending watch delivers nothing. */
     private mustReadAll = false;
-    /** True after a watch without an answer: the next call asks for an answer at once. */
+    /** True after a call without an answer to it: the next call asks for one at once. */
     private mustPoll = false;
     /** Start of the first call since the last answer, in monotonic milliseconds; undefined when there was none. */
     private unansweredSinceMs: number | undefined;
@@ -101,7 +109,8 @@
 
     /**
      * Reads all values, or the changes after a revision, for which the store may wait `waitMs` milliseconds. After
-     * a watch whose connection was silent, the store is not asked to wait.
+     * a failed call the store is not asked to wait: a watch ends with the next change, which tells neither whether
+     * its connection works nor when an outage ended.
      */
     async read(afterRevision: number | undefined, waitMs: number): Promise<Result<StorePage, FailedRead>> {
         const { clock, store } = this.options;
@@ -110,9 +119,8 @@
         this.mustReadAll = false;
         const startMs = clock.getMonotonicMs();
         this.unansweredSinceMs ??= startMs;
-        const isFallback = afterRevision !== undefined && waitMs < minProbedWatchMs;
         const callWaitMs = this.mustPoll ? Math.min(waitMs, pollMs) : waitMs;
-        const limitMs = callWaitMs + (isFallback ? fallbackTimeoutMs : callTimeoutMs);
+        const limitMs = callWaitMs + this.getTimeoutMs(waitMs);
         const probe = new StoreProbe({ ...this.options, handleRevision: found => this.recordProbe(found) });
         if (callWaitMs >= minProbedWatchMs) {
             probe.start();
@@ -146,9 +154,30 @@
         this.call.cancel(`the watch is stale: the store has revision ${newerRevision}`);
     }
 
-    /** Records that the store serves the failure domain, as another daemon has shown. */
-    recordServing(): void {
-        this.outage.takeEnd(this.options.clock.getMonotonicMs());
+    /** Records that the store answered a daemon of the failure domain, which ends an outage before that moment. */
+    recordAnswer(answeredMs: number): void {
+        if (this.outage.recordAnswer(answeredMs)) {
+            this.options.handleRecovery(answeredMs);
+        }
+    }
+
+    private recordBack(nowMs: number): void {
+        const failures = this.outage.takeFailures();
+        if (failures > 0) {
+            this.options.logger.write(LogLevel.Info, "platform_back", { failures });
+        }
+        this.recordAnswer(nowMs);
+    }
+
+    /** Milliseconds in which the store must answer in addition to its wait. */
+    private getTimeoutMs(waitMs: number): number {
+        if (this.afterRevision === undefined) {
+            return callTimeoutMs;
+        }
+        if (waitMs < minProbedWatchMs) {
+            return fallbackTimeoutMs;
+        }
+        return this.mustPoll ? pollTimeoutMs : callTimeoutMs;
     }
 
     /**
@@ -168,7 +197,6 @@
     private startOverdueTimer(waitMs: number): void {
         this.overdueTimer = this.options.timers.start(waitMs + overdueMs, () => {
             this.isWatchStale = true;
-            this.mustPoll = true;
             this.call.cancel("the watch did not end after its wait");
         });
     }
@@ -192,6 +220,7 @@
 
     private recordFailure({ code, detail }: Failure, startMs: number, limitMs: number): FailedRead {
         const { clock, logger, metrics, random } = this.options;
+        this.mustPoll = true;
         metrics.addCount("platform.failures", { document: "store", code: `${code}` });
         if (this.isWatchStale) {
             // The store serves other daemons, so no entry can have expired by an outage.
@@ -210,14 +239,4 @@
         }
         return { mustReadAll: false, delayMs: this.outage.computeDelayMs(random.getFloat()) };
     }
-
-    private recordBack(nowMs: number): void {
-        const ended = this.outage.takeEnd(nowMs);
-        if (ended !== undefined) {
-            this.options.logger.write(LogLevel.Info, "platform_back", { failures: ended.failures });
-        }
-        if (ended?.canHaveExpired === true) {
-            this.options.handleRecovery();
-        }
-    }
 }
--- a/src/published/store_sharing.test.ts
+++ b/src/published/store_sharing.test.ts
@@ -23,7 +23,7 @@
 test("a daemon that is no reader puts the changes of another daemon in force without a call to the store", async () => {
     const { follower, listIds, peers, store, time } = await createFollowing();
     store.peerChanges = [buildRemoval("u1", 6), buildUpstream("u2", 7)];
-    peers.changes = ok({ revision: 7, items: ["0", "1"], recovering: false, complete: false });
+    peers.changes = ok({ revision: 7, items: ["0", "1"], recoveryMs: 0, complete: false });
     follower.recordPeer(buildPeer(7, 0));
     await time.run(20);
     assert.deepEqual([listIds(), follower.getRevision()], ["u2", 7]);
@@ -62,12 +62,40 @@
 test("an outage that another daemon noticed keeps the entries that expired in it", async () => {
     const { follower, listIds, peers, store, time } = await createFollowing();
     store.peerChanges = [buildRemoval("u1", 6)];
-    peers.changes = ok({ revision: 6, items: ["0"], recovering: true, complete: false });
+    peers.changes = ok({ revision: 6, items: ["0"], recoveryMs: 2_000, complete: false });
     follower.recordPeer(buildPeer(6, 0));
     await time.run(20);
     assert.equal(listIds(), "u1");
 });
 
+test("daemons that fetch removals after an outage hold them back only as long as the daemon that noticed it", async () => {
+    const { follower, listIds, peers, store, time } = await createFollowing();
+    store.peerChanges = [buildRemoval("u1", 6)];
+    peers.changes = ok({ revision: 6, items: ["0"], recoveryMs: 300, complete: false });
+    follower.recordPeer(buildPeer(6, 0));
+    await time.run(20);
+    assert.equal(listIds(), "u1");
+    await time.run(300);
+    assert.equal(listIds(), "");
+});
+
+test("an outage ends when another daemon reaches the store, so that an upstream that leaves later is removed immediately", async () => {
+    const { follower, listIds, peers, store, time } = await createFollowing();
+    store.send(...Array.from({ length: 6 }, () => err(createFailure(Code.PlatformUnreachable))));
+    while (store.calls.length < 6) {
+        await time.run(10);
+    }
+    for (let elapsedMs = 0; elapsedMs < 4_000; elapsedMs += 500) {
+        follower.recordPeer(buildPeer(5, 0));
+        await time.run(500);
+    }
+    peers.changes = err(createFailure(Code.PlatformHistoryGone));
+    store.send(buildPage(6, buildRemoval("u1", 6)));
+    follower.recordPeer(buildPeer(6, 0));
+    await time.run(400);
+    assert.deepEqual([store.calls.length, listIds()], [7, ""]);
+});
+
 test("a reader announces what it reads and sends it to daemons that have read less", async () => {
     const { follower, peers, store, time } = createFollowerSetup();
     void follower.start();
@@ -77,7 +105,7 @@
     store.send(ok({ revision: 6, changes: [buildUpstream("u1", 6)], items: ["change"] }));
     await time.run(20);
     assert.equal(peers.announcements, 1);
-    const parts = { revision: 6, recovering: false };
+    const parts = { revision: 6, recoveryMs: 0 };
     assert.deepEqual(follower.findChanges(5), { ...parts, items: ["change"], complete: false });
     assert.deepEqual(follower.findChanges(4), { ...parts, items: ["all", "change"], complete: true });
     await time.run(21_000);
--- a/src/published/store_upstream_table.ts
+++ b/src/published/store_upstream_table.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "../core/clock.ts";
 import { LogLevel } from "../core/log_level.ts";
 import type { Logger } from "../core/logger.ts";
+import type { Timer } from "../core/timer.ts";
 import type { Timers } from "../core/timers.ts";
 import type { Upstream } from "../core/upstream.ts";
 import type { MembershipTable } from "../membership/membership_table.ts";
@@ -31,8 +32,9 @@
     /** Counts the lists that were passed to the membership table. */
     private version = 0;
     private changed = false;
-    private recoveredAtMs = -Infinity;
-    /** Upstreams whose entries expired in an outage; they are kept until `recoveryGraceMs` has passed. */
+    private recoversUntilMs = -Infinity;
+    private recoveryTimer: Timer | undefined;
+    /** Upstreams whose entries expired in an outage; they are kept until `recoversUntilMs`. */
     private readonly expired = new Set<string>();
 
     constructor(private readonly options: Options) {}
@@ -49,7 +51,7 @@
             return;
         }
         const known = this.entries.get(upstreamId);
-        if (known?.upstream !== undefined && !known.upstream.leaving && this.isRecovering()) {
+        if (known?.upstream !== undefined && !known.upstream.leaving && this.getRecoveryMs() > 0) {
             this.expired.add(upstreamId);
             this.entries.set(upstreamId, { upstream: known.upstream, revision });
             return;
@@ -72,10 +74,25 @@
         }
     }
 
-    /** Call when the platform answers again after an outage. */
-    recordPlatformRecovery(): void {
-        this.recoveredAtMs = this.options.clock.getMonotonicMs();
-        this.options.timers.start(recoveryGraceMs, () => this.removeExpired());
+    /**
+     * Records that the platform answered again after an outage at a monotonic time in milliseconds. The grace
+     * counts from there at each daemon that learns of it, so that the delays of several daemons do not add up.
+     */
+    recordPlatformRecovery(answeredMs: number): void {
+        this.startRecovery(answeredMs + recoveryGraceMs - this.options.clock.getMonotonicMs());
+    }
+
+    /** Keeps upstreams without an entry for some milliseconds, at most for the grace after an outage. */
+    startRecovery(durationMs: number): void {
+        const { clock, logger, timers } = this.options;
+        const untilMs = clock.getMonotonicMs() + Math.min(durationMs, recoveryGraceMs);
+        if (untilMs <= this.recoversUntilMs || durationMs <= 0) {
+            return;
+        }
+        logger.write(LogLevel.Info, "platform_recovery", { durationMs: Math.round(durationMs) });
+        this.recoversUntilMs = untilMs;
+        this.recoveryTimer?.close();
+        this.recoveryTimer = timers.start(untilMs - clock.getMonotonicMs(), () => this.removeExpired());
     }
 
     /** Merges the list into the membership table when it has changed. */
@@ -107,9 +124,9 @@
         this.changed = true;
     }
 
-    /** True while upstreams write again the entries that expired in an outage. */
-    isRecovering(): boolean {
-        return this.options.clock.getMonotonicMs() - this.recoveredAtMs < recoveryGraceMs;
+    /** Milliseconds for which upstreams may still write again the entries that expired in an outage, or 0. */
+    getRecoveryMs(): number {
+        return Math.max(0, this.recoversUntilMs - this.options.clock.getMonotonicMs());
     }
 
     private isNewer(upstreamId: string, revision: number): boolean {
