Send attempts whose routes have times with fractions

The error left LinkForwarder.forward, which must not reject, or PeerLink.open with all frames that waited behind it, and what had been counted as in flight stayed counted. The evidence is the error itself: "cannot encode field zinniaglade.v1.RouteTerms.target_ms to binary: invalid uint32", reproduced with a target, a priority and a version.

A frame is encoded before anything is registered for it; an attempt that does not fit ends as not executed with the new code 3006, a reply that does not fit keeps its outcome, a beacon that does not fit is counted. A request that ends with an error is released at the entry daemon and at the owner.

--- a/src/admit/in_flight_filter.ts
+++ b/src/admit/in_flight_filter.ts
@@ -21,10 +21,8 @@
     constructor(private readonly options: Options) {}
 
     async apply(request: RoutedRequest): Promise<Result<OwnerReply, Failure>> {
-        const { clock, inFlight, inner, saturation, serviceTimes } = this.options;
-        inFlight.add(request.service.name);
-        const result = await inner.apply(request);
-        inFlight.remove(request.service.name);
+        const { clock, saturation, serviceTimes } = this.options;
+        const result = await this.applyInner(request);
         if (result.isOk()) {
             saturation.record(request.service, result.value);
             if (result.value.answer !== undefined) {
@@ -33,4 +31,16 @@
         }
         return result;
     }
+
+    /** Releases the count after an error too; it would take a place of the entry concurrency for good. */
+    private async applyInner(request: RoutedRequest): Promise<Result<OwnerReply, Failure>> {
+        const { inFlight, inner } = this.options;
+        inFlight.add(request.service.name);
+        try {
+            return await inner.apply(request);
+        }
+        finally {
+            inFlight.remove(request.service.name);
+        }
+    }
 }
--- a/src/core/code.ts
+++ b/src/core/code.ts
@@ -48,6 +48,7 @@
     PeerTimeout: 3003,
     ReplyMismatch: 3004,
     PeerProtocol: 3005,
+    AttemptNotEncodable: 3006,
     ConfigSyntax: 4001,
     ConfigUnknownField: 4002,
     ConfigMissingField: 4003,
--- a/src/core/code_table.ts
+++ b/src/core/code_table.ts
@@ -55,6 +55,7 @@
     3003: buildEntry(504, Unknown, "the owner did not reply in time"),
     3004: buildEntry(502, Unknown, "the reply belongs to another request or attempt"),
     3005: buildEntry(502, Unknown, "the reply of the owner cannot be decoded"),
+    3006: buildEntry(500, NotExecuted, "the attempt does not fit the message to the owner"),
     4001: buildEntry(500, NotExecuted, "the configuration is not valid YAML"),
     4002: buildEntry(500, NotExecuted, "the configuration has an unknown field"),
     4003: buildEntry(500, NotExecuted, "the configuration lacks a required field"),
--- a/src/edge/beacon_udp/encode_beacon.ts
+++ b/src/edge/beacon_udp/encode_beacon.ts
@@ -1,8 +1,7 @@
 import { create, toBinary } from "@bufbuild/protobuf";
 import type { Beacon } from "../../beacon/beacon.ts";
 import { BeaconSchema } from "../../gen/zinniaglade/v1/control_pb.ts";
-
-const maxUint32 = 2 ** 32 - 1;
+import { encodeUint32 } from "../encode_uint32.ts";
 
 /** Encodes a beacon as the protobuf message of one datagram. */
 export function encodeBeacon(beacon: Beacon): Uint8Array {
@@ -15,12 +14,12 @@
             daemonId,
             incarnation,
             revision: BigInt(revision),
-            ...(storeAgeMs === undefined ? {} : { storeAgeMs: Math.min(maxUint32, Math.round(storeAgeMs)) }),
+            ...(storeAgeMs === undefined ? {} : { storeAgeMs: encodeUint32(storeAgeMs) }),
             counts: counts.map(count => ({ ...count })),
             reports: reports.map(({ ageMs, sequence, state }) => ({
                 state,
                 sequence: BigInt(sequence),
-                ageMs: Math.min(maxUint32, Math.round(ageMs)),
+                ageMs: encodeUint32(ageMs),
             })),
         }),
     );
--- a/src/edge/beacon_udp/udp_beacon_transport.ts
+++ b/src/edge/beacon_udp/udp_beacon_transport.ts
@@ -36,6 +36,9 @@
     };
 });
 
+/** Fails when a value does not fit its field. */
+const encodeBeaconSafely = fromThrowable(encodeBeacon);
+
 /** UDP socket on the peer address of this daemon. */
 export class UdpBeaconTransport implements BeaconTransport {
     private readonly socket: Socket = createSocket("udp4");
@@ -70,7 +73,13 @@
     send(address: string, beacon: Beacon): void {
         // The same beacon is sent to many daemons, so that its encoding is reused.
         if (this.lastEncoded?.beacon !== beacon) {
-            this.lastEncoded = { beacon, bytes: encodeBeacon(beacon) };
+            const encoded = encodeBeaconSafely(beacon);
+            if (encoded.isErr()) {
+                // Other beacons of the round, with other reports, are still sent.
+                this.metrics.addCount("beacon.not_encodable");
+                return;
+            }
+            this.lastEncoded = { beacon, bytes: encoded.value };
         }
         const { host, port } = splitAddress(address);
         this.socket.send(this.lastEncoded.bytes, port, host, error => {
--- a/src/edge/control/create_control_routes.ts
+++ b/src/edge/control/create_control_routes.ts
@@ -10,6 +10,7 @@
 import type { OwnerIdentity } from "../../operations/owner_identity.ts";
 import type { Revoker } from "../../operations/revoker.ts";
 import type { StoreChangesSource } from "../../published/store_changes_source.ts";
+import { encodeUint32 } from "../encode_uint32.ts";
 import { decodeHeadExchange } from "./decode_head_exchange.ts";
 import { encodeHeadExchange } from "./encode_head_exchange.ts";
 
@@ -57,7 +58,7 @@
                         ...changes,
                         known: true,
                         revision: BigInt(changes.revision),
-                        recoveryMs: Math.ceil(changes.recoveryMs),
+                        recoveryMs: encodeUint32(Math.ceil(changes.recoveryMs)),
                         items: [...changes.items],
                     };
             },
--- a/src/edge/peer_link/encode_dispatch.ts
+++ b/src/edge/peer_link/encode_dispatch.ts
@@ -2,6 +2,7 @@
 import type { RouteConfig } from "../../config/route_config.ts";
 import { type DispatchHead, DispatchHeadSchema } from "../../gen/zinniaglade/v1/control_pb.ts";
 import type { SelectedRequest } from "../../select/selected_request.ts";
+import { encodeUint32 } from "../encode_uint32.ts";
 
 /** Encodes the metadata of an attempt for its owner; `nowMs` is monotonic. */
 export function encodeDispatch(request: SelectedRequest, nowMs: number): DispatchHead {
@@ -13,8 +14,8 @@
         route: request.route.name,
         organisation: request.organisation,
         idempotencyKey: request.idempotencyKey ?? "",
-        remainingMs: Math.max(0, Math.floor(request.deadlineMs - nowMs)),
-        elapsedMs: Math.max(0, Math.floor(nowMs - request.receivedAtMs)),
+        remainingMs: encodeUint32(Math.floor(request.deadlineMs - nowMs)),
+        elapsedMs: encodeUint32(Math.floor(nowMs - request.receivedAtMs)),
         baselineMs: request.baselineMs,
         method: request.method,
         target: request.target,
@@ -33,5 +34,5 @@
 }
 
 function createTerms({ idempotent, priority, targetMs }: RouteConfig) {
-    return { idempotent, priority, targetMs };
+    return { idempotent, priority: encodeUint32(priority), targetMs: encodeUint32(targetMs) };
 }
--- a/src/edge/peer_link/frame_socket.ts
+++ b/src/edge/peer_link/frame_socket.ts
@@ -4,12 +4,12 @@
  * @example
  * ```ts
  * const frames = new FrameSocket(socket, { handleFrame, handleClose });
- * frames.send(create(LinkFrameSchema, { id: 1, content: { case: "cancel", value: {} } }));
+ * encodeFrame({ id: 1, content: { case: "cancel", value: {} } }).map(frame => frames.send(frame));
  * ```
  *
  * @module
  */
-import { sizeDelimitedDecodeStream, sizeDelimitedEncode } from "@bufbuild/protobuf/wire";
+import { sizeDelimitedDecodeStream } from "@bufbuild/protobuf/wire";
 import type { Socket } from "node:net";
 import { type LinkFrame, LinkFrameSchema } from "../../gen/zinniaglade/v1/control_pb.ts";
 
@@ -34,10 +34,10 @@
         this.closePromise = this.read(handlers);
     }
 
-    /** Drops the frame on a closed connection; a write error would discard those still being sent. */
-    send(frame: LinkFrame): void {
+    /** Drops the encoded frame on a closed connection; a write error would discard those still being sent. */
+    send(frame: Uint8Array): void {
         if (this.socket.writable) {
-            this.socket.write(sizeDelimitedEncode(LinkFrameSchema, frame));
+            this.socket.write(frame);
         }
     }
 
--- a/src/edge/peer_link/link_forwarder.test.ts
+++ b/src/edge/peer_link/link_forwarder.test.ts
@@ -229,3 +229,52 @@
     const second = forwarder.forward(selectOwner(port), signal);
     assert.deepEqual([(await first).code, (await second).code, connections], [Code.Ok, Code.Ok, 2]);
 });
+
+// Review case 1: the encoder threw for a target of 2009.9999999999998 ms, and requests of the route were not served.
+test("an attempt whose route has times with fractions is sent", async () => {
+    const owner = await openOwner(dispatch =>
+        Promise.resolve(buildOwnerReply(identity, dispatch, { code: Code.Ok, answer }))
+    );
+    const selected = selectOwner(owner.port);
+    const route = { ...selected.route, targetMs: 2.01 * 1_000, priority: 2 ** 32 };
+    const { code } = await createForwarder().forward({ ...selected, route }, new AbortController().signal);
+    assert.equal(code, Code.Ok);
+});
+
+// An error of the encoder left the request in flight, and those whose frames waited behind it unsent.
+test("an attempt that cannot be encoded ends as not executed, and the others of its link are sent", async () => {
+    const owner = await openOwner(dispatch =>
+        Promise.resolve(buildOwnerReply(identity, dispatch, { code: Code.Ok, answer }))
+    );
+    const forwarder = createForwarder();
+    const { signal } = new AbortController();
+    const baselineMs = 1e39;
+    const sendAll = () =>
+        Promise.all([
+            forwarder.forward({ ...selectOwner(owner.port, 1), baselineMs }, signal),
+            forwarder.forward(selectOwner(owner.port, 2), signal),
+        ]);
+    // The link opens during the first round and is open in the second.
+    for (const replies of [await sendAll(), await sendAll()]) {
+        assert.deepEqual(replies.map(({ code, outcome }) => [code, outcome]), [
+            [Code.AttemptNotEncodable, Outcome.NotExecuted],
+            [Code.Ok, Outcome.Executed],
+        ]);
+    }
+});
+
+test("a reply that cannot be encoded keeps its outcome, so that an executed payment is not sent again", async () => {
+    const owner = await openOwner(dispatch =>
+        Promise.resolve(buildOwnerReply(identity, dispatch, { code: Code.Ok, answer, serviceMs: 1e39 }))
+    );
+    const { code, outcome } = await createForwarder()
+        .forward(selectOwner(owner.port), new AbortController().signal);
+    assert.deepEqual([code, outcome, owner.countInFlight()], [Code.PeerProtocol, Outcome.Executed, 0]);
+});
+
+test("an attempt whose owner pipeline ends with an error leaves nothing in flight, so that a drain can end", async () => {
+    const owner = await openOwner(() => Promise.reject(new Error("out of order")));
+    const { code, outcome } = await createForwarder()
+        .forward(selectOwner(owner.port), new AbortController().signal);
+    assert.deepEqual([code, outcome, owner.countInFlight()], [Code.PeerProtocol, Outcome.Unknown, 0]);
+});
--- a/src/edge/peer_link/link_forwarder.ts
+++ b/src/edge/peer_link/link_forwarder.ts
@@ -58,15 +58,19 @@
             };
             const reportFailure = (failure: Failure): void =>
                 reportReply(createHopFailureReply(request, failure));
-            const cancel = (): void => {
-                link.cancel(id);
-                reportFailure(createFailure(Code.PeerTimeout));
-            };
-            const id = link.sendDispatch(encodeDispatch(request, nowMs), request.body, {
+            const sent = link.sendDispatch(encodeDispatch(request, nowMs), request.body, {
                 handleAccepted: () => clearTimeout(timer),
                 handleReply: reply => reportReply(decodeLinkReply(request, reply)),
                 handleFailure: reportFailure,
             });
+            const cancel = (): void => {
+                sent.map(id => link.cancel(id));
+                reportFailure(createFailure(Code.PeerTimeout));
+            };
+            if (sent.isErr()) {
+                reportFailure(sent.error);
+                return;
+            }
             signal.addEventListener("abort", cancel, { once: true });
             if (signal.aborted) {
                 cancel();
--- a/src/edge/peer_link/link_listener.ts
+++ b/src/edge/peer_link/link_listener.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { create, type MessageInitShape } from "@bufbuild/protobuf";
+import type { Result } from "neverthrow";
 import type { IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
 import { Code } from "../../core/code.ts";
@@ -12,12 +12,13 @@
 import type { Filter } from "../../core/filter.ts";
 import { buildOwnerReply } from "../../forward/build_owner_reply.ts";
 import type { OwnerReply } from "../../forward/owner_reply.ts";
-import { type LinkDispatch, type LinkFrame, LinkFrameSchema } from "../../gen/zinniaglade/v1/control_pb.ts";
+import type { LinkDispatch, LinkFrame } from "../../gen/zinniaglade/v1/control_pb.ts";
 import type { DrainableListener } from "../../lifecycle/drainable_listener.ts";
 import type { InFlightRequest } from "../../lifecycle/in_flight_request.ts";
 import type { OwnerIdentity } from "../../operations/owner_identity.ts";
 import type { IncomingDispatch } from "../../queue/incoming_dispatch.ts";
 import { decodeDispatch } from "./decode_dispatch.ts";
+import { encodeFrame } from "./encode_frame.ts";
 import { encodeReply } from "./encode_reply.ts";
 import { FrameSocket } from "./frame_socket.ts";
 import { linkProtocol } from "./link_protocol.ts";
@@ -33,8 +34,6 @@
 /** Milliseconds for a peer to close its side of a link; a round trip between regions takes up to 40 ms. */
 const closeTimeoutMs = 500;
 
-type Content = MessageInitShape<typeof LinkFrameSchema>["content"];
-
 /** Runs each attempt through the owner pipeline; a cancel frame or the end of the link aborts its signal. */
 export class LinkListener implements DrainableListener {
     private readonly links = new Set<FrameSocket>();
@@ -106,29 +105,53 @@
             link.cancel();
             return;
         }
-        const send = (content: Content): void => link.send(create(LinkFrameSchema, { id, content }));
-        const sendReply = (reply: OwnerReply): void =>
-            send({
-                case: "reply",
-                value: { head: encodeReply(reply), body: reply.answer?.body ?? new Uint8Array() },
-            });
         const controller = new AbortController();
         const dispatch = decodeDispatch(head, body, controller.signal);
         const inFlightRequest = this.options.registerRequest();
         if (inFlightRequest === undefined) {
-            sendReply(this.buildFailureReply(dispatch, createFailure(Code.OwnerLeaving)));
+            this.sendReply(link, id, this.buildFailureReply(dispatch, createFailure(Code.OwnerLeaving)));
             return;
         }
-        send({ case: "accepted", value: {} });
+        encodeFrame({ id, content: { case: "accepted", value: {} } }).map(frame => link.send(frame));
         runningAttempts.set(id, controller);
-        const result = await this.options.owner.apply(dispatch);
+        const reply = await this.applyOwner(dispatch);
         runningAttempts.delete(id);
-        sendReply(
-            result.match(value => value, (failure: Failure) => this.buildFailureReply(dispatch, failure)),
-        );
+        this.sendReply(link, id, reply);
         inFlightRequest.close(!controller.signal.aborted);
     }
 
+    /** An error of the pipeline leaves open whether the attempt ran. */
+    private async applyOwner(dispatch: IncomingDispatch): Promise<OwnerReply> {
+        try {
+            const result = await this.options.owner.apply(dispatch);
+            return result.match(value => value, failure => this.buildFailureReply(dispatch, failure));
+        }
+        catch (error) {
+            const detail = String(error);
+            return this.buildFailureReply(dispatch, createFailure(Code.PeerProtocol, { detail }));
+        }
+    }
+
+    /** Sends the reply, or one without an answer and with its outcome when a value does not fit its field. */
+    private sendReply(link: FrameSocket, id: number, reply: OwnerReply): void {
+        const frame = this.encodeReplyFrame(id, reply).orElse(({ detail }) =>
+            this.encodeReplyFrame(
+                id,
+                buildOwnerReply(this.options.identity, reply, {
+                    code: Code.PeerProtocol,
+                    outcome: reply.outcome,
+                    detail,
+                }),
+            )
+        );
+        frame.map(bytes => link.send(bytes));
+    }
+
+    private encodeReplyFrame(id: number, reply: OwnerReply): Result<Uint8Array, Failure> {
+        const body = reply.answer?.body ?? new Uint8Array();
+        return encodeFrame({ id, content: { case: "reply", value: { head: encodeReply(reply), body } } });
+    }
+
     private buildFailureReply(dispatch: IncomingDispatch, failure: Failure): OwnerReply {
         return buildOwnerReply(this.options.identity, dispatch, failure);
     }
--- a/src/edge/peer_link/peer_link.ts
+++ b/src/edge/peer_link/peer_link.ts
@@ -3,19 +3,15 @@
  *
  * @module
  */
-import { create } from "@bufbuild/protobuf";
+import { ok, type Result } from "neverthrow";
 import { request } from "node:http";
 import type { Socket } from "node:net";
 import { Code } from "../../core/code.ts";
 import { createFailure } from "../../core/create_failure.ts";
 import type { Failure } from "../../core/failure.ts";
-import {
-    type DispatchHead,
-    type LinkFrame,
-    LinkFrameSchema,
-    type LinkReply,
-} from "../../gen/zinniaglade/v1/control_pb.ts";
+import type { DispatchHead, LinkFrame, LinkReply } from "../../gen/zinniaglade/v1/control_pb.ts";
 import { splitAddress } from "../http/split_address.ts";
+import { encodeFrame } from "./encode_frame.ts";
 import { FrameSocket } from "./frame_socket.ts";
 import { linkProtocol } from "./link_protocol.ts";
 
@@ -36,7 +32,7 @@
 /** Queues attempts until its connection is open. */
 export class PeerLink {
     private readonly pendingAttempts = new Map<number, AttemptHandlers>();
-    private readonly pendingFrames: LinkFrame[] = [];
+    private readonly pendingFrames: Uint8Array[] = [];
     private frameSocket: FrameSocket | undefined;
     private lastId = 0;
     private closed = false;
@@ -77,19 +73,25 @@
         return this.closed;
     }
 
-    /** Sends an attempt and returns its id on this link. */
-    sendDispatch(head: DispatchHead, body: Uint8Array, handlers: AttemptHandlers): number {
-        this.lastId += 1;
-        const id = this.lastId;
-        this.pendingAttempts.set(id, handlers);
-        this.sendFrame(create(LinkFrameSchema, { id, content: { case: "dispatch", value: { head, body } } }));
-        return id;
+    /**
+     * Sends an attempt and returns its id on this link. An attempt that fails with AttemptNotEncodable leaves
+     * nothing behind.
+     */
+    sendDispatch(head: DispatchHead, body: Uint8Array, handlers: AttemptHandlers): Result<number, Failure> {
+        const id = this.lastId + 1;
+        const frame = encodeFrame({ id, content: { case: "dispatch", value: { head, body } } });
+        return frame.andThen(bytes => {
+            this.lastId = id;
+            this.pendingAttempts.set(id, handlers);
+            this.sendFrame(bytes);
+            return ok(id);
+        });
     }
 
     /** Cancels an attempt, also at its owner. */
     cancel(id: number): void {
         if (this.pendingAttempts.delete(id)) {
-            this.sendFrame(create(LinkFrameSchema, { id, content: { case: "cancel", value: {} } }));
+            encodeFrame({ id, content: { case: "cancel", value: {} } }).map(frame => this.sendFrame(frame));
             this.closeIfIdle();
         }
     }
@@ -115,7 +117,7 @@
         }
     }
 
-    private sendFrame(frame: LinkFrame): void {
+    private sendFrame(frame: Uint8Array): void {
         if (this.frameSocket === undefined) {
             this.pendingFrames.push(frame);
         }
