Bound the answers that are read by the memory of the instance

Operators of other systems reported that a backend which writes without end took the machine that had called it out of memory.

Cause: the common bound of all answers was 64 MB on every instance, and a daemon holds several times the bytes that it counts, because a body was collected in one buffer that doubled.

Bodies are collected in blocks and joined once.

--- a/src/build_daemon.test.ts
+++ b/src/build_daemon.test.ts
@@ -22,6 +22,7 @@
     metricsListenAddress: undefined,
     logLevel: LogLevel.Error,
     maxRequestBytes: 1_000,
+    answerMemoryBytes: 65_536,
     gossipIntervalMs: 60_000,
     watchMs: 1_000,
     startWaitMs: 0,
--- a/src/edge/http/body_buffer.ts
+++ b/src/edge/http/body_buffer.ts
@@ -1,9 +1,16 @@
+/** Largest block in bytes; smaller ones grow with the body, so that a short body takes little more than itself. */
+const maxBlockBytes = 1_048_576;
+
 /**
- * Collects a body in one buffer. A list of chunks would take many times their size when a peer sends a few
- * bytes per chunk, because each chunk is an object that retains the whole read buffer that it is a slice of.
+ * Collects a body in blocks, which are joined when it is complete. A list of chunks would take many times their
+ * size when a peer sends a few bytes per chunk, because each chunk is an object that retains the whole read buffer
+ * that it is a slice of; one buffer that grows would be copied each time and leave its smaller copies behind.
  */
 export class BodyBuffer {
-    private buffer: Buffer = Buffer.alloc(0);
+    private readonly fullBlocks: Buffer[] = [];
+    private block: Buffer = Buffer.alloc(0);
+    /** Bytes of the last block that are filled. */
+    private filled = 0;
     private length = 0;
 
     /** `maxBytes` bounds the capacity that is allocated in advance. */
@@ -14,17 +21,16 @@
         this.length += chunk.length;
         if (start === 0) {
             // Most bodies have one chunk, which needs no copy. A second one finds no spare capacity.
-            this.buffer = chunk;
+            this.block = chunk;
+            this.filled = chunk.length;
             return;
         }
-        if (this.length > this.buffer.length) {
-            const largerBuffer = Buffer.allocUnsafe(
-                Math.max(this.length, Math.min(2 * this.buffer.length, this.maxBytes)),
-            );
-            this.buffer.copy(largerBuffer, 0, 0, start);
-            this.buffer = largerBuffer;
+        const copied = chunk.copy(this.block, this.filled);
+        this.filled += copied;
+        if (copied < chunk.length) {
+            this.addBlock(start + copied, chunk.length - copied);
+            this.filled = chunk.copy(this.block, 0, copied);
         }
-        chunk.copy(this.buffer, start);
     }
 
     getLength(): number {
@@ -32,6 +38,13 @@
     }
 
     getBytes(): Uint8Array {
-        return this.buffer.subarray(0, this.length);
+        const last = this.block.subarray(0, this.filled);
+        return this.fullBlocks.length === 0 ? last : Buffer.concat([...this.fullBlocks, last], this.length);
+    }
+
+    private addBlock(length: number, neededBytes: number): void {
+        this.fullBlocks.push(this.block);
+        const spareBytes = Math.min(length, maxBlockBytes, this.maxBytes - length);
+        this.block = Buffer.allocUnsafe(Math.max(neededBytes, spareBytes));
     }
 }
--- a/src/edge/upstream_http/answer_memory_limiter.test.ts
+++ b/src/edge/upstream_http/answer_memory_limiter.test.ts
@@ -15,7 +15,7 @@
 }
 
 test("the largest answer is cancelled and not the one that adds bytes, so that one stalled answer does not end all others", () => {
-    const limiter = new AnswerMemoryLimiter();
+    const limiter = new AnswerMemoryLimiter(maxBytes);
     const [large, small] = [new FakeAnswer(), new FakeAnswer()];
     limiter.register(large);
     limiter.register(small);
@@ -27,7 +27,7 @@
 });
 
 test("a cancelled answer is no longer counted, so that its late bytes and its release do not change the count of others", () => {
-    const limiter = new AnswerMemoryLimiter();
+    const limiter = new AnswerMemoryLimiter(maxBytes);
     const [first, second] = [new FakeAnswer(), new FakeAnswer()];
     limiter.register(first);
     limiter.addBytes(first, maxBytes + 1);
@@ -48,7 +48,7 @@
         releases: fc.boolean(),
     });
     fc.assert(fc.property(fc.array(step, { maxLength: 60 }), steps => {
-        const limiter = new AnswerMemoryLimiter();
+        const limiter = new AnswerMemoryLimiter(maxBytes);
         const bytesByAnswer = new Map<PendingAnswer, number>();
         const answers = Array.from({ length: 5 }, (): PendingAnswer => {
             const answer = {
--- a/src/edge/upstream_http/answer_memory_limiter.ts
+++ b/src/edge/upstream_http/answer_memory_limiter.ts
@@ -1,8 +1,5 @@
 import type { PendingAnswer } from "./pending_answer.ts";
 
-/** Most bytes of all answers that are being read: the default limit of a route for one answer. */
-const maxBytes = 67_108_864;
-
 /**
  * Counts the bytes of the incomplete answers of all upstreams. Beyond the limit it cancels the largest
  * answer, not the one that adds bytes: that one may be small, and a large answer that stalls would end all
@@ -13,6 +10,9 @@
     private readonly bytesByAnswer = new Map<PendingAnswer, number>();
     private bytes = 0;
 
+    /** `maxBytes` is the limit of all answers together, and so of each one. */
+    constructor(private readonly maxBytes: number) {}
+
     /** Starts to count the bytes of an answer. */
     register(answer: PendingAnswer): void {
         this.release(answer);
@@ -27,7 +27,7 @@
         }
         this.bytesByAnswer.set(answer, answerBytes + bytes);
         this.bytes += bytes;
-        if (this.bytes > maxBytes) {
+        if (this.bytes > this.maxBytes) {
             this.cancelLargest();
         }
     }
--- a/src/edge/upstream_http/undici_upstream_client.ts
+++ b/src/edge/upstream_http/undici_upstream_client.ts
@@ -23,8 +23,13 @@
 interface Options {
     readonly upstreams: OwnedUpstreamReader;
     readonly codec: UpstreamCodec;
+    /** Most bytes of all answers that are being read; that of the largest body when absent. */
+    readonly answerMemoryBytes?: number;
 }
 
+/** Largest body of a request or an answer, in bytes. */
+const maxBodyBytes = 67_108_864;
+
 /** Results after which the connection is closed, because bytes of the answer may still arrive on it. */
 const closingKinds: ReadonlySet<UpstreamResultKind> = new Set<UpstreamResultKind>([
     UpstreamResultKind.AnswerTooLarge,
@@ -42,9 +47,13 @@
     /** Connections without a request, by address. */
     private readonly idleConnections = new Map<string, UpstreamConnection[]>();
     private readonly connections = new Set<UpstreamConnection>();
-    private readonly memoryLimiter = new AnswerMemoryLimiter();
+    private readonly answerMemoryBytes: number;
+    private readonly memoryLimiter: AnswerMemoryLimiter;
 
-    constructor(private readonly options: Options) {}
+    constructor(private readonly options: Options) {
+        this.answerMemoryBytes = options.answerMemoryBytes ?? maxBodyBytes;
+        this.memoryLimiter = new AnswerMemoryLimiter(this.answerMemoryBytes);
+    }
 
     async send(request: OwnerRequest, timeoutMs: number, signal: AbortSignal): Promise<UpstreamResult> {
         const { codec, upstreams } = this.options;
@@ -103,7 +112,8 @@
             );
         }
         const declaredLength = request.method === "HEAD" ? undefined : headers["content-length"];
-        const body = await readBody(stream, request.route.maxAnswerBytes, declaredLength?.toString());
+        const maxBytes = Math.min(request.route.maxAnswerBytes, this.answerMemoryBytes);
+        const body = await readBody(stream, maxBytes, declaredLength?.toString());
         if (body.isErr()) {
             closeBody(stream);
             return createResult(
--- a/src/edge/upstream_http/upstream_flood.test.ts
+++ b/src/edge/upstream_http/upstream_flood.test.ts
@@ -148,6 +148,38 @@
     assert.ok(writtenBytes <= 2 * limitBytes + 3 * 16_777_216, `${writtenBytes} bytes were written`);
 });
 
+// Answers without end took a daemon to 540 MB where the platform ends a process at 350 MB.
+test("answers without end are cut at the memory for answers, also when the route allows more", async () => {
+    const answerMemoryBytes = 4 * 1_048_576;
+    const limitBytes = 67_108_864;
+    const unit = `1000\r\n${"x".repeat(0x1000)}\r\n`;
+    const prefixes = [chunked, `${ok}content-length: ${limitBytes}\r\n\r\n`, `${ok}\r\n`];
+    const servers = await Promise.all(
+        prefixes.map(prefix =>
+            FloodingServer.open({ prefix, unit, writeBytes: 65_536, maxBytes: limitBytes })
+        ),
+    );
+    const upstreams = servers.map((server, index) => {
+        return { id: `u${index}`, service: "payments", address: `127.0.0.1:${server.getPort()}`, slots: 1 };
+    });
+    const client = new UndiciUpstreamClient({
+        upstreams: new ConfiguredUpstreams(upstreams),
+        codec: new HeaderUpstreamCodec(),
+        answerMemoryBytes,
+    });
+    closers.push(() => client.close(), ...servers.map(server => () => server.close()));
+    const [route] = buildOwnerRequest().service.routes;
+    const results = await Promise.all(upstreams.map(({ id: upstreamId }) => {
+        const request = buildOwnerRequest({ upstreamId, route: { ...route!, maxAnswerBytes: limitBytes } });
+        return client.send(request, 10_000, new AbortController().signal);
+    }));
+    assert.ok(results.every(result => result.kind === Cut || result.kind === AnswerTooLarge));
+    const ends = await Promise.all(servers.map(server => server.waitForEnd()));
+    const writtenBytes = ends.reduce((sum, end) => sum + end.writtenBytes, 0);
+    // As above: two times the limit, and the buffers of three pairs of sockets.
+    assert.ok(writtenBytes <= 2 * answerMemoryBytes + 3 * 16_777_216, `${writtenBytes} bytes were written`);
+});
+
 test("a stalled answer that holds most of the memory is aborted, so that those of other upstreams are not", async () => {
     const limitBytes = 67_108_864;
     const stallMs = 15_000;
--- a/src/settings/read_serve_settings.ts
+++ b/src/settings/read_serve_settings.ts
@@ -28,6 +28,7 @@
             metricsListenAddress: getText("metrics-listen-address") || undefined,
             logLevel: getText("log-level") as LogLevel,
             maxRequestBytes: getNumber("max-request-bytes"),
+            answerMemoryBytes: getNumber("answer-memory-bytes"),
             gossipIntervalMs: getNumber("gossip-interval-ms"),
             watchMs: getNumber("watch-ms"),
             startWaitMs: getNumber("start-wait-ms"),
--- a/src/settings/serve_settings.ts
+++ b/src/settings/serve_settings.ts
@@ -19,6 +19,8 @@
     readonly metricsListenAddress: string | undefined;
     readonly logLevel: LogLevel;
     readonly maxRequestBytes: number;
+    /** Most bytes of all answers of upstreams that are being read. */
+    readonly answerMemoryBytes: number;
     readonly gossipIntervalMs: number;
     readonly watchMs: number;
     readonly startWaitMs: number;
--- a/src/settings/serve_specs.ts
+++ b/src/settings/serve_specs.ts
@@ -61,6 +61,13 @@
         [1, 67_108_864],
         "largest request body of any route",
     ),
+    buildInteger(
+        "answer-memory-bytes",
+        "bytes",
+        67_108_864,
+        [65_536, 1_073_741_824],
+        "all answers of upstreams that are being read; the process takes up to six times as much",
+    ),
     buildInteger(
         "gossip-interval-ms",
         "ms",
--- a/src/wiring/build_owner.ts
+++ b/src/wiring/build_owner.ts
@@ -99,6 +99,7 @@
     const client = new UndiciUpstreamClient({
         upstreams,
         codec: adapters?.upstreamCodec ?? new HeaderUpstreamCodec(),
+        answerMemoryBytes: settings.answerMemoryBytes,
     });
     const pauseMeter = new PauseMeter(base);
     const observer = new DispatchMonitor({ ...base, evidence, pauses: pauseMeter });
