Watch the store for 2.2 s and probe it in a steady rhythm

Callers see no difference; the fleet pays for calls to the store.

Cause: a silent connection was noticed within 2 s. Rules count no bound in the ContactS (3 s) after connections went silent, so it may be noticed within 3 s. Besides, the first probe came 900 ms after a change, later than the standby waits for a contact (800 ms), so that the standby read the store after each change; its logs show `platform_read_directly` with a contactAgeMs of 800 to 803 after each one.

A probe follows 500 ms after the last contact, also across watches.

Tests: "the store is probed again in time after a change, so that the standby need not read it" (before: a contact age of 520 ms at 510 ms, rising to 900). The tests of silent watches allow the 3 s of ContactS now.

--- a/proof/control/fakes/create_follower_setup.ts
+++ b/proof/control/fakes/create_follower_setup.ts
@@ -29,6 +29,7 @@
         random: new SeededRandom(1),
         startWaitMs: 60_000,
         getApplyMs: () => 2_000,
+        getSilenceMs: () => 3_000,
         peers,
     });
     const listIds = () => membership.list("payments").map(({ id }) => id).join();
--- a/src/daemon_adapters.ts
+++ b/src/daemon_adapters.ts
@@ -16,4 +16,6 @@
     getRetryBounds(): RetryBounds;
     /** Milliseconds within which a change in the store must be in force; can change with the settings. */
     getApplyMs(): number;
+    /** Milliseconds after open connections went silent within which changes of the store must be read again. */
+    getSilenceMs(): number;
 }
--- a/src/published/store_follower.ts
+++ b/src/published/store_follower.ts
@@ -49,13 +49,17 @@
     readonly startWaitMs: number;
     /** Milliseconds within which the platform wants a change in force. */
     readonly getApplyMs: () => number;
+    /** Milliseconds after open connections went silent within which changes must be read again. */
+    readonly getSilenceMs: () => number;
 }
 
 /**
- * Fraction of the time to put a change in force that one watch waits for a change. A connection that has gone
- * silent is noticed when the watch does not end, so the rest is for that and for one more read.
+ * Milliseconds by which a watch is shorter than the time in which a silent connection must be noticed: 500 until it
+ * counts as silent, the rest for one more read and for passing it on.
  */
-const watchShare = 0.7;
+const silenceReserveMs = 800;
+/** Shortest watch in milliseconds; each call has a cost, even one without a change. */
+const minWatchMs = 1_000;
 /** Milliseconds that a read waits for a change when no other daemon is known to read the store. */
 const pollMs = 1;
 /** Milliseconds between a change and the next watch, so that changes in quick succession cost one call. */
@@ -178,7 +182,7 @@
 
     /** Makes one call at most and returns the delay before the next step in milliseconds. */
     private async runOnce(): Promise<number> {
-        const { clock, getApplyMs, peers } = this.options;
+        const { clock, getSilenceMs, peers } = this.options;
         if (this.revision === undefined) {
             return this.readStore(undefined, 0);
         }
@@ -187,7 +191,7 @@
             return rank === 0 ? coalescingDelayMs : 0;
         }
         if (rank === 0) {
-            return this.readStore(this.revision, Math.round(watchShare * getApplyMs()));
+            return this.readStore(this.revision, Math.max(minWatchMs, getSilenceMs() - silenceReserveMs));
         }
         const nowMs = clock.getMonotonicMs();
         const ageMs = this.contact.getAgeMs(nowMs);
--- a/src/published/store_probe.ts
+++ b/src/published/store_probe.ts
@@ -5,7 +5,7 @@
  * @example
  * ```ts
  * const probe = new StoreProbe({ store, timers, metrics, handleRevision });
- * probe.start();
+ * probe.start(0);
  * probe.close();
  * ```
  *
@@ -34,9 +34,14 @@
 
     constructor(private readonly options: Options) {}
 
-    start(): void {
+    /**
+     * Probes a period after the last contact, whose age in milliseconds is given, so that a new watch does not delay
+     * the next one.
+     */
+    start(contactAgeMs: number): void {
         this.running = true;
-        this.timer = this.options.timers.start(periodMs, () => void this.fetchRevision());
+        const delayMs = Math.max(0, periodMs - contactAgeMs);
+        this.timer = this.options.timers.start(delayMs, () => void this.fetchRevision());
     }
 
     /** Ends the probes; the answer to a pending one is ignored. */
@@ -47,7 +52,7 @@
 
     private async fetchRevision(): Promise<void> {
         const { handleRevision, metrics, store } = this.options;
-        this.start();
+        this.start(0);
         const revision = await store.fetchRevision();
         metrics.addCount("platform.probes", { failed: `${revision.isErr()}` });
         if (this.running && revision.isOk()) {
--- a/src/published/store_reader.ts
+++ b/src/published/store_reader.ts
@@ -113,7 +113,7 @@
      * its connection works nor when an outage ended.
      */
     async read(afterRevision: number | undefined, waitMs: number): Promise<Result<StorePage, FailedRead>> {
-        const { clock, store } = this.options;
+        const { clock, contact, store } = this.options;
         this.afterRevision = afterRevision;
         this.isWatchStale = false;
         this.mustReadAll = false;
@@ -123,7 +123,7 @@
         const limitMs = callWaitMs + this.getTimeoutMs(waitMs);
         const probe = new StoreProbe({ ...this.options, handleRevision: found => this.recordProbe(found) });
         if (callWaitMs >= minProbedWatchMs) {
-            probe.start();
+            probe.start(contact.getAgeMs(startMs));
             this.startOverdueTimer(callWaitMs);
         }
         const result = await this.call.run(
--- a/src/published/store_sharing.test.ts
+++ b/src/published/store_sharing.test.ts
@@ -159,10 +159,26 @@
     await time.run(500);
     store.removePending();
     store.send(buildPage(6, buildConfiguration(2, 6)));
-    await time.run(2_000);
+    // The time in which a silent connection must be noticed.
+    await time.run(3_000);
     assert.equal(configs.getActive()?.version, 2);
 });
 
+// The standby read the store itself after each change, because the next probe came 900 ms after the last contact.
+test("the store is probed again in time after a change, so that the standby need not read it", async () => {
+    const { follower, store, time } = createFollowerSetup();
+    void follower.start();
+    store.send(buildPage(5, buildConfiguration(1, 3)));
+    store.probedRevision = ok(5);
+    await time.run(2_000);
+    store.probedRevision = ok(6);
+    store.send(buildPage(6, buildConfiguration(2, 6)));
+    for (let elapsedMs = 0; elapsedMs < 5_000; elapsedMs += 10) {
+        await time.run(10);
+        assert.ok(follower.getStoreAgeMs()! <= 510, `${follower.getStoreAgeMs()} ms after ${elapsedMs} ms`);
+    }
+});
+
 test("a silent watch is no outage of the store, so an upstream that leaves then is removed immediately", async () => {
     const { follower, listIds, store, time } = createFollowerSetup();
     void follower.start();
@@ -170,7 +186,7 @@
     await time.run(500);
     store.removePending();
     store.send(buildPage(6, buildRemoval("u1", 6)));
-    await time.run(2_000);
+    await time.run(3_000);
     assert.equal(listIds(), "u2");
 });
 
--- a/src/wiring/build_store_control.ts
+++ b/src/wiring/build_store_control.ts
@@ -30,6 +30,7 @@
         membership,
         startWaitMs: settings.startWaitMs,
         getApplyMs: () => adapters.getApplyMs(),
+        getSilenceMs: () => adapters.getSilenceMs(),
         peers: {
             getRank: () => exchange.storeBeacons.getRank(),
             sendRevision: () => exchange.storeBeacons.sendRevision(),
