--- a/src/published/store_contact.ts
+++ b/src/published/store_contact.ts
@@ -16,7 +16,7 @@
 export class StoreContact {
     private atMs = -Infinity;
 
-    /** Records that this daemon has read everything that the store held at a monotonic time in milliseconds. */
+    /** Records an answer to this daemon that holds for a monotonic time in milliseconds. */
     record(atMs: number): void {
         this.atMs = Math.max(this.atMs, atMs);
     }
--- a/src/published/store_reader.ts
+++ b/src/published/store_reader.ts
@@ -192,7 +192,7 @@
 
     /**
      * The answer to a probe may describe an older state, so it confirms the path to the store and not that the
-     * watch delivers. Only the end of the watch in time shows that.
+     * watch delivers. Only a watch that ends in time shows that.
      */
     private startOverdueTimer(waitMs: number): void {
         this.overdueTimer = this.options.timers.start(waitMs + overdueMs, () => {
