Count an outage of the store from the newest answer to any daemon

Cause: since an answer to another daemon ends an outage, and its length counted from the first failed call of this daemon. A daemon that alone was refused for 9 s found an outage of 1.5 s or more with almost each answer to another one, and kept removed upstreams for 2 s, again and again; those that fetched from it kept them too.

Change: an outage lasts from the first failed call or the newest answer to any daemon, whichever is later.

Test: "a daemon that the store refuses while it answers others removes upstreams immediately" (before: a recovery of 1,700 ms).

Measured: the tests of src/published pass.

--- a/src/published/store_outage.ts
+++ b/src/published/store_outage.ts
@@ -35,9 +35,11 @@
  */
 export class StoreOutage {
     private failures = 0;
-    /** Start of the time without an answer to any daemon; undefined when the store answered after it. */
+    /** Start of the first failed call after the newest answer; undefined when none has failed since. */
     private startMs: number | undefined;
     private lastFailureMs = -Infinity;
+    /** Newest answer to any daemon. */
+    private lastAnswerMs = -Infinity;
 
     /** Returns true for the first failure. */
     recordFailure({ startMs, endMs, timedOut }: FailedCall): boolean {
@@ -55,16 +57,21 @@
     }
 
     /**
-     * Records that the store answered some daemon at a monotonic time in milliseconds. Returns true when this ends
-     * an outage in which entries of live upstreams can have expired.
+     * Records that the store answered some daemon at a monotonic time in milliseconds. Returns true when no daemon had
+     * an answer for so long before that entries of live upstreams can have expired.
      */
     recordAnswer(answeredMs: number): boolean {
-        const { startMs } = this;
-        if (startMs === undefined || answeredMs < this.lastFailureMs) {
+        const { lastAnswerMs, startMs } = this;
+        if (answeredMs <= lastAnswerMs) {
             return false;
         }
-        this.startMs = undefined;
-        return answeredMs - startMs >= minOutageMs;
+        this.lastAnswerMs = answeredMs;
+        if (startMs === undefined) {
+            return false;
+        }
+        // A call of this daemon that failed later is a part of the same outage or of a new one.
+        this.startMs = answeredMs < this.lastFailureMs ? startMs : undefined;
+        return answeredMs - Math.max(startMs, lastAnswerMs) >= minOutageMs;
     }
 
     /** Returns the failed calls of this daemon since the last time and counts from 0 again. */
--- a/src/published/store_sharing.test.ts
+++ b/src/published/store_sharing.test.ts
@@ -96,6 +96,26 @@
     assert.deepEqual([store.calls.length, listIds()], [7, ""]);
 });
 
+// Daemons that the store refused kept upstreams that were gone for 2 s, again and again, and sent requests to them.
+test("a daemon that the store refuses while it answers others removes upstreams immediately", async () => {
+    const { follower, listIds, peers, store, time } = await createFollowing();
+    peers.rank = 0;
+    store.send(...Array.from({ length: 30 }, () => err(createFailure(Code.PlatformUnreachable))));
+    let longestRecoveryMs = 0;
+    for (let elapsedMs = 0; elapsedMs < 12_000; elapsedMs += 100) {
+        // The others read the store every 900 ms, and this daemon learns of it 200 ms later.
+        follower.recordPeer(buildPeer(5, 200 + elapsedMs % 900));
+        await time.run(100);
+        longestRecoveryMs = Math.max(longestRecoveryMs, follower.findChanges(5)!.recoveryMs);
+    }
+    assert.equal(longestRecoveryMs, 0);
+    store.peerChanges = [buildRemoval("u1", 6)];
+    peers.changes = ok({ revision: 6, items: ["0"], recoveryMs: 0, complete: false });
+    follower.recordPeer(buildPeer(6, 300));
+    await time.run(1_100);
+    assert.equal(listIds(), "");
+});
+
 test("a reader announces what it reads and sends it to daemons that have read less", async () => {
     const { follower, peers, store, time } = createFollowerSetup();
     void follower.start();
