Leave room for eight times the bytes of answers in the memory

The bound of answers assumed that a daemon takes six times their bytes. With 140 MB besides, a sixteenth of 250 MB does not fit an instance of 250 MB.

--- a/src/settings/serve_specs.ts
+++ b/src/settings/serve_specs.ts
@@ -66,7 +66,7 @@
         "bytes",
         67_108_864,
         [65_536, 1_073_741_824],
-        "all answers of upstreams that are being read; the process takes up to six times as much",
+        "all answers of upstreams that are being read; the process takes up to eight times as much",
     ),
     buildInteger(
         "gossip-interval-ms",
