--- a/src/config/configuration.ts
+++ b/src/config/configuration.ts
@@ -1,3 +1,4 @@
+import type { Organisation } from "./organisation.ts";
 import type { PrefixRoute } from "./prefix_route.ts";
 import type { ServiceConfig } from "./service_config.ts";
 
@@ -8,4 +9,6 @@
     readonly services: ReadonlyMap<string, ServiceConfig>;
     /** Routes in addition to those of the services; configurations in YAML have none. */
     readonly prefixRoutes?: readonly PrefixRoute[];
+    /** Organisations by name; absent when requests need no key. */
+    readonly organisations?: ReadonlyMap<string, Organisation> | undefined;
 }
--- a/src/config/route_config.ts
+++ b/src/config/route_config.ts
@@ -26,4 +26,6 @@
     readonly targetMs: number;
     /** Weight of each service that shares the requests of the route; empty when all go to `service`. */
     readonly split: ReadonlyMap<string, number>;
+    /** True when requests need no key although the configuration lists organisations. */
+    readonly public?: boolean;
 }
--- a/src/config/route_fields.ts
+++ b/src/config/route_fields.ts
@@ -1,4 +1,4 @@
 import type { RouteConfig } from "./route_config.ts";
 
 /** The fields of a route as the configuration lists them below its name. */
-export type RouteFields = Omit<RouteConfig, "name" | "service">;
+export type RouteFields = Omit<RouteConfig, "name" | "public" | "service">;
--- a/src/core/create_failure.ts
+++ b/src/core/create_failure.ts
@@ -5,5 +5,10 @@
 /** Builds a failure; outcome and detail default to those of the code table. */
 export function createFailure(code: Code, options: Partial<Omit<Failure, "code">> = {}): Failure {
     const entry = codeTable[code];
-    return { code, outcome: options.outcome ?? entry.outcome, detail: options.detail ?? entry.summary };
+    return {
+        ...options,
+        code,
+        outcome: options.outcome ?? entry.outcome,
+        detail: options.detail ?? entry.summary,
+    };
 }
--- a/src/core/failure.ts
+++ b/src/core/failure.ts
@@ -7,4 +7,6 @@
     readonly outcome: Outcome;
     /** One sentence for logs and for the problem document. */
     readonly detail: string;
+    /** Milliseconds after which the caller may repeat the request; absent when nothing is known. */
+    readonly retryAfterMs?: number | undefined;
 }
--- a/src/edge/peer_link/decode_reply.ts
+++ b/src/edge/peer_link/decode_reply.ts
@@ -27,6 +27,7 @@
         answer: head.status === 0 ? undefined : { status: head.status, headers: head.headers, body },
         serviceMs: head.serviceMs,
         waitMs: head.waitMs,
+        ...(head.retryAfterMs === 0 ? {} : { retryAfterMs: head.retryAfterMs }),
         keyRecorded: head.keyRecorded,
         healthReports: head.healthReports,
         neighbours: head.neighbours,
--- a/src/forward/owner_reply.ts
+++ b/src/forward/owner_reply.ts
@@ -13,6 +13,8 @@
     readonly code: Code;
     readonly outcome: Outcome;
     readonly detail: string;
+    /** Milliseconds after which the caller may repeat a refused request; absent when the owner knows nothing. */
+    readonly retryAfterMs?: number | undefined;
     /** Present when the upstream answered completely. */
     readonly answer: Answer | undefined;
     /** Milliseconds from dispatch to the complete answer. */
--- /dev/null
+++ b/src/memory/memory_holder.ts
@@ -0,0 +1,15 @@
+/** What bytes of the memory account are held for. */
+export const MemoryHolder = {
+    /** Bodies of requests that are being read or wait for their answer. */
+    RequestBody: "request-body",
+    /** Answers of upstreams that are being read. */
+    UpstreamAnswer: "upstream-answer",
+    /** Answers that wait for callers that read slowly. */
+    CallerAnswer: "caller-answer",
+    /** Frames in the queues of links between daemons. */
+    LinkFrame: "link-frame",
+    /** Pages of the platform's store. */
+    StorePage: "store-page",
+} as const;
+
+export type MemoryHolder = (typeof MemoryHolder)[keyof typeof MemoryHolder];
--- a/src/receive/caller_request.ts
+++ b/src/receive/caller_request.ts
@@ -14,6 +14,8 @@
     readonly headers: readonly MessageHeader[];
     readonly body: Uint8Array;
     readonly organisation: string;
+    /** Key of an organisation that the caller sent; it stays in this daemon and appears in no log line. */
+    readonly credential?: string | undefined;
     readonly idempotencyKey: string | undefined;
     /** Time budget in milliseconds that the caller gave. */
     readonly budgetMs: number | undefined;
--- a/src/receive/request_metadata.ts
+++ b/src/receive/request_metadata.ts
@@ -7,6 +7,8 @@
     /** Identifier of the request whose run made this one; absent when unknown. */
     readonly parentRequestId?: string | undefined;
     readonly organisation: string;
+    /** Key of an organisation that the caller sent; it stays in this daemon and appears in no log line. */
+    readonly credential?: string | undefined;
     readonly idempotencyKey: string | undefined;
     /** Time budget in milliseconds that the caller gave. */
     readonly budgetMs: number | undefined;
