Authenticate requests by the keys of organisations

Cause: the configuration's organisations, their keys and public routes were dropped when it was decoded, every request ran for the organisation "", and keys were passed on to upstreams like any header.

Change: AuthenticateFilter stands between route and admit. KeyAuthenticator finds the organisation by the key, or by the run that makes a call; the codecs keep the key from upstreams and set the organisation's header. The rank of the organisation goes before that of the route, on the owner too. Unknown keys get 401, keys that cannot be proved valid 503.

The test on non-numeric bounds asked that "Flag=true" be ignored; StrictRevoke is such a bound. It now asks that true and false become 1 and 0 and that other texts are ignored.

--- a/src/authenticate/revocation_bounds.ts
+++ b/src/authenticate/revocation_bounds.ts
@@ -4,4 +4,6 @@
     readonly isStrict: boolean;
     /** Milliseconds after the confirmation of a removal from which on no request with the key may run. */
     readonly maxAgeMs: number;
+    /** Milliseconds within which a new configuration must be in force; a key may be unknown until then. */
+    readonly applyMs: number;
 }
--- a/src/wiring/build_entry.ts
+++ b/src/wiring/build_entry.ts
@@ -4,6 +4,9 @@
 import { SaturationTable } from "../admit/saturation_table.ts";
 import { AnswerFilter } from "../answer/answer_filter.ts";
 import { CallerHandler } from "../answer/caller_handler.ts";
+import { AuthenticateFilter } from "../authenticate/authenticate_filter.ts";
+import { KeyAuthenticator } from "../authenticate/key_authenticator.ts";
+import type { RevocationBounds } from "../authenticate/revocation_bounds.ts";
 import { Pipeline } from "../core/pipeline.ts";
 import type { DaemonAdapters } from "../daemon_adapters.ts";
 import { ConnectRevoker } from "../edge/control/connect_revoker.ts";
@@ -38,6 +41,9 @@
 /** Peers whose attempt counts are known; none without beacons, which carry the counts. */
 const noPeerIds: ReadonlySet<string> = new Set();
 
+/** Bounds of deployments whose configuration arrives by gossip and holds no keys. */
+const noRevocationBounds: RevocationBounds = { isStrict: false, maxAgeMs: Infinity, applyMs: Infinity };
+
 /** Builds the entry side of a daemon: from a caller's request to its answer. */
 export function buildEntry(
     location: DaemonLocation,
@@ -97,7 +103,14 @@
         budget,
         leaving: membership,
     });
+    const authenticator = new KeyAuthenticator({
+        config: store,
+        runs: owner.runs,
+        proof: { getProvedMs: () => clock.getMonotonicMs() },
+        getBounds: () => adapters?.getRevocationBounds() ?? noRevocationBounds,
+    });
     const forward = Pipeline.start(new RouteFilter({ config: store, clock, random }))
+        .pipe(new AuthenticateFilter({ ...base, authenticator }))
         .pipe(new AdmitFilter({ clock, config: store, inFlight, saturation, serviceTimes }))
         .pipe(new InFlightFilter({ clock, inFlight, saturation, serviceTimes, inner: attempt }));
     const serve = Pipeline.start(new KeyedOutcomeFilter(forward)).pipe(new AnswerFilter(codec));
--- a/src/wiring/build_owner.ts
+++ b/src/wiring/build_owner.ts
@@ -1,3 +1,5 @@
+import { RecordRunFilter } from "../authenticate/record_run_filter.ts";
+import { RunTable } from "../authenticate/run_table.ts";
 import { AnnounceFilter } from "../beacon/announce_filter.ts";
 import { NeighbourFilter } from "../beacon/neighbour_filter.ts";
 import { Pipeline } from "../core/pipeline.ts";
@@ -118,13 +120,14 @@
         new SettleFilter({ identity, observer, states }),
     );
     const repeatedRuns = new RepeatedRunTable();
+    const runs = new RunTable();
     const deduplicationFilter = new DeduplicationFilter({
         identity,
         attempts,
         operations,
         states,
         daemonState: lifecycle,
-        inner: new RepeatedRunFilter({ runs: repeatedRuns, inner }),
+        inner: new RecordRunFilter({ runs, inner: new RepeatedRunFilter({ runs: repeatedRuns, inner }) }),
     });
     const { beacons } = control;
     const logFilter = new OwnerLogFilter({ ...base, inner: deduplicationFilter });
@@ -156,6 +159,7 @@
         upstreams,
         callFailures,
         repeatedRuns,
+        runs,
         closers,
         eventLoopMonitor,
         lifecycle,
