Treat a status outside 100 to 599 as a server error

Cause: the client for upstreams passed answers with status 600 and 999 on to callers. RFC 9110, section 15, says that a client treats a status outside 100 to 599 as a server error.

Change: the client decides by isValidStatus, apart from the codecs, before it reads the body. Such an answer is garbled (code 2022, 502, outcome unknown), its connection is closed, and work that may not be repeated is not sent again.

--- a/src/edge/upstream_http/undici_upstream_client.test.ts
+++ b/src/edge/upstream_http/undici_upstream_client.test.ts
@@ -137,6 +137,23 @@
     assert.equal(upstream.countConnections(), 2);
 });
 
+test("an answer with a status outside 100 to 599 is a server error, and its connection is not used again", async () => {
+    const body = "content-length: 3\r\n\r\n";
+    for (const status of ["000", "099", "600", "999"]) {
+        const upstream = await startUpstream(
+            [`HTTP/1.1 ${status} Odd\r\n${body}odd`, `${ok}${body}own`],
+            false,
+        );
+        const { kind, text } = await upstream.send();
+        assert.notEqual(kind, Answered, status);
+        assert.equal(text, undefined, status);
+        assert.deepEqual(await upstream.send(), { kind: Answered, text: "own" });
+        assert.equal(upstream.countConnections(), 2);
+    }
+    const lastValid = await startUpstream([`HTTP/1.1 599 Last\r\n${body}own`], false);
+    assert.deepEqual(await lastValid.send(), { kind: Answered, text: "own" });
+});
+
 test("an address that cannot be used is reported as not sent, and does not end the process", async () => {
     for (const address of ["127.0.0.1:99999", "127.0.0.1:", "a b:80"]) {
         const client = new UndiciUpstreamClient({
--- a/src/edge/upstream_http/undici_upstream_client.ts
+++ b/src/edge/upstream_http/undici_upstream_client.ts
@@ -5,6 +5,7 @@
  */
 import { fromThrowable, ok, type Result } from "neverthrow";
 import type { Dispatcher } from "undici";
+import { isValidStatus } from "../../dispatch/is_valid_status.ts";
 import type { UpstreamClient } from "../../dispatch/upstream_client.ts";
 import type { UpstreamCodec } from "../../dispatch/upstream_codec.ts";
 import type { UpstreamResult } from "../../dispatch/upstream_result.ts";
@@ -102,6 +103,10 @@
         response: Dispatcher.ResponseData,
     ): Promise<UpstreamResult> {
         const { body: stream, headers, statusCode: status } = response;
+        if (!isValidStatus(status)) {
+            closeBody(stream);
+            return createResult(UpstreamResultKind.Garbled, `status ${status} is outside 100 to 599`);
+        }
         // A crashing upstream closes its connection as usual, so its end does not prove that a response is
         // complete.
         if (!hasSelfDefinedLength(request.method, status, headers)) {
