Hedge by the observed answer times, within a share that operators set

Cause: AttemptSequence sent a second attempt after 0.6 of the target, a constant that no setting turned off, and whose only bound was the retry budget. It hedged a service that was short of slots, and routes without a target never.

Change: HedgingPolicy decides whether and when a late request goes to a second upstream. Attempts that were given up count as longer than their duration (product-limit estimator), not as failures.

The agreed interface changes: `take` returns the bound that refuses (HedgeVerdict), and `add`, `release` and `recordUnanswered` are new.

Tests: the bounds of the policy one by one, and that ending slow attempts does not shorten the quantile. proof/health/selection_fleet.ts hedges with the policy as on the platform; before, it hedged by the constant.

--- a/proof/health/selection_fleet.ts
+++ b/proof/health/selection_fleet.ts
@@ -11,10 +11,13 @@
 import { AttemptSequence } from "../../src/forward/attempt_sequence.ts";
 import { FleetRetryBudget } from "../../src/forward/fleet_retry_budget.ts";
 import type { Forwarder } from "../../src/forward/forwarder.ts";
+import type { HedgingPolicy } from "../../src/forward/hedging_policy.ts";
+import { QuantileHedgingPolicy } from "../../src/forward/quantile_hedging_policy.ts";
 import type { RetryBudget } from "../../src/forward/retry_budget.ts";
 import { suspicionLimits } from "../../src/health/suspicion_limits.ts";
 import type { RoutedRequest } from "../../src/route/routed_request.ts";
 import { ExpectedLossSelector } from "../../src/select/expected_loss_selector.ts";
+import { ServiceLoadMeter } from "../../src/select/service_load_meter.ts";
 import { buildService } from "../fakes/build_service.ts";
 import { SeededRandom } from "../fakes/seeded_random.ts";
 import { VirtualTime } from "../fakes/virtual_time.ts";
@@ -27,6 +30,8 @@
 const entryDaemonsPerDomain = 10;
 /** One-way network delay between two daemons in milliseconds. */
 const networkDelayMs = 1;
+/** Percent of the requests that may be hedged, as on the users' platform. */
+const hedgePercent = 20;
 /** Milliseconds between two checks of an owner for a state to report. */
 const announceIntervalMs = 40;
 /** Period in milliseconds and relative amplitude of the sinusoidal demand. */
@@ -66,6 +71,7 @@
     private readonly random: RandomSource;
     private readonly budgets = new Map<string, RetryBudget>();
     private readonly selectors = new Map<string, ExpectedLossSelector[]>();
+    private readonly hedging = new Map<ExpectedLossSelector, HedgingPolicy>();
     private readonly exchanger: AttemptExchanger;
     private readonly service;
     private readonly members;
@@ -115,17 +121,22 @@
             isListed: () => true,
         });
         this.budgets.set(failureDomain, budget);
-        const buildSelector = () =>
-            new ExpectedLossSelector({
+        const membership = { list: () => members, getFirstSeenMs: () => 0, getVersion: () => 1 };
+        const buildSelector = () => {
+            const selector = new ExpectedLossSelector({
                 clock: time,
                 random,
-                membership: { list: () => members, getFirstSeenMs: () => 0, getVersion: () => 1 },
+                membership,
                 leaving: { setLeaving: () => undefined },
                 budget,
                 peerStatus: { isUnresponsive: () => false },
                 failureDomain,
                 region: "region",
             });
+            const loads = new ServiceLoadMeter({ membership, findLoad: id => selector.findLoad(id) });
+            this.hedging.set(selector, new QuantileHedgingPolicy({ percent: hedgePercent, budget, loads }));
+            return selector;
+        };
         this.selectors.set(failureDomain, Array.from({ length: entryDaemonsPerDomain }, buildSelector));
     }
 
@@ -212,16 +223,24 @@
             configVersion: 1,
         };
         budget.add(this.service.name, 0);
+        const hedging = this.hedging.get(selector)!;
+        hedging.add(request, startedAtMs);
         const result = await new AttemptSequence(request, {
             selector,
             budget,
+            hedging,
             owners: { getIncarnation: () => "1", list: () => [] },
             clock: time,
             timers: time,
             forward: async (selected, handleUnconfirmed) => {
+                const startMs = time.getMonotonicMs();
                 selector.recordStart(selected);
                 const reply = await exchanger.forward(selected, handleUnconfirmed);
                 selector.recordReply(selected, reply);
+                const endMs = time.getMonotonicMs();
+                if (route.idempotent && reply.code === Code.Ok) {
+                    hedging.recordAnswer(request, selected.upstream.id, endMs - startMs, endMs);
+                }
                 return reply;
             },
             revokeAfterHopFailure: (_, reply) => Promise.resolve(reply),
--- a/src/forward/attempt_filter.test.ts
+++ b/src/forward/attempt_filter.test.ts
@@ -16,6 +16,7 @@
 import { AttemptExchanger } from "./attempt_exchanger.ts";
 import { AttemptFilter } from "./attempt_filter.ts";
 import { buildOwnerReply } from "./build_owner_reply.ts";
+import { NoHedgingPolicy } from "./no_hedging_policy.ts";
 import type { OwnerReply } from "./owner_reply.ts";
 import { RevokeState } from "./revoke_state.ts";
 
@@ -88,6 +89,7 @@
                 addRepeat: () => void this.repeats.push("payments"),
                 release: () => undefined,
             },
+            hedging: new NoHedgingPolicy(),
             repeatedRuns: { has: requestId => requestId === "repeated" },
             leaving: { setLeaving: id => void this.leaving.push(id) },
             clock: this.time,
--- a/src/forward/attempt_filter.ts
+++ b/src/forward/attempt_filter.ts
@@ -30,12 +30,14 @@
 import { AttemptSequence } from "./attempt_sequence.ts";
 import { buildOwnerReply } from "./build_owner_reply.ts";
 import { freeRetryCodes } from "./free_retry_codes.ts";
+import type { HedgingPolicy } from "./hedging_policy.ts";
 import { hopFailureCodes } from "./hop_failure_codes.ts";
 import { KeyedRetryPolicy } from "./keyed_retry_policy.ts";
 import type { OwnerReply } from "./owner_reply.ts";
 import type { RetryBudget } from "./retry_budget.ts";
 import type { RetryPolicy } from "./retry_policy.ts";
 import { RevokeState } from "./revoke_state.ts";
+import { unansweredCodes } from "./unanswered_codes.ts";
 
 interface Options {
     readonly selector: UpstreamSelector;
@@ -43,6 +45,7 @@
     readonly owners: KeyOwnerReader & KeyOwnerRecorder;
     readonly exchanger: AttemptExchanger;
     readonly budget: RetryBudget;
+    readonly hedging: HedgingPolicy;
     readonly leaving: LeavingRecorder;
     readonly clock: Clock;
     readonly timers: Timers;
@@ -56,10 +59,12 @@
     constructor(private readonly options: Options) {}
 
     async apply(request: RoutedRequest): Promise<Result<OwnerReply, Failure>> {
-        this.options.budget.add(request.service.name, request.service.limits.retryPercent);
+        const { budget, clock, hedging } = this.options;
+        budget.add(request.service.name, request.service.limits.retryPercent);
+        hedging.add(request, clock.getMonotonicMs());
         const { idempotencyKey, parentRequestId, route } = request;
         if (parentRequestId !== undefined && this.options.repeatedRuns?.has(parentRequestId) === true) {
-            this.options.budget.addRepeat(request.service.name);
+            budget.addRepeat(request.service.name);
         }
         if (route.idempotent || idempotencyKey === undefined) {
             return this.runUnkeyed({ ...request, idempotencyKey: undefined });
@@ -74,6 +79,7 @@
             forward: (selected, handleUnconfirmed) => this.forward(selected, handleUnconfirmed),
             revokeAfterHopFailure: (selected, reply) => this.revokeAfterHopFailure(selected, reply),
             handleStop: (reason, attempts) => this.options.observer?.recordStop(request, reason, attempts),
+            handleHedge: (event, verdict) => this.options.observer?.recordHedge(request, event, verdict),
         }).run();
     }
 
@@ -111,6 +117,7 @@
         });
         const roundTripMs = clock.getMonotonicMs() - startMs;
         selector.recordReply(selected, reply, roundTripMs);
+        this.recordAnswerTime(selected, reply, roundTripMs);
         this.options.observer?.recordAttempt(selected, reply, { startMs, roundTripMs });
         if (reply.incarnation !== "" && !hopFailureCodes.has(reply.code)) {
             owners.setIncarnation({ ownerId: reply.ownerId, incarnation: reply.incarnation });
@@ -124,6 +131,21 @@
         return hasUnknownOutcome ? { ...reply, outcome: Outcome.Unknown } : reply;
     }
 
+    /** A refusal and a failure tell nothing about the time to an answer. */
+    private recordAnswerTime(selected: SelectedRequest, reply: OwnerReply, durationMs: number): void {
+        const { clock, hedging } = this.options;
+        if (!selected.route.idempotent) {
+            return;
+        }
+        const nowMs = clock.getMonotonicMs();
+        if (reply.code === Code.Ok) {
+            hedging.recordAnswer(selected, selected.upstream.id, durationMs, nowMs);
+        }
+        else if (unansweredCodes.has(reply.code) && reply.outcome !== Outcome.NotExecuted) {
+            hedging.recordUnanswered(selected, selected.upstream.id, durationMs, nowMs);
+        }
+    }
+
     /** After a hop failure the attempt may still be in the queue of the owner, where it can be revoked. */
     private async revokeAfterHopFailure(selected: SelectedRequest, reply: OwnerReply): Promise<OwnerReply> {
         const state = await this.options.exchanger.revoke(selected);
--- a/src/forward/attempt_log.ts
+++ b/src/forward/attempt_log.ts
@@ -5,6 +5,8 @@
 import type { RoutedRequest } from "../route/routed_request.ts";
 import type { SelectedRequest } from "../select/selected_request.ts";
 import type { AttemptObserver } from "./attempt_observer.ts";
+import { HedgeEvent } from "./hedge_event.ts";
+import type { HedgeVerdict } from "./hedge_verdict.ts";
 import type { OwnerReply } from "./owner_reply.ts";
 import { redirectCodes } from "./redirect_codes.ts";
 import { StopReason } from "./stop_reason.ts";
@@ -77,6 +79,34 @@
             attempts,
         });
     }
+
+    recordHedge(
+        { requestId, route, service }: RoutedRequest,
+        event: HedgeEvent,
+        verdict: HedgeVerdict,
+    ): void {
+        const { logger, metrics } = this.options;
+        switch (event) {
+            case HedgeEvent.Sent:
+                metrics.addCount("hedge.sent");
+                break;
+            case HedgeEvent.Won:
+                metrics.addCount("hedge.won");
+                break;
+            case HedgeEvent.Cancelled:
+                metrics.addCount("hedge.cancelled");
+                break;
+            case HedgeEvent.Refused:
+                metrics.addCount("hedge.refused", { bound: verdict });
+        }
+        logger.write(LogLevel.Info, "hedge", {
+            requestId,
+            service: service.name,
+            route: route.name,
+            result: event,
+            ...(event === HedgeEvent.Refused ? { bound: verdict } : {}),
+        });
+    }
 }
 
 function formatNumber(value: number, digits: number): number {
--- a/src/forward/attempt_observer.ts
+++ b/src/forward/attempt_observer.ts
@@ -1,5 +1,7 @@
 import type { RoutedRequest } from "../route/routed_request.ts";
 import type { SelectedRequest } from "../select/selected_request.ts";
+import type { HedgeEvent } from "./hedge_event.ts";
+import type { HedgeVerdict } from "./hedge_verdict.ts";
 import type { OwnerReply } from "./owner_reply.ts";
 import type { StopReason } from "./stop_reason.ts";
 
@@ -13,4 +15,6 @@
     ): void;
     /** Records why no further attempt of a request is made. */
     recordStop(request: RoutedRequest, reason: StopReason, attempts: number): void;
+    /** Records what happens to a hedge; `verdict` is the bound that refuses it or that it is allowed. */
+    recordHedge(request: RoutedRequest, event: HedgeEvent, verdict: HedgeVerdict): void;
 }
--- a/src/forward/attempt_sequence.ts
+++ b/src/forward/attempt_sequence.ts
@@ -1,6 +1,6 @@
 /**
- * Sends the attempts of one request until a reply is final. An idempotent request is hedged: it is sent to a
- * second upstream when the first one is late.
+ * Sends the attempts of one request until a reply is final. An idempotent request is sent to a second upstream
+ * when the first one is late and the hedging policy allows it, or when an owner has not confirmed the receipt.
  *
  * @example
  * ```ts
@@ -14,7 +14,6 @@
 import { Code } from "../core/code.ts";
 import type { Failure } from "../core/failure.ts";
 import { Outcome } from "../core/outcome.ts";
-import type { Timer } from "../core/timer.ts";
 import type { Timers } from "../core/timers.ts";
 import type { KeyOwnerReader } from "../operations/key_owner_reader.ts";
 import type { RoutedRequest } from "../route/routed_request.ts";
@@ -23,6 +22,10 @@
 import type { UpstreamSelector } from "../select/upstream_selector.ts";
 import { declinedCodes } from "./declined_codes.ts";
 import { freeRetryCodes } from "./free_retry_codes.ts";
+import { HedgeEvent } from "./hedge_event.ts";
+import { HedgeTrigger } from "./hedge_trigger.ts";
+import { HedgeVerdict } from "./hedge_verdict.ts";
+import type { HedgingPolicy } from "./hedging_policy.ts";
 import { hopFailureCodes } from "./hop_failure_codes.ts";
 import { IdempotentRetryPolicy } from "./idempotent_retry_policy.ts";
 import { NonIdempotentRetryPolicy } from "./non_idempotent_retry_policy.ts";
@@ -31,12 +34,14 @@
 import { redirectCodes } from "./redirect_codes.ts";
 import type { RetryBudget } from "./retry_budget.ts";
 import type { RetryPolicy } from "./retry_policy.ts";
+import { SecondAttemptCause } from "./second_attempt_cause.ts";
 import { StopReason } from "./stop_reason.ts";
 
 interface Options {
     readonly selector: UpstreamSelector;
     readonly owners: KeyOwnerReader;
     readonly budget: RetryBudget;
+    readonly hedging: HedgingPolicy;
     readonly clock: Clock;
     readonly timers: Timers;
     readonly forward: (selected: SelectedRequest, handleUnconfirmed: () => void) => Promise<OwnerReply>;
@@ -44,14 +49,16 @@
     readonly revokeAfterHopFailure: (selected: SelectedRequest, reply: OwnerReply) => Promise<OwnerReply>;
     /** Called with the reason why no further attempt is made and the number of attempts. */
     readonly handleStop?: (reason: StopReason, attempts: number) => void;
+    /** Called with what happens to a hedge and, for one that is refused, the bound. */
+    readonly handleHedge?: (event: HedgeEvent, verdict: HedgeVerdict) => void;
 }
 
 interface RunningAttempt {
     readonly selected: SelectedRequest;
     readonly controller: AbortController;
     readonly done: Promise<EndedAttempt>;
-    /** True when the retry budget was charged for the attempt. */
-    readonly isCharged: boolean;
+    /** Returns the charge to the retry budget; undefined when the attempt was not charged. */
+    readonly releaseCharge: (() => void) | undefined;
 }
 
 interface EndedAttempt {
@@ -59,8 +66,6 @@
     readonly reply: OwnerReply;
 }
 
-/** Fraction of the target of a route after which a request is hedged. */
-const hedgeDelayRatio = 0.6;
 /** Refusals before dispatch after which a request is not retried any more. */
 const maxRefusals = 8;
 /**
@@ -85,33 +90,33 @@
     private waitRefusals = 0;
     /** True when the outcome of an earlier attempt was not `not-executed`. */
     private mayHaveRun = false;
-    private resolveHedgeDue: () => void = () => undefined;
-    /** Resolves when the first answer is late or its owner has not confirmed the receipt. */
-    private readonly hedgeDue = new Promise<undefined>(resolve => {
-        this.resolveHedgeDue = () => resolve(undefined);
-    });
-    private isHedged = false;
+    private readonly trigger: HedgeTrigger;
+    /** True when a second attempt was started beside another one. */
+    private hasSecondAttempt = false;
+    /** The attempt that was sent because the earlier one was late. */
+    private hedge: RunningAttempt | undefined;
 
     constructor(private readonly request: RoutedRequest, private readonly options: Options) {
         this.policy = request.route.idempotent ? new IdempotentRetryPolicy() : new NonIdempotentRetryPolicy();
+        this.trigger = new HedgeTrigger(options.timers);
     }
 
     async run(): Promise<Result<OwnerReply, Failure>> {
-        const started = this.start(false);
+        const started = this.startNext(undefined);
         if (started.isErr()) {
             return err(started.error);
         }
-        const hedgeTimer = this.startHedgeTimer();
         for (;;) {
             const ended = await this.waitForReply();
-            if (ended === undefined) {
-                this.startHedge();
+            if (typeof ended === "string") {
+                this.handleDue(ended);
                 continue;
             }
             const reply = await this.recordEnd(ended);
             const reason = this.decideStop(reply, ended.running);
             if (reason !== undefined) {
-                hedgeTimer?.close();
+                this.trigger.close();
+                this.reportHedge(reply, ended.running);
                 this.cancelRunning();
                 this.options.handleStop?.(reason, this.attempts);
                 return ok(reply);
@@ -119,8 +124,19 @@
         }
     }
 
+    /** Starts an attempt while no other one runs. */
+    private startNext(releaseCharge: (() => void) | undefined): Result<RunningAttempt, Failure> {
+        const { clock, hedging } = this.options;
+        const started = this.start(releaseCharge);
+        if (started.isOk()) {
+            const { upstream } = started.value.selected;
+            this.trigger.start(hedging.computeDelayMs(this.request, upstream.id, clock.getMonotonicMs()));
+        }
+        return started;
+    }
+
     /** Starts an attempt at the upstream that the selector prefers. */
-    private start(isCharged: boolean): Result<RunningAttempt, Failure> {
+    private start(releaseCharge: (() => void) | undefined): Result<RunningAttempt, Failure> {
         const { forward, owners, selector } = this.options;
         const result = selector.select(this.request, this.attempts + 1, this.excluded, this);
         if (result.isErr()) {
@@ -139,47 +155,61 @@
             ...result.value,
             ownerIncarnation,
             signal: controller.signal,
-            repeat: isCharged,
+            repeat: releaseCharge !== undefined,
         };
         this.excluded.add(selected.upstream.id);
         this.possibleExecutions += 1;
-        const done = forward(selected, () => this.resolveHedgeDue()).then(reply => {
+        const done = forward(selected, () => this.trigger.handleUnconfirmed()).then(reply => {
             signal.removeEventListener("abort", cancel);
             return { running, reply };
         });
-        const running: RunningAttempt = { selected, controller, done, isCharged };
+        const running: RunningAttempt = { selected, controller, done, releaseCharge };
         this.running.add(running);
         return ok(running);
     }
 
-    /** Resolves to undefined when a hedge is due before a reply arrives. */
-    private waitForReply(): Promise<EndedAttempt | undefined> {
+    /** Resolves to a cause when a second attempt is due before a reply arrives. */
+    private waitForReply(): Promise<EndedAttempt | SecondAttemptCause> {
         const replies = [...this.running].map(({ done }) => done);
-        return Promise.race(this.isHedgeAllowed() ? [...replies, this.hedgeDue] : replies);
+        return Promise.race(this.isSecondAllowed() ? [...replies, this.trigger.wait()] : replies);
     }
 
-    private startHedgeTimer(): Timer | undefined {
-        const { idempotent, targetMs } = this.request.route;
-        return idempotent && targetMs > 0
-            ? this.options.timers.start(hedgeDelayRatio * targetMs, () => this.resolveHedgeDue())
-            : undefined;
+    private isSecondAllowed(): boolean {
+        const { route } = this.request;
+        return route.idempotent && !this.hasSecondAttempt && this.running.size === 1 &&
+            this.possibleExecutions < route.maxAttempts;
     }
 
-    private isHedgeAllowed(): boolean {
-        const { budget } = this.options;
-        const { route, service } = this.request;
-        return route.idempotent && !this.isHedged && this.running.size === 1 &&
-            this.possibleExecutions < route.maxAttempts &&
-            budget.has(service.name);
+    /** Starts a second attempt if the bound for its cause allows it. */
+    private handleDue(cause: SecondAttemptCause): void {
+        const { budget, clock, hedging } = this.options;
+        const { name } = this.request.service;
+        this.trigger.start(undefined);
+        if (cause === SecondAttemptCause.Unconfirmed) {
+            if (budget.take(name)) {
+                this.startSecond(() => budget.release(name));
+            }
+            return;
+        }
+        const verdict = hedging.take(this.request, clock.getMonotonicMs());
+        if (verdict !== HedgeVerdict.Allowed) {
+            this.options.handleHedge?.(HedgeEvent.Refused, verdict);
+            return;
+        }
+        this.hedge = this.startSecond(() => hedging.release(this.request, clock.getMonotonicMs()));
+        if (this.hedge !== undefined) {
+            this.options.handleHedge?.(HedgeEvent.Sent, verdict);
+        }
     }
 
-    private startHedge(): void {
-        this.isHedged = true;
-        const { budget } = this.options;
-        const { name } = this.request.service;
-        if (budget.take(name) && this.start(true).isErr()) {
-            budget.release(name);
+    private startSecond(releaseCharge: () => void): RunningAttempt | undefined {
+        this.hasSecondAttempt = true;
+        const started = this.start(releaseCharge);
+        if (started.isErr()) {
+            releaseCharge();
+            return undefined;
         }
+        return started.value;
     }
 
     /** Records the end of an attempt and returns its reply with the outcome of the whole request. */
@@ -202,8 +232,8 @@
         else {
             this.redirected.delete(running.selected.upstream.id);
         }
-        if (notSentCodes.has(checkedReply.code) && running.isCharged) {
-            this.options.budget.release(this.request.service.name);
+        if (notSentCodes.has(checkedReply.code)) {
+            running.releaseCharge?.();
         }
         // An earlier attempt of an idempotent request may have run.
         const result = this.mayHaveRun && checkedReply.outcome === Outcome.NotExecuted
@@ -236,11 +266,12 @@
             return StopReason.Refusals;
         }
         // A charged attempt with such a code has returned its charge, so its retry is charged again.
-        const isFreeRetry = this.isFreeRetry(reply) && !ended.isCharged;
+        const isFreeRetry = this.isFreeRetry(reply) && ended.releaseCharge === undefined;
         if (!isFreeRetry && !budget.take(service.name)) {
             return StopReason.Budget;
         }
-        return this.start(!isFreeRetry).isErr() ? StopReason.NoUpstream : undefined;
+        const releaseCharge = isFreeRetry ? undefined : () => budget.release(service.name);
+        return this.startNext(releaseCharge).isErr() ? StopReason.NoUpstream : undefined;
     }
 
     private isFreeRetry({ code }: OwnerReply): boolean {
@@ -248,6 +279,18 @@
             (code === Code.WaitTooLong && this.waitRefusals <= maxFreeWaitRefusals);
     }
 
+    private reportHedge(reply: OwnerReply, ended: RunningAttempt): void {
+        if (this.hedge === undefined || reply.code !== Code.Ok) {
+            return;
+        }
+        if (ended === this.hedge) {
+            this.options.handleHedge?.(HedgeEvent.Won, HedgeVerdict.Allowed);
+        }
+        else if (this.running.has(this.hedge)) {
+            this.options.handleHedge?.(HedgeEvent.Cancelled, HedgeVerdict.Allowed);
+        }
+    }
+
     private cancelRunning(): void {
         for (const { controller } of this.running) {
             controller.abort(abortReason);
--- a/src/select/expected_loss_selector.ts
+++ b/src/select/expected_loss_selector.ts
@@ -40,6 +40,7 @@
 import { computeFaultLoss } from "./compute_fault_loss.ts";
 import { computeWaitLoss } from "./compute_wait_loss.ts";
 import { isTrialDue } from "./is_trial_due.ts";
+import type { ObservedLoad } from "./observed_load.ts";
 import type { SelectedRequest } from "./selected_request.ts";
 import type { SelectionContext } from "./selection_context.ts";
 import type { UpstreamSelector } from "./upstream_selector.ts";
@@ -269,6 +270,10 @@
                 }));
     }
 
+    findLoad(upstreamId: string): ObservedLoad | undefined {
+        return this.views.get(upstreamId)?.load;
+    }
+
     private getView(upstreamId: string): UpstreamView {
         let view = this.views.get(upstreamId);
         if (view === undefined) {
--- a/src/select/observed_load.ts
+++ b/src/select/observed_load.ts
@@ -43,9 +43,13 @@
         return this.waitMs;
     }
 
+    /** Weight of the last reported state: 1 when it is new, 0 when it is too old or there is none. */
+    getFreshness(nowMs: number): number {
+        return Math.max(0, 1 - (nowMs - this.reportedAtMs) / stateMaxAgeMs);
+    }
+
     /** Requests per slot, 0 when idle; the weight of the reported part decreases with its age. */
     measure(nowMs: number): number {
-        const freshness = Math.max(0, 1 - (nowMs - this.reportedAtMs) / stateMaxAgeMs);
-        return (this.inFlight.size + this.otherRequests * freshness) / this.slots;
+        return (this.inFlight.size + this.otherRequests * this.getFreshness(nowMs)) / this.slots;
     }
 }
--- a/src/select/power_of_two_selector.ts
+++ b/src/select/power_of_two_selector.ts
@@ -222,6 +222,10 @@
         });
     }
 
+    findLoad(upstreamId: string): ObservedLoad | undefined {
+        return this.loads.get(upstreamId);
+    }
+
     private getLoad(upstreamId: string): ObservedLoad {
         let load = this.loads.get(upstreamId);
         if (load === undefined) {
--- a/src/settings/read_serve_settings.ts
+++ b/src/settings/read_serve_settings.ts
@@ -29,6 +29,7 @@
             logLevel: getText("log-level") as LogLevel,
             maxRequestBytes: getNumber("max-request-bytes"),
             answerMemoryBytes: getNumber("answer-memory-bytes"),
+            hedgePercent: getNumber("hedge-percent"),
             gossipIntervalMs: getNumber("gossip-interval-ms"),
             watchMs: getNumber("watch-ms"),
             startWaitMs: getNumber("start-wait-ms"),
--- a/src/settings/serve_settings.ts
+++ b/src/settings/serve_settings.ts
@@ -21,6 +21,8 @@
     readonly maxRequestBytes: number;
     /** Most bytes of all answers of upstreams that are being read. */
     readonly answerMemoryBytes: number;
+    /** Percent of the repeatable requests of each service that may be hedged; none when absent. */
+    readonly hedgePercent?: number;
     readonly gossipIntervalMs: number;
     readonly watchMs: number;
     readonly startWaitMs: number;
--- a/src/settings/serve_specs.ts
+++ b/src/settings/serve_specs.ts
@@ -68,6 +68,13 @@
         [65_536, 1_073_741_824],
         "all answers of upstreams that are being read; the process takes up to eight times as much",
     ),
+    buildInteger(
+        "hedge-percent",
+        "percent",
+        0,
+        [0, 100],
+        "repeatable requests of each service that may be sent to a second upstream when they are late; 0 is off",
+    ),
     buildInteger(
         "gossip-interval-ms",
         "ms",
--- a/src/wiring/build_entry.ts
+++ b/src/wiring/build_entry.ts
@@ -13,7 +13,9 @@
 import { AttemptLog } from "../forward/attempt_log.ts";
 import { FleetRetryBudget } from "../forward/fleet_retry_budget.ts";
 import { LocalForwarder } from "../forward/local_forwarder.ts";
+import { NoHedgingPolicy } from "../forward/no_hedging_policy.ts";
 import { OwnerForwarder } from "../forward/owner_forwarder.ts";
+import { QuantileHedgingPolicy } from "../forward/quantile_hedging_policy.ts";
 import { TokenRetryBudget } from "../forward/token_retry_budget.ts";
 import { OwnerUpstreamIndex } from "../membership/owner_upstream_index.ts";
 import { KeyIssuer } from "../operations/key_issuer.ts";
@@ -28,19 +30,20 @@
 import { ExpectedLossSelector } from "../select/expected_loss_selector.ts";
 import { PowerOfTwoSelector } from "../select/power_of_two_selector.ts";
 import { RotationPreference } from "../select/rotation_preference.ts";
+import { ServiceLoadMeter } from "../select/service_load_meter.ts";
 import type { ServeSettings } from "../settings/serve_settings.ts";
 import type { BaseParts } from "./base_parts.ts";
 import type { ControlParts } from "./control_parts.ts";
 import type { OwnerParts } from "./owner_parts.ts";
 
-type DaemonLocation = Pick<ServeSettings, "failureDomain" | "region">;
+type EntrySettings = Pick<ServeSettings, "failureDomain" | "hedgePercent" | "region">;
 
 /** Peers whose attempt counts are known; none without beacons, which carry the counts. */
 const noPeerIds: ReadonlySet<string> = new Set();
 
 /** Builds the entry side of a daemon: from a caller's request to its answer. */
 export function buildEntry(
-    location: DaemonLocation,
+    settings: EntrySettings,
     base: BaseParts,
     control: ControlParts,
     owner: OwnerParts,
@@ -64,7 +67,8 @@
         isListed: daemonId => membership.getDaemons().has(daemonId),
     });
     const budget = fleetBudget ?? new TokenRetryBudget(clock);
-    const parts = { ...base, ...location, membership, leaving: membership };
+    const { failureDomain, hedgePercent = 0, region } = settings;
+    const parts = { ...base, failureDomain, region, membership, leaving: membership };
     const selector = new PowerOfTwoSelector(parts);
     const lossSelector = new ExpectedLossSelector({
         ...parts,
@@ -81,8 +85,15 @@
     const inFlight = new InFlightTable();
     const saturation = new SaturationTable(clock, membership);
     const serviceTimes = new ServiceTimes();
+    const loads = new ServiceLoadMeter({
+        membership,
+        findLoad: id => (adapters === undefined ? selector : lossSelector).findLoad(id),
+    });
     const attempt = new AttemptFilter({
         ...base,
+        hedging: hedgePercent === 0
+            ? new NoHedgingPolicy()
+            : new QuantileHedgingPolicy({ percent: hedgePercent, budget, loads }),
         observer: new AttemptLog(base),
         repeatedRuns: owner.repeatedRuns,
         selector: adapters === undefined ? selector : lossSelector,
