Track until when the configuration is proved to be the newest

Cause: a daemon that lost the store kept running requests with keys that operators had removed, because nothing told how old its configuration may be.

--- a/proof/control/fakes/create_follower_setup.ts
+++ b/proof/control/fakes/create_follower_setup.ts
@@ -30,6 +30,7 @@
         startWaitMs: 60_000,
         getApplyMs: () => 2_000,
         getSilenceMs: () => 3_000,
+        getBounds: () => ({ isStrict: false, maxAgeMs: 5_000 }),
         peers,
     });
     const listIds = () => membership.list("payments").map(({ id }) => id).join();
--- a/src/daemon_adapters.ts
+++ b/src/daemon_adapters.ts
@@ -1,3 +1,4 @@
+import type { RevocationBounds } from "./authenticate/revocation_bounds.ts";
 import type { UpstreamCodec } from "./dispatch/upstream_codec.ts";
 import type { RetryBounds } from "./forward/retry_bounds.ts";
 import type { PlatformStore } from "./published/platform_store.ts";
@@ -14,6 +15,8 @@
     getService(): string;
     /** Limits of retries; can change with the settings. */
     getRetryBounds(): RetryBounds;
+    /** Bounds for requests with removed keys; can change with the settings. */
+    getRevocationBounds(): RevocationBounds;
     /** Milliseconds within which a change in the store must be in force; can change with the settings. */
     getApplyMs(): number;
     /** Milliseconds after open connections went silent within which changes of the store must be read again. */
--- a/src/published/store_change_applier.ts
+++ b/src/published/store_change_applier.ts
@@ -26,6 +26,7 @@
 /** Puts the values of the platform's store in force. */
 export class StoreChangeApplier {
     readonly upstreams: StoreUpstreamTable;
+    private isReadable = true;
 
     constructor(private readonly options: Options) {
         this.upstreams = new StoreUpstreamTable(options);
@@ -40,12 +41,18 @@
         this.upstreams.merge();
     }
 
+    /** False when the store's newest configuration could not be put in force. */
+    isConfigurationReadable(): boolean {
+        return this.isReadable;
+    }
+
     /** A change that cannot be applied must not hide the others of its page. */
     private applyChangeSafely(change: StoreChange): void {
         try {
             this.applyChange(change);
         }
         catch (error) {
+            this.isReadable &&= change.kind !== StoreChangeKind.Configuration;
             this.options.logger.write(LogLevel.Error, "platform_change_failed", {
                 revision: change.revision,
                 detail: String(error).slice(0, maxDetailLength),
@@ -59,6 +66,7 @@
             case StoreChangeKind.Configuration: {
                 const { configuration, source, version } = change;
                 configs.update({ version, digest: computeDigest(source), source, configuration }, "platform");
+                this.isReadable = true;
                 break;
             }
             case StoreChangeKind.Upstream:
@@ -75,6 +83,9 @@
                 if (upstreamId !== undefined) {
                     this.upstreams.remove(upstreamId, revision);
                 }
+                else if (key !== "") {
+                    this.isReadable = false;
+                }
             }
         }
     }
--- a/src/published/store_follower.ts
+++ b/src/published/store_follower.ts
@@ -12,6 +12,7 @@
  *
  * @module
  */
+import type { RevocationBounds } from "../authenticate/revocation_bounds.ts";
 import type { PeerRevision } from "../beacon/peer_revision.ts";
 import type { RevisionExchange } from "../beacon/revision_exchange.ts";
 import type { Clock } from "../core/clock.ts";
@@ -22,6 +23,7 @@
 import type { Timer } from "../core/timer.ts";
 import type { Timers } from "../core/timers.ts";
 import type { MembershipTable } from "../membership/membership_table.ts";
+import { ConfigProof } from "./config_proof.ts";
 import type { ConfigStore } from "./config_store.ts";
 import type { ControlPlane } from "./control_plane.ts";
 import type { PeerChanges } from "./peer_changes.ts";
@@ -33,6 +35,7 @@
 import { StoreHistory } from "./store_history.ts";
 import type { StorePage } from "./store_page.ts";
 import type { StorePeers } from "./store_peers.ts";
+import { StoreReadPolicy } from "./store_read_policy.ts";
 import { StoreReader } from "./store_reader.ts";
 
 interface Options {
@@ -51,17 +54,9 @@
     readonly getApplyMs: () => number;
     /** Milliseconds after open connections went silent within which changes must be read again. */
     readonly getSilenceMs: () => number;
+    readonly getBounds: () => RevocationBounds;
 }
 
-/**
- * Milliseconds by which a watch is shorter than the time in which a silent connection must be noticed: 500 until it
- * counts as silent, the rest for one more read and for passing it on.
- */
-const silenceReserveMs = 800;
-/** Shortest watch in milliseconds; each call has a cost, even one without a change. */
-const minWatchMs = 1_000;
-/** Milliseconds that a read waits for a change when no other daemon is known to read the store. */
-const pollMs = 1;
 /** Milliseconds between a change and the next watch, so that changes in quick succession cost one call. */
 const coalescingDelayMs = 400;
 /**
@@ -70,20 +65,6 @@
  * suffices to put a change in force in time.
  */
 const maxLagMs = 800;
-/**
- * Fraction of the time to put a change in force after which a daemon reads the store itself if no other daemon
- * of its failure domain is known to have reached it. The rest is a margin for that read.
- */
-const contactShare = 0.5;
-/** The same fraction at the standby of the daemon that watches the store. */
-const standbyContactShare = 0.4;
-/** Largest part by which a daemon delays that read at random, so that one daemon reads for the others. */
-const contactJitter = 0.15;
-/**
- * Milliseconds after the first report of a newer revision in which the changes should arrive from a daemon that
- * holds them. One that has just started knows the revision and not the changes before.
- */
-const maxBehindMs = 300;
 /** Milliseconds before the next step after an unexpected error. */
 const errorDelayMs = 1_000;
 /** Longest time in milliseconds until a daemon checks again whether it should watch the store. */
@@ -91,10 +72,12 @@
 
 /** Control plane of a daemon that shares what it reads of the platform's store with its failure domain. */
 export class StoreFollower implements ControlPlane, RevisionExchange, StoreChangesSource {
+    readonly proof: ConfigProof;
     private readonly applier: StoreChangeApplier;
     private readonly contact = new StoreContact();
     private readonly history = new StoreHistory();
     private readonly progress = new PeerProgress();
+    private readonly policy: StoreReadPolicy;
     private readonly reader: StoreReader;
     /** Revision to continue from; undefined when all values must be read. */
     private revision: number | undefined;
@@ -110,6 +93,8 @@
 
     constructor(private readonly options: Options) {
         this.applier = new StoreChangeApplier(options);
+        this.policy = new StoreReadPolicy(options);
+        this.proof = new ConfigProof({ getVersion: () => options.configs.getActive()?.version });
         const handleRecovery = (answeredMs: number) =>
             this.applier.upstreams.recordPlatformRecovery(answeredMs);
         const handleContact = () => options.peers.sendContact();
@@ -182,7 +167,7 @@
 
     /** Makes one call at most and returns the delay before the next step in milliseconds. */
     private async runOnce(): Promise<number> {
-        const { clock, getSilenceMs, peers } = this.options;
+        const { clock, peers } = this.options;
         if (this.revision === undefined) {
             return this.readStore(undefined, 0);
         }
@@ -190,29 +175,24 @@
         if (await this.fetchFromPeer(this.revision)) {
             return rank === 0 ? coalescingDelayMs : 0;
         }
+        const nowMs = clock.getMonotonicMs();
+        const proof = { ageMs: nowMs - this.proof.getProvedMs(), blockedMs: this.proof.getBlockedMs(nowMs) };
         if (rank === 0) {
-            return this.readStore(this.revision, Math.max(minWatchMs, getSilenceMs() - silenceReserveMs));
+            return this.readStore(this.revision, this.policy.computeWatchMs(proof));
         }
-        const nowMs = clock.getMonotonicMs();
-        const ageMs = this.contact.getAgeMs(nowMs);
+        const contactAgeMs = this.contact.getAgeMs(nowMs);
         const behindMs = nowMs - this.progress.getBehindSinceMs();
-        const waitMs = Math.min(this.computeMaxContactAge(rank) - ageMs, maxBehindMs - behindMs, roleCheckMs);
-        if (waitMs > 0) {
-            return waitMs;
+        const delayMs = this.policy.computeDelayMs({ rank, contactAgeMs, behindMs, proof });
+        if (delayMs > 0) {
+            return Math.min(delayMs, roleCheckMs);
         }
         this.options.logger.write(LogLevel.Info, "platform_read_directly", {
             rank,
-            contactAgeMs: Math.round(Math.min(ageMs, Number.MAX_SAFE_INTEGER)),
+            contactAgeMs: Math.round(Math.min(contactAgeMs, Number.MAX_SAFE_INTEGER)),
             behindMs: Math.round(Math.max(0, behindMs)),
+            proofAgeMs: Math.round(Math.min(proof.ageMs, Number.MAX_SAFE_INTEGER)),
         });
-        return this.readStore(this.revision, pollMs);
-    }
-
-    /** Milliseconds since the last known contact after which this daemon reads the store itself. */
-    private computeMaxContactAge(rank: number): number {
-        const { getApplyMs, random } = this.options;
-        const share = rank === 1 ? standbyContactShare : contactShare + contactJitter * random.getFloat();
-        return getApplyMs() * share;
+        return this.readStore(this.revision, this.policy.getPollMs());
     }
 
     /** True when another daemon sent newer changes, which are in force now. */
@@ -244,11 +224,12 @@
             this.revision = result.error.mustReadAll ? undefined : this.revision;
             return result.error.delayMs;
         }
-        const page = result.value;
+        const { heldMs, page } = result.value;
         const isFirst = !this.hasRead;
         this.hasRead = true;
         this.progress.recordOwn(page.revision, true);
         this.apply(page, afterRevision);
+        this.proof.recordAnswer(heldMs);
         if (page.changes.length === 0) {
             return 0;
         }
@@ -265,6 +246,7 @@
         this.progress.recordOwn(page.revision, false);
         this.history.record(afterRevision, page, this.options.clock.getMonotonicMs());
         this.applier.apply(page, afterRevision === undefined);
+        this.proof.recordApplied(this.applier.isConfigurationReadable());
         if (this.options.configs.getActive() !== undefined) {
             this.resolveReady();
         }
--- a/src/published/store_reader.ts
+++ b/src/published/store_reader.ts
@@ -21,6 +21,7 @@
 import type { Timer } from "../core/timer.ts";
 import type { Timers } from "../core/timers.ts";
 import type { PlatformStore } from "./platform_store.ts";
+import type { StoreAnswer } from "./store_answer.ts";
 import { StoreCall } from "./store_call.ts";
 import type { StoreContact } from "./store_contact.ts";
 import { StoreOutage } from "./store_outage.ts";
@@ -112,7 +113,7 @@
      * a failed call the store is not asked to wait: a watch ends with the next change, which tells neither whether
      * its connection works nor when an outage ended.
      */
-    async read(afterRevision: number | undefined, waitMs: number): Promise<Result<StorePage, FailedRead>> {
+    async read(afterRevision: number | undefined, waitMs: number): Promise<Result<StoreAnswer, FailedRead>> {
         const { clock, contact, store } = this.options;
         this.afterRevision = afterRevision;
         this.isWatchStale = false;
@@ -143,9 +144,10 @@
         }
         this.mustPoll = false;
         this.unansweredSinceMs = undefined;
-        this.recordContact(result.value, { startMs, waitMs: callWaitMs, endMs });
+        const call = { startMs, waitMs: callWaitMs, endMs };
+        this.recordContact(result.value, call);
         this.recordBack(endMs);
-        return ok(result.value);
+        return ok({ page: result.value, heldMs: computeHeldMs(result.value, call) });
     }
 
     /** Ends a watch that delivers nothing although the store has a newer revision. */
@@ -240,3 +242,12 @@
         return { mustReadAll: false, delayMs: this.outage.computeDelayMs(random.getFloat()) };
     }
 }
+
+/**
+ * Up to which moment an answer is certain to hold all changes: its arrival proves nothing, because it can lie in the
+ * buffers of a stopped process. A watch that waited in vain held until the end of its wait, any other call at its
+ * start.
+ */
+function computeHeldMs(page: StorePage, { endMs, startMs, waitMs }: AnsweredCall): number {
+    return page.changes.length === 0 && endMs >= startMs + waitMs ? startMs + waitMs : startMs;
+}
--- a/src/wiring/build_gossip_control.ts
+++ b/src/wiring/build_gossip_control.ts
@@ -84,6 +84,8 @@
         announcer: gossip,
         gossipHandler,
         storeChanges: undefined,
+        // Nothing here has a bound on removed keys, so that the configuration in force always counts as the newest.
+        proof: { getProvedMs: () => base.clock.getMonotonicMs() },
         transports,
         beacons: undefined,
         closers: [transports, platform],
--- a/src/wiring/build_store_control.ts
+++ b/src/wiring/build_store_control.ts
@@ -31,6 +31,7 @@
         startWaitMs: settings.startWaitMs,
         getApplyMs: () => adapters.getApplyMs(),
         getSilenceMs: () => adapters.getSilenceMs(),
+        getBounds: () => adapters.getRevocationBounds(),
         peers: {
             getRank: () => exchange.storeBeacons.getRank(),
             sendRevision: () => exchange.storeBeacons.sendRevision(),
@@ -80,6 +81,7 @@
         announcer: exchange,
         gossipHandler: undefined,
         storeChanges: follower,
+        proof: follower.proof,
         transports,
         beacons: { exchange, bindings },
         closers: [transports],
--- a/src/wiring/control_parts.ts
+++ b/src/wiring/control_parts.ts
@@ -1,3 +1,4 @@
+import type { ConfigProofReader } from "../authenticate/config_proof_reader.ts";
 import type { BeaconExchange } from "../beacon/beacon_exchange.ts";
 import type { TransportCache } from "../edge/control/transport_cache.ts";
 import type { GossipHandler } from "../gossip/gossip_handler.ts";
@@ -17,6 +18,7 @@
     readonly gossipHandler: GossipHandler | undefined;
     /** Undefined when the daemon does not follow a store of the platform. */
     readonly storeChanges: StoreChangesSource | undefined;
+    readonly proof: ConfigProofReader;
     readonly transports: TransportCache;
     /** Undefined when the daemons send no beacons. */
     readonly beacons: { readonly exchange: BeaconExchange; readonly bindings: BeaconBindings; } | undefined;
