Pass proofs of the configuration between daemons by numbered probes

Cause: one daemon of a failure domain watches the store for the others, which had no proof of their own, and the arrival of a datagram proves nothing: it can lie in the socket of a stopped process for seconds. Change: probes are numbered from a random start, and an acknowledgement with the number of a probe proves what its sender could prove, counted from the sending of the probe. A daemon whose proof is older than 0.4 of the bound asks the daemon with the newest known proof in each period. Nothing is added to datagrams without a bound on removed keys.

--- a/measure/beacons/beacon_fleet.ts
+++ b/measure/beacons/beacon_fleet.ts
@@ -13,6 +13,7 @@
 import { SystemTimers } from "../../src/edge/system/system_timers.ts";
 import { FleetRetryBudget } from "../../src/forward/fleet_retry_budget.ts";
 import { MembershipTable } from "../../src/membership/membership_table.ts";
+import { NullProofExchange } from "../capacity/null_proof_exchange.ts";
 import { NullSinks } from "../capacity/null_sinks.ts";
 
 const firstPort = 17_600;
@@ -100,6 +101,7 @@
             observer: { recordState: () => undefined },
             listStates: () => [createState(upstream.id, state.running)],
             counts: budget,
+            proofs: new NullProofExchange(),
             revisions: { getRevision: () => 1_000, getStoreAgeMs: () => 200, recordPeer: () => undefined },
             logger: sinks,
         });
--- a/proof/fakes/beacon_network.ts
+++ b/proof/fakes/beacon_network.ts
@@ -10,6 +10,7 @@
  *
  * @module
  */
+import { NullProofExchange } from "../../measure/capacity/null_proof_exchange.ts";
 import { NullSinks } from "../../measure/capacity/null_sinks.ts";
 import type { Beacon } from "../../src/beacon/beacon.ts";
 import { BeaconExchange } from "../../src/beacon/beacon_exchange.ts";
@@ -98,6 +99,7 @@
             upstreamIds: ownUpstreams.map(({ id }) => id),
             createExchange: parts =>
                 new BeaconExchange({
+                    proofs: new NullProofExchange(),
                     ...parts,
                     clock: this.time,
                     timers: this.time,
--- a/src/beacon/beacon.ts
+++ b/src/beacon/beacon.ts
@@ -1,5 +1,6 @@
 import type { ServiceCount } from "../forward/service_count.ts";
 import type { BeaconKind } from "./beacon_kind.ts";
+import type { ConfigClaim } from "./config_claim.ts";
 import type { UpstreamReport } from "./upstream_report.ts";
 
 /** Content of one datagram from one daemon to another. */
@@ -19,6 +20,10 @@
      * knows; undefined when it knows of none.
      */
     readonly storeAgeMs?: number | undefined;
+    /** What the sender can prove about its configuration; undefined when proofs are not exchanged. */
+    readonly claim?: ConfigClaim | undefined;
+    /** Number of the probe that this beacon is or acknowledges. */
+    readonly probeNumber?: number | undefined;
     /** Some of the daemons that do not acknowledge probes of the sender. */
     readonly suspects: readonly string[];
 }
--- a/src/beacon/beacon_exchange.ts
+++ b/src/beacon/beacon_exchange.ts
@@ -18,7 +18,6 @@
  * @module
  */
 import type { Clock } from "../core/clock.ts";
-import { LogLevel } from "../core/log_level.ts";
 import type { Logger } from "../core/logger.ts";
 import type { RandomSource } from "../core/random_source.ts";
 import type { Timer } from "../core/timer.ts";
@@ -36,7 +35,10 @@
 import { ConditionChangeSender } from "./condition_change_sender.ts";
 import { DomainPeers } from "./domain_peers.ts";
 import { PeerFailureDetector } from "./peer_failure_detector.ts";
+import { PeerStatusLog } from "./peer_status_log.ts";
 import type { PeerStatusReader } from "./peer_status_reader.ts";
+import type { ProofExchange } from "./proof_exchange.ts";
+import { ProofProbes } from "./proof_probes.ts";
 import { RandomRoundRobin } from "./random_round_robin.ts";
 import { ReportFreshness } from "./report_freshness.ts";
 import { ReportTable } from "./report_table.ts";
@@ -57,6 +59,7 @@
     readonly listStates: () => readonly UpstreamState[];
     readonly counts: AttemptCountExchange;
     readonly revisions: RevisionExchange;
+    readonly proofs: ProofExchange;
     readonly logger: Logger;
 }
 
@@ -86,7 +89,8 @@
     private readonly outsideOrder: RandomRoundRobin;
     private timer: Timer | undefined;
     private nextOwnIndex = 0;
-    private unresponsive: ReadonlySet<string> = new Set();
+    private readonly statusLog: PeerStatusLog;
+    private readonly proofProbes: ProofProbes;
     private closed = false;
 
     constructor(private readonly options: Options) {
@@ -105,6 +109,8 @@
             failureDetector: this.failureDetector,
             sender: this.sender,
         });
+        this.statusLog = new PeerStatusLog(options.logger);
+        this.proofProbes = new ProofProbes(options);
         this.groupOrder = new RandomRoundRobin(random);
         this.outsideOrder = new RandomRoundRobin(random);
     }
@@ -146,11 +152,14 @@
         this.updatePeers();
         const peer = this.peers.find(daemonId);
         if (peer !== undefined && kind === BeaconKind.Probe) {
-            this.sender.send(peer, BeaconKind.Ack, []);
+            this.sender.send(peer, BeaconKind.Ack, [], beacon.probeNumber);
         }
         if (peer !== undefined && kind === BeaconKind.Ack) {
             this.failureDetector.recordAck(daemonId, nowMs);
         }
+        if (peer !== undefined) {
+            this.proofProbes.recordBeacon(beacon, nowMs);
+        }
         if (this.peers.isInGroup(daemonId) && kind !== BeaconKind.Update) {
             this.options.counts.recordPeerCounts(daemonId, incarnation, counts);
         }
@@ -229,8 +238,8 @@
         const { clock, listStates, timers } = this.options;
         this.timer = timers.start(periodMs, () => this.sendRound());
         this.updatePeers();
-        this.recordPeerStatus();
         const nowMs = clock.getMonotonicMs();
+        this.statusLog.record(this.failureDetector.listUnresponsive(nowMs));
         const states = listStates();
         this.changeSender.recordStates(states);
         const targets = new Set<DaemonInfo>();
@@ -254,6 +263,16 @@
             this.failureDetector.recordProbe(peer.id, nowMs);
             this.sendProbe(peer, states, nowMs);
         }
+        this.sendProofProbe(targets, nowMs);
+    }
+
+    /** Asks for a newer proof of the configuration when the own one is old and no other probe asks the same daemon. */
+    private sendProofProbe(probed: ReadonlySet<DaemonInfo>, nowMs: number): void {
+        const responsive = this.peers.listDomain().filter(({ id }) => !this.isUnresponsive(id));
+        const peer = this.proofProbes.takeTarget(responsive);
+        if (peer !== undefined && !probed.has(peer)) {
+            this.sender.send(peer, BeaconKind.Probe, [], this.proofProbes.createNumber(peer.id, nowMs));
+        }
     }
 
     private sendProbe(peer: DaemonInfo, states: readonly UpstreamState[], nowMs: number): void {
@@ -265,6 +284,7 @@
             peer,
             BeaconKind.Probe,
             own === undefined ? others : [this.sender.buildReport(own), ...others],
+            this.proofProbes.createNumber(peer.id, nowMs),
         );
     }
 
@@ -276,24 +296,4 @@
             this.reports.removeUnlisted(id => membership.find(id) !== undefined);
         }
     }
-
-    /**
-     * Logs the daemons of the local failure domain that became unresponsive or responsive since the last
-     * call.
-     */
-    private recordPeerStatus(): void {
-        const { clock, logger } = this.options;
-        const unresponsive = new Set(this.failureDetector.listUnresponsive(clock.getMonotonicMs()));
-        for (const daemon of unresponsive) {
-            if (!this.unresponsive.has(daemon)) {
-                logger.write(LogLevel.Warn, "peer_silent", { peer: daemon });
-            }
-        }
-        for (const daemon of this.unresponsive) {
-            if (!unresponsive.has(daemon)) {
-                logger.write(LogLevel.Info, "peer_back", { peer: daemon });
-            }
-        }
-        this.unresponsive = unresponsive;
-    }
 }
--- a/src/beacon/beacon_sender.ts
+++ b/src/beacon/beacon_sender.ts
@@ -7,6 +7,7 @@
 import type { BeaconTransport } from "./beacon_transport.ts";
 import type { DomainPeers } from "./domain_peers.ts";
 import type { PeerFailureDetector } from "./peer_failure_detector.ts";
+import type { ProofExchange } from "./proof_exchange.ts";
 import type { RevisionExchange } from "./revision_exchange.ts";
 import type { UpstreamReport } from "./upstream_report.ts";
 
@@ -16,6 +17,7 @@
     readonly transport: BeaconTransport;
     readonly counts: AttemptCountExchange;
     readonly revisions: RevisionExchange;
+    readonly proofs: ProofExchange;
     readonly peers: DomainPeers;
     readonly failureDetector: PeerFailureDetector;
 }
@@ -35,8 +37,14 @@
         this.sequence = options.clock.getWallMs();
     }
 
-    send(peer: DaemonInfo, kind: BeaconKind, reports: readonly UpstreamReport[]): void {
-        const { counts, identity, failureDetector, peers, revisions, transport } = this.options;
+    /** `probeNumber` is that of the probe that is sent or acknowledged. */
+    send(
+        peer: DaemonInfo,
+        kind: BeaconKind,
+        reports: readonly UpstreamReport[],
+        probeNumber?: number,
+    ): void {
+        const { counts, identity, failureDetector, peers, proofs, revisions, transport } = this.options;
         transport.send(peer.address, {
             kind,
             daemonId: identity.ownerId,
@@ -47,6 +55,8 @@
                 : [],
             revision: revisions.getRevision(),
             storeAgeMs: revisions.getStoreAgeMs(),
+            claim: proofs.getClaim(),
+            probeNumber,
             // A probe moves a daemon to the end of the list, so that all suspects are named in turn.
             suspects: failureDetector.listSuspects().slice(-suspectsPerBeacon),
         });
--- a/src/edge/beacon_udp/encode_beacon.ts
+++ b/src/edge/beacon_udp/encode_beacon.ts
@@ -6,6 +6,7 @@
 /** Encodes a beacon as the protobuf message of one datagram. */
 export function encodeBeacon(beacon: Beacon): Uint8Array {
     const { counts, daemonId, incarnation, kind, reports, revision, storeAgeMs, suspects } = beacon;
+    const { claim, probeNumber } = beacon;
     return toBinary(
         BeaconSchema,
         create(BeaconSchema, {
@@ -15,6 +16,12 @@
             incarnation,
             revision: BigInt(revision),
             ...(storeAgeMs === undefined ? {} : { storeAgeMs: encodeUint32(storeAgeMs) }),
+            ...(claim === undefined ? {} : {
+                configVersion: BigInt(claim.version),
+                // Rounding must not make a proof newer than it is.
+                proofAgeMs: encodeUint32(Math.ceil(claim.ageMs)),
+            }),
+            ...(probeNumber === undefined ? {} : { probeNumber: BigInt(probeNumber) }),
             counts: counts.map(count => ({ ...count })),
             reports: reports.map(({ ageMs, sequence, state }) => ({
                 state,
--- a/src/edge/beacon_udp/udp_beacon_transport.ts
+++ b/src/edge/beacon_udp/udp_beacon_transport.ts
@@ -18,10 +18,9 @@
 import { encodeBeacon } from "./encode_beacon.ts";
 
 const decodeBeacon = fromThrowable((bytes: Uint8Array): Beacon => {
-    const { counts, daemonId, incarnation, kind, reports, revision, storeAgeMs, suspects } = fromBinary(
-        BeaconSchema,
-        bytes,
-    );
+    const message = fromBinary(BeaconSchema, bytes);
+    const { counts, daemonId, incarnation, kind, reports, revision, storeAgeMs, suspects } = message;
+    const { configVersion, probeNumber, proofAgeMs } = message;
     return {
         kind: decodeKind(kind),
         daemonId,
@@ -33,6 +32,8 @@
         suspects,
         revision: Number(revision),
         storeAgeMs,
+        claim: proofAgeMs === undefined ? undefined : { version: Number(configVersion), ageMs: proofAgeMs },
+        probeNumber: probeNumber === 0n ? undefined : Number(probeNumber),
     };
 });
 
--- a/src/published/store_follower.ts
+++ b/src/published/store_follower.ts
@@ -24,6 +24,7 @@
 import type { Timers } from "../core/timers.ts";
 import type { MembershipTable } from "../membership/membership_table.ts";
 import { ConfigProof } from "./config_proof.ts";
+import { ConfigProofMonitor } from "./config_proof_monitor.ts";
 import type { ConfigStore } from "./config_store.ts";
 import type { ControlPlane } from "./control_plane.ts";
 import type { PeerChanges } from "./peer_changes.ts";
@@ -77,6 +78,7 @@
     private readonly contact = new StoreContact();
     private readonly history = new StoreHistory();
     private readonly progress = new PeerProgress();
+    private readonly proofMonitor: ConfigProofMonitor;
     private readonly policy: StoreReadPolicy;
     private readonly reader: StoreReader;
     /** Revision to continue from; undefined when all values must be read. */
@@ -95,6 +97,7 @@
         this.applier = new StoreChangeApplier(options);
         this.policy = new StoreReadPolicy(options);
         this.proof = new ConfigProof({ getVersion: () => options.configs.getActive()?.version });
+        this.proofMonitor = new ConfigProofMonitor(this.proof, options);
         const handleRecovery = (answeredMs: number) =>
             this.applier.upstreams.recordPlatformRecovery(answeredMs);
         const handleContact = () => options.peers.sendContact();
@@ -103,6 +106,7 @@
 
     async start(): Promise<void> {
         void this.run();
+        this.proofMonitor.start();
         const limit = this.options.timers.start(this.options.startWaitMs, () => this.resolveReady());
         await this.ready;
         limit.close();
@@ -112,6 +116,7 @@
         this.closed = true;
         this.wake();
         this.lagTimer?.close();
+        this.proofMonitor.close();
         this.options.store.close();
     }
 
--- a/src/wiring/build_store_control.ts
+++ b/src/wiring/build_store_control.ts
@@ -5,6 +5,7 @@
 import { TransportCache } from "../edge/control/transport_cache.ts";
 import { MembershipTable } from "../membership/membership_table.ts";
 import { IoActivity } from "../metrics/io_activity.ts";
+import { ConfigProofExchange } from "../published/config_proof_exchange.ts";
 import { ConfigStore } from "../published/config_store.ts";
 import { StoreControlPlane } from "../published/store_control_plane.ts";
 import { StoreFollower } from "../published/store_follower.ts";
@@ -57,6 +58,12 @@
             },
         },
         revisions: follower,
+        proofs: new ConfigProofExchange({
+            ...base,
+            configs: store,
+            proof: follower.proof,
+            getBounds: () => adapters.getRevocationBounds(),
+        }),
         observer: { recordState: (state, nowMs) => bindings.observer.recordState(state, nowMs) },
         listStates: () => bindings.listStates(),
         counts: {
