--- a/measure/beacons/beacon_fleet.ts
+++ b/measure/beacons/beacon_fleet.ts
@@ -102,7 +102,11 @@
             listStates: () => [createState(upstream.id, state.running)],
             counts: budget,
             proofs: new NullProofExchange(),
-            revisions: { getRevision: () => 1_000, getStoreAgeMs: () => 200, recordPeer: () => undefined },
+            revisions: {
+                getRevision: () => ({ era: 0, revision: 1_000 }),
+                getStoreAgeMs: () => 200,
+                recordPeer: () => undefined,
+            },
             logger: sinks,
         });
         return { exchange, transport, budget, state, address: upstream.ownerAddress };
--- a/proof/control/fakes/fake_platform_store.ts
+++ b/proof/control/fakes/fake_platform_store.ts
@@ -6,6 +6,7 @@
 import type { PlatformStore } from "../../../src/published/platform_store.ts";
 import type { StoreChange } from "../../../src/published/store_change.ts";
 import type { StorePage } from "../../../src/published/store_page.ts";
+import type { StoreRevision } from "../../../src/published/store_revision.ts";
 
 type Reply = Result<StorePage, Failure>;
 
@@ -18,7 +19,7 @@
     /** False while watches without a queued reply stay open beyond their wait. */
     endsWatches = true;
     probes = 0;
-    probedRevision: Result<number, Failure> = err(createFailure(Code.PlatformUnreachable));
+    probedRevision: Result<StoreRevision, Failure> = err(createFailure(Code.PlatformUnreachable));
     peerChanges: readonly StoreChange[] = [];
     private readonly replies: Reply[] = [];
     private resolve: ((reply: Reply) => void) | undefined;
@@ -29,8 +30,8 @@
         return this.read("all");
     }
 
-    watch(afterRevision: number, waitMs: number, signal?: AbortSignal): Promise<Reply> {
-        const reply = this.read(`watch ${afterRevision}`);
+    watch(afterRevision: StoreRevision, waitMs: number, signal?: AbortSignal): Promise<Reply> {
+        const reply = this.read(`watch ${afterRevision.revision}`);
         const { resolve } = this;
         signal?.addEventListener("abort", () => {
             this.resolve = this.resolve === resolve ? undefined : this.resolve;
@@ -53,7 +54,7 @@
         this.resolve = undefined;
     }
 
-    fetchRevision(): Promise<Result<number, Failure>> {
+    fetchRevision(): Promise<Result<StoreRevision, Failure>> {
         this.probes += 1;
         return Promise.resolve(this.probedRevision);
     }
--- a/proof/control/fakes/fake_store_peers.ts
+++ b/proof/control/fakes/fake_store_peers.ts
@@ -4,6 +4,7 @@
 import type { Failure } from "../../../src/core/failure.ts";
 import type { PeerChanges } from "../../../src/published/peer_changes.ts";
 import type { StorePeers } from "../../../src/published/store_peers.ts";
+import type { StoreRevision } from "../../../src/published/store_revision.ts";
 
 /** The other daemons; they hold no changes until `changes` is set. */
 export class FakeStorePeers implements StorePeers {
@@ -25,8 +26,8 @@
         this.contacts += 1;
     }
 
-    fetchChanges(address: string, afterRevision: number): Promise<Result<PeerChanges, Failure>> {
-        this.fetches.push(`${address} ${afterRevision}`);
+    fetchChanges(address: string, after: StoreRevision): Promise<Result<PeerChanges, Failure>> {
+        this.fetches.push(`${address} ${after.revision}`);
         return Promise.resolve(this.changes);
     }
 }
--- a/proof/control/fakes/model_store.ts
+++ b/proof/control/fakes/model_store.ts
@@ -5,6 +5,7 @@
 import type { StoreChange } from "../../../src/published/store_change.ts";
 import { StoreChangeKind } from "../../../src/published/store_change_kind.ts";
 import type { StorePage } from "../../../src/published/store_page.ts";
+import type { StoreRevision } from "../../../src/published/store_revision.ts";
 import type { VirtualTime } from "../../fakes/virtual_time.ts";
 
 interface WrittenChange {
@@ -13,21 +14,38 @@
     readonly atMs: number;
 }
 
-/** A linearizable store with a history and one revision for all values. */
+/** A linearizable store with a history and one revision for all values, which can lose its newest writes. */
 export class ModelStore {
     private writes: WrittenChange[] = [];
+    private era = 0;
     private readonly waiting = new Set<() => void>();
 
     constructor(private readonly time: VirtualTime) {}
 
-    getRevision(): number {
-        return this.writes.length;
-    }
-
     /** Revision of some milliseconds ago, as a read that need not be linearizable may return it. */
-    getStaleRevision(ageMs: number): number {
+    getStaleRevision(ageMs: number): StoreRevision {
         const atMs = this.time.getMonotonicMs() - ageMs;
-        return this.writes.filter(write => write.atMs <= atMs).length;
+        return { era: this.era, revision: this.writes.filter(write => write.atMs <= atMs).length };
+    }
+
+    /** Comes back from a copy that is some milliseconds old; the returned action writes again what it lacks. */
+    load(copyAgeMs: number): () => void {
+        const atMs = this.time.getMonotonicMs() - copyAgeMs;
+        const lost = new Map(
+            this.writes.filter(write => write.atMs > atMs).map(({ change, key }) => [key, change]),
+        );
+        this.writes = this.writes.filter(write => write.atMs <= atMs);
+        this.era += 1;
+        this.waiting.clear();
+        return () => {
+            const written = new Map(this.writes.map(({ atMs: writtenAtMs, key }) => [key, writtenAtMs]));
+            for (const [key, change] of lost) {
+                // A value that was written since is newer than the lost one.
+                if ((written.get(key) ?? -Infinity) <= atMs) {
+                    this.write(key, revision => ({ ...change, revision }));
+                }
+            }
+        };
     }
 
     /** Writes a value and returns the time of the confirmation. */
@@ -44,7 +62,7 @@
         return this.buildPage(changes);
     }
 
-    readAfter(revision: number): Result<StorePage, Failure> {
+    readAfter({ revision }: StoreRevision): Result<StorePage, Failure> {
         return revision > this.writes.length
             ? err(createFailure(Code.PlatformHistoryGone))
             : ok(this.buildPage(this.writes.slice(revision).map(({ change }) => change)));
@@ -62,10 +80,7 @@
     }
 
     private buildPage(changes: readonly StoreChange[]): StorePage {
-        return {
-            revision: this.writes.length,
-            changes,
-            items: changes.map(change => JSON.stringify(change)),
-        };
+        const revision = { era: this.era, revision: this.writes.length };
+        return { revision, changes, items: changes.map(change => JSON.stringify(change)) };
     }
 }
--- a/proof/control/fakes/model_store_client.ts
+++ b/proof/control/fakes/model_store_client.ts
@@ -7,6 +7,7 @@
 import type { StoreChange } from "../../../src/published/store_change.ts";
 import { StoreChangeKind } from "../../../src/published/store_change_kind.ts";
 import type { StorePage } from "../../../src/published/store_page.ts";
+import type { StoreRevision } from "../../../src/published/store_revision.ts";
 import type { VirtualTime } from "../../fakes/virtual_time.ts";
 import type { ModelStore } from "./model_store.ts";
 import type { PausableProcess } from "./pausable_process.ts";
@@ -35,7 +36,7 @@
         return this.sendCall(answer => answer(ok(this.options.store.readAll())));
     }
 
-    watch(afterRevision: number, waitMs: number): Promise<Result<StorePage, Failure>> {
+    watch(afterRevision: StoreRevision, waitMs: number): Promise<Result<StorePage, Failure>> {
         const { store } = this.options;
         return this.sendCall(answer => {
             const page = store.readAfter(afterRevision);
@@ -47,7 +48,7 @@
         });
     }
 
-    fetchRevision(): Promise<Result<number, Failure>> {
+    fetchRevision(): Promise<Result<StoreRevision, Failure>> {
         const { random, store } = this.options;
         return this.sendCall(answer => answer(ok(store.getStaleRevision(maxStaleMs * random.getFloat()))));
     }
--- a/proof/control/fakes/revocation_fault.ts
+++ b/proof/control/fakes/revocation_fault.ts
@@ -1,6 +1,8 @@
 /** Disturbances of a run with removed keys. */
 export const RevocationFault = {
     StoreDown: "store-down",
+    /** The store is away and comes back from an older copy. */
+    StoreRestored: "store-restored",
     StoreSlow: "store-slow",
     StoreCut: "store-cut",
     Freeze: "freeze",
--- a/proof/control/fakes/revocation_fleet.ts
+++ b/proof/control/fakes/revocation_fleet.ts
@@ -56,6 +56,9 @@
 const contactMs = 3_000;
 const startupMs = 3_000;
 const maxLateMs = 6_000;
+/** Oldest copy from which the store comes back, and the time in which what it lacks is written again. */
+const maxCopyAgeMs = 4_000;
+const maxRewriteMs = 1_500;
 
 /** Runs one schedule of faults. */
 export class RevocationFleet {
@@ -120,7 +123,8 @@
             store: this.store,
             maxAgeMs,
             isReachable: () =>
-                !this.isActive(RevocationFault.StoreDown) && !this.has(RevocationFault.StoreCut, index),
+                !this.isActive(RevocationFault.StoreDown) && !this.isActive(RevocationFault.StoreRestored)
+                && !this.has(RevocationFault.StoreCut, index),
             getDelayMs: () => this.isActive(RevocationFault.StoreSlow) ? 400 : 4,
             send: (address, beacon) => this.send(index, address, beacon),
             fetchChanges: (address, after) => this.fetchChanges(index, address, after),
@@ -194,6 +198,10 @@
         if (fault.kind === RevocationFault.Freeze && !this.has(RevocationFault.Freeze, fault.daemon)) {
             this.daemons[fault.daemon]!.process.start(() => this.checkDaemon(fault.daemon));
         }
+        if (fault.kind === RevocationFault.StoreRestored) {
+            const writeLost = this.store.load(maxCopyAgeMs * this.random.getFloat());
+            this.time.start(maxRewriteMs * this.random.getFloat(), writeLost);
+        }
         if (fault.kind === RevocationFault.Restart && !this.has(RevocationFault.Restart, fault.daemon)) {
             this.startDaemon(fault.daemon);
         }
--- a/proof/control/fakes/store_pages.ts
+++ b/proof/control/fakes/store_pages.ts
@@ -5,6 +5,7 @@
 import type { StoreChange } from "../../../src/published/store_change.ts";
 import { StoreChangeKind } from "../../../src/published/store_change_kind.ts";
 import type { StorePage } from "../../../src/published/store_page.ts";
+import type { StoreRevision } from "../../../src/published/store_revision.ts";
 
 type Reply = Result<StorePage, Failure>;
 
@@ -26,13 +27,29 @@
     return { kind: StoreChangeKind.Configuration, revision, version, source: `${version}`, configuration };
 }
 
+function buildRevision(revision: number, era = 0): StoreRevision {
+    return { era, revision };
+}
+
+function buildEraPage(era: number, revision: number, ...changes: StoreChange[]): Reply {
+    return ok({ revision: buildRevision(revision, era), changes, items: [] });
+}
+
 function buildPage(revision: number, ...changes: StoreChange[]): Reply {
-    return ok({ revision, changes, items: [] });
+    return buildEraPage(0, revision, ...changes);
 }
 
 function buildPeer(revision: number, storeAgeMs?: number): PeerRevision {
-    return { address: "peer:1", revision, storeAgeMs };
+    return { address: "peer:1", revision: buildRevision(revision), storeAgeMs };
 }
 
 /** Builders of pages of the store and of reports of other daemons. */
-export const storePages = { buildUpstream, buildRemoval, buildConfiguration, buildPage, buildPeer };
+export const storePages = {
+    buildUpstream,
+    buildRemoval,
+    buildConfiguration,
+    buildPage,
+    buildEraPage,
+    buildPeer,
+    buildRevision,
+};
--- a/proof/fakes/beacon_daemon.ts
+++ b/proof/fakes/beacon_daemon.ts
@@ -42,10 +42,10 @@
         this.exchange = createExchange({
             observer: { recordState: (state, atMs) => this.recordState(state, atMs) },
             revisions: {
-                getRevision: () => this.revision,
+                getRevision: () => ({ era: 0, revision: this.revision }),
                 getStoreAgeMs: () => undefined,
                 recordPeer: ({ revision }) => {
-                    this.peerRevision = Math.max(this.peerRevision, revision);
+                    this.peerRevision = Math.max(this.peerRevision, revision.revision);
                 },
             },
             listStates: () => this.upstreamIds.map(upstreamId => this.buildState(upstreamId)),
--- a/src/beacon/beacon.ts
+++ b/src/beacon/beacon.ts
@@ -1,4 +1,5 @@
 import type { ServiceCount } from "../forward/service_count.ts";
+import type { StoreRevision } from "../published/store_revision.ts";
 import type { BeaconKind } from "./beacon_kind.ts";
 import type { ConfigClaim } from "./config_claim.ts";
 import type { UpstreamReport } from "./upstream_report.ts";
@@ -14,7 +15,7 @@
     /** Counts of recent attempts of the sender; empty unless both daemons share a retry budget. */
     readonly counts: readonly ServiceCount[];
     /** Revision of the platform's store up to which the sender has read; 0 when it has read nothing. */
-    readonly revision: number;
+    readonly revision: StoreRevision;
     /**
      * Milliseconds since a daemon of the failure domain has reached the platform's store, as far as the sender
      * knows; undefined when it knows of none.
--- a/src/beacon/peer_revision.ts
+++ b/src/beacon/peer_revision.ts
@@ -1,9 +1,11 @@
+import type { StoreRevision } from "../published/store_revision.ts";
+
 /** What another daemon of the failure domain has read of the platform's store. */
 export interface PeerRevision {
     /** IP address and port of its interface for other daemons. */
     readonly address: string;
     /** Revision up to which it has read. */
-    readonly revision: number;
+    readonly revision: StoreRevision;
     /**
      * Milliseconds since a daemon of the failure domain has reached the store, as far as the other daemon
      * knows; undefined when it knows of none.
--- a/src/beacon/restarted_owner.test.ts
+++ b/src/beacon/restarted_owner.test.ts
@@ -22,7 +22,15 @@
 }
 
 function createBeacon(daemonId: string, incarnation: string, reports: readonly UpstreamReport[]): Beacon {
-    return { kind: BeaconKind.Ack, daemonId, incarnation, reports, counts: [], revision: 1, suspects: [] };
+    return {
+        kind: BeaconKind.Ack,
+        daemonId,
+        incarnation,
+        reports,
+        counts: [],
+        revision: { era: 0, revision: 1 },
+        suspects: [],
+    };
 }
 
 test("a late report of a replaced process does not mark the upstream of the new process as leaving", async () => {
--- a/src/core/upstream.ts
+++ b/src/core/upstream.ts
@@ -12,6 +12,10 @@
     readonly address?: string;
     /** Number of requests that it runs concurrently; absent when in the owner's settings. */
     readonly slots?: number;
+    /** Start of the process in milliseconds since the epoch, as it reported. */
+    readonly bornMs?: number;
+    /** Number of its report, counted from its start. */
+    readonly sequence?: number;
     /** Milliseconds that remain of its cold start, in which it is slow, as last reported. */
     readonly coldRemainingMs?: number;
 }
--- a/src/edge/beacon_udp/encode_beacon.ts
+++ b/src/edge/beacon_udp/encode_beacon.ts
@@ -14,7 +14,8 @@
             suspects: [...suspects],
             daemonId,
             incarnation,
-            revision: BigInt(revision),
+            revision: BigInt(revision.revision),
+            storeEra: revision.era,
             ...(storeAgeMs === undefined ? {} : { storeAgeMs: encodeUint32(storeAgeMs) }),
             ...(claim === undefined ? {} : {
                 configVersion: BigInt(claim.version),
--- a/src/edge/beacon_udp/udp_beacon_transport.test.ts
+++ b/src/edge/beacon_udp/udp_beacon_transport.test.ts
@@ -15,7 +15,14 @@
     const state = { upstreamId: "u1", ...load, healthScore: 0, leaving: false, faultProbability: 0 };
     const reports = [{ state, sequence: 1, ageMs: 0 }];
     const ids = { daemonId: "d1", incarnation: "i1" };
-    const beacon: Beacon = { kind: BeaconKind.Probe, ...ids, reports, counts: [], revision: 1, suspects: [] };
+    const beacon: Beacon = {
+        kind: BeaconKind.Probe,
+        ...ids,
+        reports,
+        counts: [],
+        revision: { era: 0, revision: 1 },
+        suspects: [],
+    };
     const [port] = await findFreePorts(1);
     const address = `127.0.0.1:${port}`;
     const received = new Promise<Beacon>(resolve => {
--- a/src/edge/beacon_udp/udp_beacon_transport.ts
+++ b/src/edge/beacon_udp/udp_beacon_transport.ts
@@ -20,7 +20,7 @@
 const decodeBeacon = fromThrowable((bytes: Uint8Array): Beacon => {
     const message = fromBinary(BeaconSchema, bytes);
     const { counts, daemonId, incarnation, kind, reports, revision, storeAgeMs, suspects } = message;
-    const { configVersion, probeNumber, proofAgeMs } = message;
+    const { configVersion, probeNumber, proofAgeMs, storeEra } = message;
     return {
         kind: decodeKind(kind),
         daemonId,
@@ -30,7 +30,7 @@
         ),
         counts,
         suspects,
-        revision: Number(revision),
+        revision: { era: storeEra, revision: Number(revision) },
         storeAgeMs,
         claim: proofAgeMs === undefined ? undefined : { version: Number(configVersion), ageMs: proofAgeMs },
         probeNumber: probeNumber === 0n ? undefined : Number(probeNumber),
--- a/src/edge/control/create_control_routes.test.ts
+++ b/src/edge/control/create_control_routes.test.ts
@@ -11,10 +11,19 @@
         revoker: { revoke: () => assert.fail("nothing is revoked") },
         gossip: undefined,
         storeChanges: {
-            findChanges: () => ({ revision: 7, items: ["a"], complete: false, recoveryMs: 299.25 }),
+            findChanges: ({ era, revision }) => ({
+                revision: { era, revision: revision + 2 },
+                items: ["a"],
+                complete: false,
+                recoveryMs: 299.25,
+            }),
         },
     });
     const client = createClient(Control, createRouterTransport(routes));
-    const { items, known, recoveryMs } = await client.fetchStoreChanges({ afterRevision: 5n });
+    const { era, items, known, recoveryMs, revision } = await client.fetchStoreChanges({
+        afterRevision: 5n,
+        afterEra: 2,
+    });
     assert.deepEqual({ items, known, recoveryMs }, { items: ["a"], known: true, recoveryMs: 300 });
+    assert.deepEqual({ era, revision }, { era: 2, revision: 7n });
 });
--- a/src/edge/control/create_control_routes.ts
+++ b/src/edge/control/create_control_routes.ts
@@ -50,14 +50,16 @@
                 const { baseUnknown, head, pieces } = response;
                 return { head: { ...head, version: BigInt(head.version) }, baseUnknown, pieces: [...pieces] };
             },
-            fetchStoreChanges: ({ afterRevision }) => {
-                const changes = storeChanges?.findChanges(Number(afterRevision));
+            fetchStoreChanges: ({ afterEra, afterRevision }) => {
+                const after = { era: afterEra, revision: Number(afterRevision) };
+                const changes = storeChanges?.findChanges(after);
                 return changes === undefined
                     ? { known: false }
                     : {
                         ...changes,
                         known: true,
-                        revision: BigInt(changes.revision),
+                        revision: BigInt(changes.revision.revision),
+                        era: changes.revision.era,
                         recoveryMs: encodeUint32(Math.ceil(changes.recoveryMs)),
                         items: [...changes.items],
                     };
--- a/src/published/config_proof.ts
+++ b/src/published/config_proof.ts
@@ -38,7 +38,7 @@
     private provedMs = -Infinity;
     /** Answers that hold for an earlier moment may describe a store that lacks its newest values. */
     private notBeforeMs = -Infinity;
-    private isReadable = true;
+    private isCurrent = true;
     /** Newest claim about a version that is not in force yet. */
     private pending: ProvedVersion | undefined;
 
@@ -48,14 +48,15 @@
         return this.provedMs;
     }
 
-    /** Milliseconds for which answers of the store prove nothing; infinite while its configuration is unreadable. */
+    /** Milliseconds for which answers of the store prove nothing; infinite while it lacks a
+     * configuration that can be in force. */
     getBlockedMs(nowMs: number): number {
-        return this.isReadable ? Math.max(0, this.notBeforeMs - nowMs) : Infinity;
+        return this.isCurrent ? Math.max(0, this.notBeforeMs - nowMs) : Infinity;
     }
 
     /** Records an answer of the store that holds for a monotonic time, after its changes were put in force. */
     recordAnswer(heldMs: number): void {
-        if (this.isReadable && heldMs >= this.notBeforeMs) {
+        if (this.isCurrent && heldMs >= this.notBeforeMs) {
             this.provedMs = Math.max(this.provedMs, heldMs);
         }
     }
@@ -71,9 +72,12 @@
         }
     }
 
-    /** Must be called after changes were put in force; `isReadable` is false when the configuration was not. */
-    recordApplied(isReadable: boolean): void {
-        this.isReadable = isReadable;
+    /**
+     * Must be called after changes were put in force; `isCurrent` is false when the store's configuration is not the
+     * one in force.
+     */
+    recordApplied(isCurrent: boolean): void {
+        this.isCurrent = isCurrent;
         const { pending } = this;
         if (pending !== undefined) {
             this.pending = undefined;
--- a/src/published/peer_changes.ts
+++ b/src/published/peer_changes.ts
@@ -1,7 +1,9 @@
+import type { StoreRevision } from "./store_revision.ts";
+
 /** Changes of the platform's store that another daemon forwards. */
 export interface PeerChanges {
     /** Revision up to which the changes are complete. */
-    readonly revision: number;
+    readonly revision: StoreRevision;
     /** Changed items in the platform's encoding. */
     readonly items: readonly string[];
     /** True when the items are all values of the store and not only the changes. */
--- a/src/published/peer_progress.ts
+++ b/src/published/peer_progress.ts
@@ -10,20 +10,25 @@
  * @module
  */
 import type { PeerRevision } from "../beacon/peer_revision.ts";
+import { compareRevisions } from "./compare_revisions.ts";
+import { noRevision } from "./no_revision.ts";
+import type { StoreRevision } from "./store_revision.ts";
 
 /** Remembers the newest revision and the daemon that reported it. */
 export class PeerProgress {
-    private revision = 0;
+    private revision = noRevision;
     private newest: PeerRevision | undefined;
     private behindSinceMs = Infinity;
 
     /** Returns true when the other daemon has read more than this one. */
-    record(peer: PeerRevision, ownRevision: number, nowMs: number): boolean {
-        this.revision = Math.max(this.revision, peer.revision);
-        if (peer.revision <= ownRevision) {
+    record(peer: PeerRevision, ownRevision: StoreRevision, nowMs: number): boolean {
+        if (compareRevisions(peer.revision, this.revision) > 0) {
+            this.revision = peer.revision;
+        }
+        if (compareRevisions(peer.revision, ownRevision) <= 0) {
             return false;
         }
-        if (peer.revision >= (this.newest?.revision ?? 0)) {
+        if (compareRevisions(peer.revision, this.newest?.revision ?? noRevision) >= 0) {
             this.newest = peer;
         }
         this.behindSinceMs = Math.min(this.behindSinceMs, nowMs);
@@ -31,23 +36,25 @@
     }
 
     /** Newest revision that another daemon has read. */
-    getRevision(): number {
+    getRevision(): StoreRevision {
         return this.revision;
     }
 
     /** The daemon to ask for newer changes; each report is returned once. */
-    takeNewer(ownRevision: number): PeerRevision | undefined {
+    takeNewer(ownRevision: StoreRevision): PeerRevision | undefined {
         const { newest } = this;
         this.newest = undefined;
-        return newest !== undefined && newest.revision > ownRevision ? newest : undefined;
+        return newest !== undefined && compareRevisions(newest.revision, ownRevision) > 0
+            ? newest
+            : undefined;
     }
 
     /** Records that this daemon has read up to a revision; the store itself has none that is newer. */
-    recordOwn(ownRevision: number, isFromStore: boolean): void {
-        if (isFromStore) {
-            this.revision = Math.min(this.revision, ownRevision);
+    recordOwn(ownRevision: StoreRevision, isFromStore: boolean): void {
+        if (isFromStore && compareRevisions(this.revision, ownRevision) > 0) {
+            this.revision = ownRevision;
         }
-        if (this.revision <= ownRevision) {
+        if (compareRevisions(this.revision, ownRevision) <= 0) {
             this.behindSinceMs = Infinity;
         }
     }
--- a/src/published/platform_store.ts
+++ b/src/published/platform_store.ts
@@ -2,6 +2,7 @@
 import type { Failure } from "../core/failure.ts";
 import type { StoreChange } from "./store_change.ts";
 import type { StorePage } from "./store_page.ts";
+import type { StoreRevision } from "./store_revision.ts";
 
 /** Store of the platform for configuration and upstreams, with one revision for all values. */
 export interface PlatformStore {
@@ -13,12 +14,12 @@
      * connection.
      */
     watch(
-        afterRevision: number,
+        afterRevision: StoreRevision,
         waitMs: number,
         signal?: AbortSignal,
     ): Promise<Result<StorePage, Failure>>;
     /** Reads the store's revision at a tenth of the cost of a call; the answer can be some seconds old. */
-    fetchRevision(): Promise<Result<number, Failure>>;
+    fetchRevision(): Promise<Result<StoreRevision, Failure>>;
     /** Decodes the `items` of a page that another daemon has read. */
     decode(items: readonly string[]): readonly StoreChange[];
     close(): void;
--- a/src/published/store_change_applier.ts
+++ b/src/published/store_change_applier.ts
@@ -20,13 +20,15 @@
     readonly metrics: Metrics;
 }
 
+type ConfigurationChange = Extract<StoreChange, { kind: typeof StoreChangeKind.Configuration; }>;
+
 /** Most characters of the reason why a value is unreadable, in a log line. */
 const maxDetailLength = 300;
 
 /** Puts the values of the platform's store in force. */
 export class StoreChangeApplier {
     readonly upstreams: StoreUpstreamTable;
-    private isReadable = true;
+    private isCurrent = true;
 
     constructor(private readonly options: Options) {
         this.upstreams = new StoreUpstreamTable(options);
@@ -34,25 +36,25 @@
 
     /** Applies a page; a complete one removes the upstreams that it does not list. */
     apply(page: StorePage, isComplete: boolean): void {
-        page.changes.forEach(change => this.applyChangeSafely(change));
+        page.changes.forEach(change => this.applyChangeSafely(change, page, isComplete));
         if (isComplete) {
             this.upstreams.removeUnlisted(page);
         }
         this.upstreams.merge();
     }
 
-    /** False when the store's newest configuration could not be put in force. */
-    isConfigurationReadable(): boolean {
-        return this.isReadable;
+    /** False when the store's configuration could not be put in force, or is older than the one in force. */
+    isConfigurationCurrent(): boolean {
+        return this.isCurrent;
     }
 
     /** A change that cannot be applied must not hide the others of its page. */
-    private applyChangeSafely(change: StoreChange): void {
+    private applyChangeSafely(change: StoreChange, page: StorePage, isComplete: boolean): void {
         try {
-            this.applyChange(change);
+            this.applyChange(change, page.revision.era, isComplete);
         }
         catch (error) {
-            this.isReadable &&= change.kind !== StoreChangeKind.Configuration;
+            this.isCurrent &&= change.kind !== StoreChangeKind.Configuration;
             this.options.logger.write(LogLevel.Error, "platform_change_failed", {
                 revision: change.revision,
                 detail: String(error).slice(0, maxDetailLength),
@@ -60,33 +62,51 @@
         }
     }
 
-    private applyChange(change: StoreChange): void {
-        const { configs, logger, metrics } = this.options;
+    private applyChange(change: StoreChange, era: number, isComplete: boolean): void {
+        const { logger, metrics } = this.options;
+        const revision = { era, revision: change.revision };
         switch (change.kind) {
             case StoreChangeKind.Configuration: {
-                const { configuration, source, version } = change;
-                configs.update({ version, digest: computeDigest(source), source, configuration }, "platform");
-                this.isReadable = true;
+                this.applyConfiguration(change, era);
                 break;
             }
             case StoreChangeKind.Upstream:
-                this.upstreams.add(change.upstream, change.revision);
+                this.upstreams.add(change.upstream, revision, isComplete);
                 break;
             case StoreChangeKind.UpstreamRemoved:
-                this.upstreams.remove(change.upstreamId, change.revision);
+                this.upstreams.remove(change.upstreamId, revision);
                 break;
             case StoreChangeKind.Unreadable: {
-                const { key, revision, upstreamId } = change;
+                const { key, upstreamId } = change;
                 const detail = change.detail.slice(0, maxDetailLength);
                 metrics.addCount("platform.unreadable_values");
-                logger.write(LogLevel.Warn, "platform_value_unreadable", { key, revision, detail });
+                logger.write(LogLevel.Warn, "platform_value_unreadable", {
+                    key,
+                    revision: change.revision,
+                    detail,
+                });
                 if (upstreamId !== undefined) {
                     this.upstreams.remove(upstreamId, revision);
                 }
                 else if (key !== "") {
-                    this.isReadable = false;
+                    this.isCurrent = false;
                 }
             }
         }
     }
+
+    /** The version decides, and not the revision: a store that lost its newest seconds lists an older one for a while. */
+    private applyConfiguration(
+        { configuration, revision, source, version }: ConfigurationChange,
+        era: number,
+    ): void {
+        const { configs, logger } = this.options;
+        const activeVersion = configs.getActive()?.version ?? version;
+        this.isCurrent = version >= activeVersion;
+        if (era > 0 && !this.isCurrent) {
+            logger.write(LogLevel.Info, "config_older_in_store", { version, activeVersion, revision, era });
+            return;
+        }
+        configs.update({ version, digest: computeDigest(source), source, configuration }, "platform");
+    }
 }
--- a/src/published/store_follower.test.ts
+++ b/src/published/store_follower.test.ts
@@ -107,7 +107,7 @@
     store.endsWatches = true;
     store.send(buildPage(8, buildConfiguration(2, 7)));
     await time.run(100);
-    assert.deepEqual([configs.getActive()?.version, follower.getRevision()], [2, 8]);
+    assert.deepEqual([configs.getActive()?.version, follower.getRevision().revision], [2, 8]);
     await time.run(5_000);
     assert.deepEqual(
         store.calls,
--- a/src/published/store_follower.ts
+++ b/src/published/store_follower.ts
@@ -23,10 +23,12 @@
 import type { Timer } from "../core/timer.ts";
 import type { Timers } from "../core/timers.ts";
 import type { MembershipTable } from "../membership/membership_table.ts";
+import { compareRevisions } from "./compare_revisions.ts";
 import { ConfigProof } from "./config_proof.ts";
 import { ConfigProofMonitor } from "./config_proof_monitor.ts";
 import type { ConfigStore } from "./config_store.ts";
 import type { ControlPlane } from "./control_plane.ts";
+import { noRevision } from "./no_revision.ts";
 import type { PeerChanges } from "./peer_changes.ts";
 import { PeerProgress } from "./peer_progress.ts";
 import type { PlatformStore } from "./platform_store.ts";
@@ -38,6 +40,7 @@
 import type { StorePeers } from "./store_peers.ts";
 import { StoreReadPolicy } from "./store_read_policy.ts";
 import { StoreReader } from "./store_reader.ts";
+import type { StoreRevision } from "./store_revision.ts";
 
 interface Options {
     readonly store: PlatformStore;
@@ -82,7 +85,9 @@
     private readonly policy: StoreReadPolicy;
     private readonly reader: StoreReader;
     /** Revision to continue from; undefined when all values must be read. */
-    private revision: number | undefined;
+    private revision: StoreRevision | undefined;
+    /** Era of the last page; the store came back from an older copy when that of a page is later. */
+    private era = 0;
     private lagTimer: Timer | undefined;
     private hasRead = false;
     private closed = false;
@@ -117,11 +122,12 @@
         this.wake();
         this.lagTimer?.close();
         this.proofMonitor.close();
+        this.applier.upstreams.close();
         this.options.store.close();
     }
 
-    getRevision(): number {
-        return this.revision ?? 0;
+    getRevision(): StoreRevision {
+        return this.revision ?? noRevision;
     }
 
     getStoreAgeMs(): number | undefined {
@@ -129,7 +135,7 @@
         return Number.isFinite(ageMs) ? ageMs : undefined;
     }
 
-    findChanges(afterRevision: number): PeerChanges | undefined {
+    findChanges(afterRevision: StoreRevision): PeerChanges | undefined {
         const changes = this.history.find(afterRevision, this.options.clock.getMonotonicMs());
         return changes && { ...changes, recoveryMs: this.applier.upstreams.getRecoveryMs() };
     }
@@ -201,7 +207,7 @@
     }
 
     /** True when another daemon sent newer changes, which are in force now. */
-    private async fetchFromPeer(revision: number): Promise<boolean> {
+    private async fetchFromPeer(revision: StoreRevision): Promise<boolean> {
         const { metrics, peers, store } = this.options;
         const peer = this.progress.takeNewer(revision);
         if (peer === undefined) {
@@ -209,7 +215,7 @@
         }
         const changes = await peers.fetchChanges(peer.address, revision);
         metrics.addCount("platform.peer_reads", { failed: `${changes.isErr()}` });
-        if (changes.isErr() || changes.value.revision <= revision) {
+        if (changes.isErr() || compareRevisions(changes.value.revision, revision) <= 0) {
             return false;
         }
         const { complete, items, recoveryMs } = changes.value;
@@ -220,7 +226,7 @@
     }
 
     /** Reads all values, or the changes after a revision, and returns the delay before the next step. */
-    private async readStore(afterRevision: number | undefined, waitMs: number): Promise<number> {
+    private async readStore(afterRevision: StoreRevision | undefined, waitMs: number): Promise<number> {
         const result = await this.reader.read(afterRevision, waitMs);
         if (this.closed) {
             return 0;
@@ -233,6 +239,9 @@
         const isFirst = !this.hasRead;
         this.hasRead = true;
         this.progress.recordOwn(page.revision, true);
+        if (!isFirst && page.revision.era > this.era) {
+            this.applier.upstreams.recordPlatformRecovery(this.options.clock.getMonotonicMs());
+        }
         this.apply(page, afterRevision);
         this.proof.recordAnswer(heldMs);
         if (page.changes.length === 0) {
@@ -246,17 +255,28 @@
     }
 
     /** `afterRevision` is undefined for a page with all values. */
-    private apply(page: StorePage, afterRevision: number | undefined): void {
+    private apply(page: StorePage, afterRevision: StoreRevision | undefined): void {
+        this.recordEra(page.revision.era);
         this.revision = page.revision;
         this.progress.recordOwn(page.revision, false);
         this.history.record(afterRevision, page, this.options.clock.getMonotonicMs());
         this.applier.apply(page, afterRevision === undefined);
-        this.proof.recordApplied(this.applier.isConfigurationReadable());
+        this.proof.recordApplied(this.applier.isConfigurationCurrent());
         if (this.options.configs.getActive() !== undefined) {
             this.resolveReady();
         }
     }
 
+    private recordEra(era: number): void {
+        const { clock, logger, metrics } = this.options;
+        if (era > this.era) {
+            logger.write(LogLevel.Warn, "platform_restored", { era, before: this.era });
+            metrics.addCount("platform.era_changes");
+            this.proof.recordLoss(clock.getMonotonicMs());
+        }
+        this.era = era;
+    }
+
     /** Keeps following the store after an error that no call reports; returns the delay before the next step. */
     private recordUnexpectedError(error: unknown): number {
         this.options.logger.write(LogLevel.Error, "platform_follow_failed", { detail: String(error) });
--- a/src/published/store_history.ts
+++ b/src/published/store_history.ts
@@ -10,18 +10,20 @@
  *
  * @module
  */
+import { compareRevisions } from "./compare_revisions.ts";
 import type { StorePage } from "./store_page.ts";
+import type { StoreRevision } from "./store_revision.ts";
 
 interface RecordedPage {
     /** The page holds all changes after this revision, up to its own; undefined when it holds all values. */
-    readonly afterRevision: number | undefined;
+    readonly afterRevision: StoreRevision | undefined;
     readonly page: StorePage;
     readonly atMs: number;
 }
 
 /** Values in the platform's encoding, up to `revision`. */
 interface StoredChanges {
-    readonly revision: number;
+    readonly revision: StoreRevision;
     readonly items: readonly string[];
     /** True when the items are all values and not only the changes. */
     readonly complete: boolean;
@@ -42,12 +44,16 @@
     private pages: RecordedPage[] = [];
 
     /** Records a page of the changes after `afterRevision`, or one with all values. */
-    record(afterRevision: number | undefined, page: StorePage, nowMs: number): void {
-        if (afterRevision !== undefined && page.revision <= afterRevision) {
+    record(afterRevision: StoreRevision | undefined, page: StorePage, nowMs: number): void {
+        if (afterRevision !== undefined && compareRevisions(page.revision, afterRevision) <= 0) {
             return;
         }
+        const newest = this.pages.at(-1);
         // A gap hides changes from daemons that have read less than the new page starts from.
-        if (afterRevision === undefined || this.pages.at(-1)?.page.revision !== afterRevision) {
+        if (
+            afterRevision === undefined || newest === undefined
+            || compareRevisions(newest.page.revision, afterRevision) !== 0
+        ) {
             this.pages = [];
         }
         this.pages.push({ afterRevision, page, atMs: nowMs });
@@ -55,18 +61,19 @@
     }
 
     /** Undefined when some of the changes after the revision are unknown, or when they are too large. */
-    find(afterRevision: number, nowMs: number): StoredChanges | undefined {
+    find(afterRevision: StoreRevision, nowMs: number): StoredChanges | undefined {
         this.removeOld(nowMs);
         const newest = this.pages.at(-1);
         const [oldest] = this.pages;
         if (oldest === undefined || newest === undefined) {
             return undefined;
         }
-        const complete = oldest.afterRevision === undefined && afterRevision < oldest.page.revision;
-        if (!complete && afterRevision < (oldest.afterRevision ?? oldest.page.revision)) {
+        const isBefore = (revision: StoreRevision) => compareRevisions(afterRevision, revision) < 0;
+        const complete = oldest.afterRevision === undefined && isBefore(oldest.page.revision);
+        if (!complete && isBefore(oldest.afterRevision ?? oldest.page.revision)) {
             return undefined;
         }
-        const items = this.pages.filter(({ page }) => page.revision > afterRevision)
+        const items = this.pages.filter(({ page }) => isBefore(page.revision))
             .flatMap(({ page }) => page.items);
         const length = items.reduce((sum, item) => sum + item.length, 0);
         return length > maxItemsLength ? undefined : { revision: newest.page.revision, items, complete };
--- a/src/published/store_peers.ts
+++ b/src/published/store_peers.ts
@@ -1,6 +1,7 @@
 import type { Result } from "neverthrow";
 import type { Failure } from "../core/failure.ts";
 import type { PeerChanges } from "./peer_changes.ts";
+import type { StoreRevision } from "./store_revision.ts";
 
 /** The other daemons of the failure domain, with which a daemon shares what it reads of the store. */
 export interface StorePeers {
@@ -14,5 +15,5 @@
      * Fetches the changes after a revision from another daemon. Fails with PlatformHistoryGone when it does
      * not hold all of them, and with PeerUnreachable.
      */
-    fetchChanges(address: string, afterRevision: number): Promise<Result<PeerChanges, Failure>>;
+    fetchChanges(address: string, afterRevision: StoreRevision): Promise<Result<PeerChanges, Failure>>;
 }
--- a/src/published/store_probe.ts
+++ b/src/published/store_probe.ts
@@ -15,13 +15,14 @@
 import type { Timer } from "../core/timer.ts";
 import type { Timers } from "../core/timers.ts";
 import type { PlatformStore } from "./platform_store.ts";
+import type { StoreRevision } from "./store_revision.ts";
 
 interface Options {
     readonly store: PlatformStore;
     readonly timers: Timers;
     readonly metrics: Metrics;
     /** Called with the revision of each answer; it can be some seconds old. */
-    readonly handleRevision: (revision: number) => void;
+    readonly handleRevision: (revision: StoreRevision) => void;
 }
 
 /** Milliseconds between two probes. The platform charges one a tenth of a call. */
--- a/src/published/store_read_policy.ts
+++ b/src/published/store_read_policy.ts
@@ -86,7 +86,7 @@
     /** Whole milliseconds for which a watch waits at most. */
     computeWatchMs({ ageMs, blockedMs }: ProofState): number {
         const watchMs = Math.max(minWatchMs, this.options.getSilenceMs() - silenceReserveMs);
-        const leftMs = Math.max(blockedMs, watchProofShare * this.getMaxProofAgeMs() - ageMs);
+        const leftMs = this.computeProofLeftMs({ ageMs, blockedMs }, watchProofShare);
         if (leftMs >= minWatchMs) {
             return Math.ceil(Math.min(watchMs, leftMs));
         }
@@ -99,9 +99,8 @@
         const jitter = random.getFloat();
         const maxContactAgeMs = getApplyMs()
             * (rank === 1 ? standbyContactShare : contactShare + contactJitter * jitter);
-        const maxProofAgeMs = this.getMaxProofAgeMs()
-            * (rank === 1 ? standbyProofShare : proofShare + proofJitter * jitter);
-        const proofLeftMs = Math.max(proof.blockedMs, maxProofAgeMs - proof.ageMs);
+        const share = rank === 1 ? standbyProofShare : proofShare + proofJitter * jitter;
+        const proofLeftMs = this.computeProofLeftMs(proof, share);
         return Math.min(maxContactAgeMs - contactAgeMs, maxBehindMs - behindMs, proofLeftMs);
     }
 
@@ -110,8 +109,9 @@
         return pollMs;
     }
 
-    private getMaxProofAgeMs(): number {
+    /** Milliseconds until the proof must be renewed that may be as old as a share of the bound. */
+    private computeProofLeftMs({ ageMs, blockedMs }: ProofState, share: number): number {
         const { isStrict, maxAgeMs } = this.options.getBounds();
-        return isStrict ? maxAgeMs : Infinity;
+        return isStrict ? Math.max(blockedMs, share * maxAgeMs - ageMs) : Infinity;
     }
 }
--- a/src/published/store_reader.ts
+++ b/src/published/store_reader.ts
@@ -13,6 +13,7 @@
 import { err, ok, type Result } from "neverthrow";
 import type { Clock } from "../core/clock.ts";
 import { Code } from "../core/code.ts";
+import { createFailure } from "../core/create_failure.ts";
 import type { Failure } from "../core/failure.ts";
 import { LogLevel } from "../core/log_level.ts";
 import type { Logger } from "../core/logger.ts";
@@ -20,6 +21,7 @@
 import type { RandomSource } from "../core/random_source.ts";
 import type { Timer } from "../core/timer.ts";
 import type { Timers } from "../core/timers.ts";
+import { compareRevisions } from "./compare_revisions.ts";
 import type { PlatformStore } from "./platform_store.ts";
 import type { StoreAnswer } from "./store_answer.ts";
 import { StoreCall } from "./store_call.ts";
@@ -27,6 +29,7 @@
 import { StoreOutage } from "./store_outage.ts";
 import type { StorePage } from "./store_page.ts";
 import { StoreProbe } from "./store_probe.ts";
+import type { StoreRevision } from "./store_revision.ts";
 
 interface Options {
     readonly store: PlatformStore;
@@ -92,7 +95,7 @@
     private readonly call: StoreCall;
     private readonly outage = new StoreOutage();
     /** Revision from which the current call reads; undefined when it reads all values. */
-    private afterRevision: number | undefined;
+    private afterRevision: StoreRevision | undefined;
     /** True when the call was aborted because the watch is stale while the store serves other daemons. */
     private isWatchStale = false;
     /** True when a probe found that the pending watch delivers nothing. */
@@ -113,7 +116,10 @@
      * a failed call the store is not asked to wait: a watch ends with the next change, which tells neither whether
      * its connection works nor when an outage ended.
      */
-    async read(afterRevision: number | undefined, waitMs: number): Promise<Result<StoreAnswer, FailedRead>> {
+    async read(
+        afterRevision: StoreRevision | undefined,
+        waitMs: number,
+    ): Promise<Result<StoreAnswer, FailedRead>> {
         const { clock, contact, store } = this.options;
         this.afterRevision = afterRevision;
         this.isWatchStale = false;
@@ -131,7 +137,9 @@
             signal =>
                 afterRevision === undefined
                     ? store.fetchAll(signal)
-                    : store.watch(afterRevision, callWaitMs, signal),
+                    : store.watch(afterRevision, callWaitMs, signal).then(watched =>
+                        watched.andThen(page => checkContinuation(page, afterRevision))
+                    ),
             limitMs,
         );
         probe.close();
@@ -151,9 +159,9 @@
     }
 
     /** Ends a watch that delivers nothing although the store has a newer revision. */
-    cancelStaleWatch(newerRevision: number): void {
+    cancelStaleWatch({ era, revision }: StoreRevision): void {
         this.isWatchStale = true;
-        this.call.cancel(`the watch is stale: the store has revision ${newerRevision}`);
+        this.call.cancel(`the watch is stale: the store has revision ${revision} of era ${era}`);
     }
 
     /** Records that the store answered a daemon of the failure domain, which ends an outage before that moment. */
@@ -207,9 +215,9 @@
      * A probe that finds a newer revision shows that the pending watch delivers nothing, unless its answer is on
      * the way. Such a probe is no contact, because this daemon lacks a change.
      */
-    private recordProbe(revision: number): void {
+    private recordProbe(revision: StoreRevision): void {
         const { clock, contact, handleContact, timers } = this.options;
-        if (this.afterRevision === undefined || revision <= this.afterRevision) {
+        if (this.afterRevision === undefined || compareRevisions(revision, this.afterRevision) <= 0) {
             contact.record(clock.getMonotonicMs());
             handleContact();
             return;
@@ -251,3 +259,10 @@
 function computeHeldMs(page: StorePage, { endMs, startMs, waitMs }: AnsweredCall): number {
     return page.changes.length === 0 && endMs >= startMs + waitMs ? startMs + waitMs : startMs;
 }
+
+/** A store that came back from an older copy has given the revisions of a watch out again, or lacks them. */
+function checkContinuation(page: StorePage, after: StoreRevision): Result<StorePage, Failure> {
+    return page.revision.era === after.era && compareRevisions(page.revision, after) >= 0
+        ? ok(page)
+        : err(createFailure(Code.PlatformHistoryGone));
+}
--- a/src/published/store_sharing.test.ts
+++ b/src/published/store_sharing.test.ts
@@ -6,7 +6,7 @@
 import { Code } from "../core/code.ts";
 import { createFailure } from "../core/create_failure.ts";
 
-const { buildConfiguration, buildPage, buildPeer, buildRemoval, buildUpstream } = storePages;
+const { buildConfiguration, buildPage, buildPeer, buildRemoval, buildRevision, buildUpstream } = storePages;
 
 /** Starts a daemon that watches nothing itself and has read revision 5. */
 async function createFollowing(storeAgeMs = 0) {
@@ -23,10 +23,10 @@
 test("a daemon that is no reader puts the changes of another daemon in force without a call to the store", async () => {
     const { follower, listIds, peers, store, time } = await createFollowing();
     store.peerChanges = [buildRemoval("u1", 6), buildUpstream("u2", 7)];
-    peers.changes = ok({ revision: 7, items: ["0", "1"], recoveryMs: 0, complete: false });
+    peers.changes = ok({ revision: buildRevision(7), items: ["0", "1"], recoveryMs: 0, complete: false });
     follower.recordPeer(buildPeer(7, 0));
     await time.run(20);
-    assert.deepEqual([listIds(), follower.getRevision()], ["u2", 7]);
+    assert.deepEqual([listIds(), follower.getRevision()], ["u2", buildRevision(7)]);
     for (let elapsedMs = 0; elapsedMs < 20_000; elapsedMs += 500) {
         follower.recordPeer(buildPeer(7, 300));
         await time.run(500);
@@ -62,7 +62,7 @@
 test("an outage that another daemon noticed keeps the entries that expired in it", async () => {
     const { follower, listIds, peers, store, time } = await createFollowing();
     store.peerChanges = [buildRemoval("u1", 6)];
-    peers.changes = ok({ revision: 6, items: ["0"], recoveryMs: 2_000, complete: false });
+    peers.changes = ok({ revision: buildRevision(6), items: ["0"], recoveryMs: 2_000, complete: false });
     follower.recordPeer(buildPeer(6, 0));
     await time.run(20);
     assert.equal(listIds(), "u1");
@@ -71,7 +71,7 @@
 test("daemons that fetch removals after an outage hold them back only as long as the daemon that noticed it", async () => {
     const { follower, listIds, peers, store, time } = await createFollowing();
     store.peerChanges = [buildRemoval("u1", 6)];
-    peers.changes = ok({ revision: 6, items: ["0"], recoveryMs: 300, complete: false });
+    peers.changes = ok({ revision: buildRevision(6), items: ["0"], recoveryMs: 300, complete: false });
     follower.recordPeer(buildPeer(6, 0));
     await time.run(20);
     assert.equal(listIds(), "u1");
@@ -106,11 +106,11 @@
         // The others read the store every 900 ms, and this daemon learns of it 200 ms later.
         follower.recordPeer(buildPeer(5, 200 + elapsedMs % 900));
         await time.run(100);
-        longestRecoveryMs = Math.max(longestRecoveryMs, follower.findChanges(5)!.recoveryMs);
+        longestRecoveryMs = Math.max(longestRecoveryMs, follower.findChanges(buildRevision(5))!.recoveryMs);
     }
     assert.equal(longestRecoveryMs, 0);
     store.peerChanges = [buildRemoval("u1", 6)];
-    peers.changes = ok({ revision: 6, items: ["0"], recoveryMs: 0, complete: false });
+    peers.changes = ok({ revision: buildRevision(6), items: ["0"], recoveryMs: 0, complete: false });
     follower.recordPeer(buildPeer(6, 300));
     await time.run(1_100);
     assert.equal(listIds(), "");
@@ -119,17 +119,25 @@
 test("a reader announces what it reads and sends it to daemons that have read less", async () => {
     const { follower, peers, store, time } = createFollowerSetup();
     void follower.start();
-    store.send(ok({ revision: 5, changes: [buildConfiguration(1, 3)], items: ["all"] }));
+    store.send(ok({ revision: buildRevision(5), changes: [buildConfiguration(1, 3)], items: ["all"] }));
     await time.run(500);
     assert.equal(peers.announcements, 0, "at its start it reads nothing that the others lack");
-    store.send(ok({ revision: 6, changes: [buildUpstream("u1", 6)], items: ["change"] }));
+    store.send(ok({ revision: buildRevision(6), changes: [buildUpstream("u1", 6)], items: ["change"] }));
     await time.run(20);
     assert.equal(peers.announcements, 1);
-    const parts = { revision: 6, recoveryMs: 0 };
-    assert.deepEqual(follower.findChanges(5), { ...parts, items: ["change"], complete: false });
-    assert.deepEqual(follower.findChanges(4), { ...parts, items: ["all", "change"], complete: true });
+    const parts = { revision: buildRevision(6), recoveryMs: 0 };
+    assert.deepEqual(follower.findChanges(buildRevision(5)), {
+        ...parts,
+        items: ["change"],
+        complete: false,
+    });
+    assert.deepEqual(follower.findChanges(buildRevision(4)), {
+        ...parts,
+        items: ["all", "change"],
+        complete: true,
+    });
     await time.run(21_000);
-    assert.equal(follower.findChanges(5), undefined, "old pages are not kept");
+    assert.equal(follower.findChanges(buildRevision(5)), undefined, "old pages are not kept");
 });
 
 // The store forgot its history; the others kept an old configuration for 4 s after the reader had the new one.
@@ -139,13 +147,13 @@
     reader.store.send(
         buildPage(5, buildConfiguration(1, 3)),
         err(createFailure(Code.PlatformHistoryGone)),
-        ok({ revision: 9, changes: [buildConfiguration(2, 8)], items: ["0", "1"] }),
+        ok({ revision: buildRevision(9), changes: [buildConfiguration(2, 8)], items: ["0", "1"] }),
     );
     await reader.time.run(1_000);
     assert.equal(reader.peers.announcements, 1);
     const { configs, follower, listIds, peers, store, time } = await createFollowing();
     store.peerChanges = [buildConfiguration(2, 8), buildUpstream("u2", 9)];
-    peers.changes = ok(reader.follower.findChanges(5)!);
+    peers.changes = ok(reader.follower.findChanges(buildRevision(5))!);
     follower.recordPeer(buildPeer(9, 0));
     await time.run(20);
     assert.deepEqual([configs.getActive()?.version, listIds(), store.calls], [2, "u2", []]);
@@ -156,11 +164,11 @@
     void follower.start();
     store.send(buildPage(5, buildConfiguration(1, 3)));
     await time.run(500);
-    store.probedRevision = ok(5);
+    store.probedRevision = ok(buildRevision(5));
     await time.run(1_000);
     const { contacts } = peers;
     assert.ok(contacts > 0 && follower.getStoreAgeMs()! <= 500, "probes confirm that the store is reachable");
-    store.probedRevision = ok(6);
+    store.probedRevision = ok(buildRevision(6));
     store.endsWatches = false;
     await time.run(800);
     assert.equal(peers.contacts, contacts, "a daemon that lacks a change does not report a contact");
@@ -175,7 +183,7 @@
     const { configs, follower, store, time } = createFollowerSetup();
     void follower.start();
     store.send(buildPage(5, buildConfiguration(1, 3)));
-    store.probedRevision = ok(5);
+    store.probedRevision = ok(buildRevision(5));
     await time.run(500);
     store.removePending();
     store.send(buildPage(6, buildConfiguration(2, 6)));
@@ -189,9 +197,9 @@
     const { follower, store, time } = createFollowerSetup();
     void follower.start();
     store.send(buildPage(5, buildConfiguration(1, 3)));
-    store.probedRevision = ok(5);
+    store.probedRevision = ok(buildRevision(5));
     await time.run(2_000);
-    store.probedRevision = ok(6);
+    store.probedRevision = ok(buildRevision(6));
     store.send(buildPage(6, buildConfiguration(2, 6)));
     for (let elapsedMs = 0; elapsedMs < 5_000; elapsedMs += 10) {
         await time.run(10);
@@ -215,7 +223,9 @@
     void follower.start();
     store.send(buildPage(5, buildConfiguration(1, 3)));
     await time.run(500);
-    store.send(ok({ revision: 6, changes: [buildConfiguration(2, 6)], items: ["x".repeat(500_000)] }));
+    store.send(
+        ok({ revision: buildRevision(6), changes: [buildConfiguration(2, 6)], items: ["x".repeat(500_000)] }),
+    );
     await time.run(20);
-    assert.equal(follower.findChanges(5), undefined);
+    assert.equal(follower.findChanges(buildRevision(5)), undefined);
 });
--- a/src/published/store_upstream_table.ts
+++ b/src/published/store_upstream_table.ts
@@ -5,8 +5,11 @@
 import type { Timers } from "../core/timers.ts";
 import type { Upstream } from "../core/upstream.ts";
 import type { MembershipTable } from "../membership/membership_table.ts";
+import { compareRevisions } from "./compare_revisions.ts";
+import { noRevision } from "./no_revision.ts";
 import { StoreChangeKind } from "./store_change_kind.ts";
 import type { StorePage } from "./store_page.ts";
+import type { StoreRevision } from "./store_revision.ts";
 
 interface Options {
     readonly clock: Clock;
@@ -21,9 +24,17 @@
  */
 const recoveryGraceMs = 2_000;
 
+/**
+ * Milliseconds after which an entry that a restored store lists, and that was removed before, counts as written by a
+ * live upstream: an upstream writes every 1.5 s, and its entry expires after three missed writes.
+ */
+const copyReviewMs = 6_000;
+
 interface StoredEntry {
     readonly upstream: Upstream | undefined;
-    readonly revision: number;
+    /** The upstream as it was before it was removed. */
+    readonly last: Upstream | undefined;
+    readonly revision: StoreRevision;
 }
 
 /** Upstreams of the store with the revision of each, so that an older change never replaces a newer one. */
@@ -36,24 +47,44 @@
     private recoveryTimer: Timer | undefined;
     /** Upstreams whose entries expired in an outage; they are kept until `recoversUntilMs`. */
     private readonly expired = new Set<string>();
+    /** Entries of a restored store for upstreams that were removed before, until they are written again. */
+    private readonly doubted = new Map<string, Upstream>();
+    private reviewTimer: Timer | undefined;
 
     constructor(private readonly options: Options) {}
 
-    add(upstream: Upstream, revision: number): void {
-        if (this.isNewer(upstream.id, revision)) {
-            this.set(upstream.id, upstream, revision);
-            this.expired.delete(upstream.id);
+    /**
+     * Adds the entry of an upstream. An entry of a page with all values may come from the older copy of which the
+     * store was restored; it replaces what this daemon knows only if the upstream wrote it later.
+     */
+    add(upstream: Upstream, revision: StoreRevision, isFromAll: boolean): void {
+        const { id } = upstream;
+        const known = this.entries.get(id);
+        if (known !== undefined && compareRevisions(revision, known.revision) <= 0) {
+            return;
         }
+        this.expired.delete(id);
+        const isRestored = isFromAll && known !== undefined && known.revision.era < revision.era;
+        if (isRestored && known.last !== undefined && !isWrittenLater(upstream, known.last)) {
+            this.entries.set(id, { ...known, revision });
+            if (known.upstream === undefined) {
+                this.startReview(upstream);
+            }
+            return;
+        }
+        this.doubted.delete(id);
+        this.set(id, upstream, revision);
     }
 
-    remove(upstreamId: string, revision: number): void {
-        if (!this.isNewer(upstreamId, revision)) {
+    remove(upstreamId: string, revision: StoreRevision): void {
+        const known = this.entries.get(upstreamId);
+        if (known !== undefined && compareRevisions(revision, known.revision) <= 0) {
             return;
         }
-        const known = this.entries.get(upstreamId);
+        this.doubted.delete(upstreamId);
         if (known?.upstream !== undefined && !known.upstream.leaving && this.getRecoveryMs() > 0) {
             this.expired.add(upstreamId);
-            this.entries.set(upstreamId, { upstream: known.upstream, revision });
+            this.entries.set(upstreamId, { ...known, revision });
             return;
         }
         this.set(upstreamId, undefined, revision);
@@ -95,6 +126,11 @@
         this.recoveryTimer = timers.start(untilMs - clock.getMonotonicMs(), () => this.removeExpired());
     }
 
+    close(): void {
+        this.recoveryTimer?.close();
+        this.reviewTimer?.close();
+    }
+
     /** Merges the list into the membership table when it has changed. */
     merge(): void {
         if (!this.changed) {
@@ -113,14 +149,30 @@
 
     private removeExpired(): void {
         for (const id of this.expired) {
-            this.set(id, undefined, this.entries.get(id)?.revision ?? 0);
+            this.set(id, undefined, this.entries.get(id)?.revision ?? noRevision);
         }
         this.expired.clear();
         this.merge();
     }
 
-    private set(upstreamId: string, upstream: Upstream | undefined, revision: number): void {
-        this.entries.set(upstreamId, { upstream, revision });
+    private startReview(upstream: Upstream): void {
+        this.doubted.set(upstream.id, upstream);
+        this.reviewTimer ??= this.options.timers.start(copyReviewMs, () => this.addDoubted());
+    }
+
+    /** Adds the entries that the restored store still lists. */
+    private addDoubted(): void {
+        this.reviewTimer = undefined;
+        for (const [id, upstream] of this.doubted) {
+            this.set(id, upstream, this.entries.get(id)?.revision ?? noRevision);
+        }
+        this.doubted.clear();
+        this.merge();
+    }
+
+    private set(upstreamId: string, upstream: Upstream | undefined, revision: StoreRevision): void {
+        const last = upstream ?? this.entries.get(upstreamId)?.last;
+        this.entries.set(upstreamId, { upstream, last, revision });
         this.changed = true;
     }
 
@@ -128,9 +180,10 @@
     getRecoveryMs(): number {
         return Math.max(0, this.recoversUntilMs - this.options.clock.getMonotonicMs());
     }
+}
 
-    private isNewer(upstreamId: string, revision: number): boolean {
-        const known = this.entries.get(upstreamId);
-        return known === undefined || revision > known.revision;
-    }
+/** True when the upstream wrote `entry` after `known`, by its start and by its count of writes since. */
+function isWrittenLater(entry: Upstream, known: Upstream): boolean {
+    const bornDifferenceMs = (entry.bornMs ?? 0) - (known.bornMs ?? 0);
+    return bornDifferenceMs > 0 || (bornDifferenceMs === 0 && (entry.sequence ?? 0) > (known.sequence ?? 0));
 }
