--- a/src/edge/beacon_udp/udp_beacon_transport.test.ts
+++ b/src/edge/beacon_udp/udp_beacon_transport.test.ts
@@ -33,3 +33,27 @@
     assert.deepEqual((await received).reports, []);
     assert.equal(metrics.counts.get("beacon.not_encodable"), 1);
 });
+
+test("a claim that is rounded does not become newer, and an era and the number of a probe arrive", async t => {
+    const transport = new UdpBeaconTransport(new RecordingSinks());
+    t.after(() => transport.close());
+    const beacon: Beacon = {
+        kind: BeaconKind.Ack,
+        daemonId: "d1",
+        incarnation: "i1",
+        reports: [],
+        counts: [],
+        revision: { era: 3, revision: 7 },
+        storeAgeMs: 1,
+        claim: { version: 9, ageMs: 100.2 },
+        probeNumber: 2 ** 47 + 1,
+        suspects: [],
+    };
+    const [port] = await findFreePorts(1);
+    const address = `127.0.0.1:${port}`;
+    const received = new Promise<Beacon>(resolve => {
+        void transport.open(address, resolve);
+    });
+    transport.send(address, beacon);
+    assert.deepEqual(await received, { ...beacon, claim: { version: 9, ageMs: 101 } });
+});
