Count a watch as waited in vain only at the revision at which it began

Cause: a watch that ends early with a change of a value that is not read here has no changes either, so that its answer, when it lay in the socket of a stopped process, proved the configuration until the end of a wait that never took place. Change: the revision decides. A hint at a newer proof is dropped once an acknowledgement has brought one.

--- a/src/beacon/proof_probes.ts
+++ b/src/beacon/proof_probes.ts
@@ -75,6 +75,9 @@
         const probe = probeNumber === undefined ? undefined : this.sent.get(probeNumber);
         if (kind === BeaconKind.Ack && probe?.peerId === daemonId) {
             this.options.proofs.recordClaim(claim, probe.sentMs);
+            if (this.hint !== undefined && this.hint.provedMs <= probe.sentMs - claim.ageMs) {
+                this.hint = undefined;
+            }
             return;
         }
         const provedMs = nowMs - claim.ageMs;
--- a/src/published/config_proof.test.ts
+++ b/src/published/config_proof.test.ts
@@ -33,6 +33,15 @@
     assert.equal(follower.proof.getProvedMs(), 400 + 2_200);
 });
 
+test("a watch that ended with a change of another value proves nothing after the start of its call", async () => {
+    const { follower, store, time } = await createStarted();
+    time.addPause(2_400);
+    store.endsWatches = false;
+    store.send(buildPage(6));
+    await time.run(0);
+    assert.equal(follower.proof.getProvedMs(), 400);
+});
+
 test("nothing is proved while the store has a configuration that cannot be read", async () => {
     const { follower, store, time } = await createStarted();
     const unreadable: StoreChange = {
--- a/src/published/store_reader.ts
+++ b/src/published/store_reader.ts
@@ -155,7 +155,7 @@
         const call = { startMs, waitMs: callWaitMs, endMs };
         this.recordContact(result.value, call);
         this.recordBack(endMs);
-        return ok({ page: result.value, heldMs: computeHeldMs(result.value, call) });
+        return ok({ page: result.value, heldMs: computeHeldMs(result.value, afterRevision, call) });
     }
 
     /** Ends a watch that delivers nothing although the store has a newer revision. */
@@ -254,10 +254,15 @@
 /**
  * Up to which moment an answer is certain to hold all changes: its arrival proves nothing, because it can lie in the
  * buffers of a stopped process. A watch that waited in vain held until the end of its wait, any other call at its
- * start.
+ * start. A watch also ends early with changes of values that are not read here, which only its revision shows.
  */
-function computeHeldMs(page: StorePage, { endMs, startMs, waitMs }: AnsweredCall): number {
-    return page.changes.length === 0 && endMs >= startMs + waitMs ? startMs + waitMs : startMs;
+function computeHeldMs(
+    page: StorePage,
+    after: StoreRevision | undefined,
+    { endMs, startMs, waitMs }: AnsweredCall,
+): number {
+    const isInVain = after !== undefined && compareRevisions(page.revision, after) === 0;
+    return isInVain && endMs >= startMs + waitMs ? startMs + waitMs : startMs;
 }
 
 /** A store that came back from an older copy has given the revisions of a watch out again, or lacks them. */
