--- a/src/authenticate/authenticate_filter.ts
+++ b/src/authenticate/authenticate_filter.ts
@@ -25,14 +25,10 @@
     readonly authenticator: Authenticator;
     readonly clock: Clock;
     readonly metrics: Metrics;
+    /** Milliseconds after which a caller whose key could not be proved valid may return. */
+    readonly getRetryAfterMs: () => number;
 }
 
-/**
- * Milliseconds after which a caller may repeat a request whose key could not be proved valid: a daemon that has lost
- * contact with the platform asks it again within this time.
- */
-const proofRetryMs = 500;
-
 /** Fails with UnknownCredential or CredentialUnproved, both before anything runs. */
 export class AuthenticateFilter implements Filter<RoutedRequest, RoutedRequest> {
     constructor(private readonly options: Options) {}
@@ -55,7 +51,9 @@
                 return err(createFailure(Code.UnknownCredential));
             case AuthenticationKind.Unproved:
                 metrics.addCount("authentication.refused", { kind });
-                return err(createFailure(Code.CredentialUnproved, { retryAfterMs: proofRetryMs }));
+                return err(
+                    createFailure(Code.CredentialUnproved, { retryAfterMs: this.options.getRetryAfterMs() }),
+                );
         }
     }
 }
--- a/src/authenticate/key_authenticator.ts
+++ b/src/authenticate/key_authenticator.ts
@@ -3,7 +3,7 @@
  *
  * @example
  * ```ts
- * const authenticator = new KeyAuthenticator({ config, runs, proof, getBounds });
+ * const authenticator = new KeyAuthenticator({ config, runs, guard });
  * const { kind, organisation } = authenticator.decide(request, nowMs);
  * ```
  *
@@ -15,16 +15,14 @@
 import { AuthenticationKind } from "./authentication_kind.ts";
 import type { AuthenticationVerdict } from "./authentication_verdict.ts";
 import type { Authenticator } from "./authenticator.ts";
-import type { ConfigProofReader } from "./config_proof_reader.ts";
 import { OrganisationIndex } from "./organisation_index.ts";
-import type { RevocationBounds } from "./revocation_bounds.ts";
+import type { RevocationGuard } from "./revocation_guard.ts";
 import type { RunReader } from "./run_reader.ts";
 
 interface Options {
     readonly config: ActiveConfigReader;
     readonly runs: RunReader;
-    readonly proof: ConfigProofReader;
-    readonly getBounds: () => RevocationBounds;
+    readonly guard: RevocationGuard;
 }
 
 /** Decides by the configuration in force; builds the index of its keys once. */
@@ -45,7 +43,7 @@
             return this.decideKey(credential, configuration, nowMs);
         }
         if (parentRequestId === undefined) {
-            return { kind: this.decideUnknown(nowMs) };
+            return { kind: this.options.guard.decide(false, nowMs) };
         }
         const name = this.options.runs.findOrganisation(parentRequestId);
         // The run may have ended, or have been started through an earlier process of this daemon.
@@ -55,20 +53,9 @@
     }
 
     private decideKey(key: string, configuration: Configuration, nowMs: number): AuthenticationVerdict {
-        const { isStrict, maxAgeMs } = this.options.getBounds();
-        if (isStrict && nowMs - this.options.proof.getProvedMs() > maxAgeMs) {
-            return { kind: AuthenticationKind.Unproved };
-        }
         const organisation = this.getIndex(configuration).find(key);
-        return organisation === undefined
-            ? { kind: this.decideUnknown(nowMs) }
-            : { kind: AuthenticationKind.Accepted, organisation };
-    }
-
-    /** A key that this daemon does not know may have been added since its configuration was proved the newest. */
-    private decideUnknown(nowMs: number): AuthenticationKind {
-        const isFresh = nowMs - this.options.proof.getProvedMs() <= this.options.getBounds().applyMs;
-        return isFresh ? AuthenticationKind.UnknownKey : AuthenticationKind.Unproved;
+        const kind = this.options.guard.decide(organisation !== undefined, nowMs);
+        return kind === AuthenticationKind.Accepted ? { kind, organisation } : { kind };
     }
 
     private getIndex(configuration: Configuration): OrganisationIndex {
--- a/src/daemon_adapters.ts
+++ b/src/daemon_adapters.ts
@@ -15,7 +15,7 @@
     getService(): string;
     /** Limits of retries; can change with the settings. */
     getRetryBounds(): RetryBounds;
-    /** Bounds for requests with keys that were removed; can change with the settings. */
+    /** Bounds for requests with removed keys; can change with the settings. */
     getRevocationBounds(): RevocationBounds;
     /** Milliseconds within which a change in the store must be in force; can change with the settings. */
     getApplyMs(): number;
--- a/src/wiring/build_entry.ts
+++ b/src/wiring/build_entry.ts
@@ -7,6 +7,7 @@
 import { AuthenticateFilter } from "../authenticate/authenticate_filter.ts";
 import { KeyAuthenticator } from "../authenticate/key_authenticator.ts";
 import type { RevocationBounds } from "../authenticate/revocation_bounds.ts";
+import { RevocationGuard } from "../authenticate/revocation_guard.ts";
 import { Pipeline } from "../core/pipeline.ts";
 import type { DaemonAdapters } from "../daemon_adapters.ts";
 import { ConnectRevoker } from "../edge/control/connect_revoker.ts";
@@ -114,14 +115,23 @@
         budget,
         leaving: membership,
     });
+    const guard = new RevocationGuard({
+        proof: control.proof,
+        getBounds: () => adapters?.getRevocationBounds() ?? noRevocationBounds,
+    });
     const authenticator = new KeyAuthenticator({
         config: store,
         runs: owner.runs,
-        proof: { getProvedMs: () => clock.getMonotonicMs() },
-        getBounds: () => adapters?.getRevocationBounds() ?? noRevocationBounds,
+        guard,
     });
     const forward = Pipeline.start(new RouteFilter({ config: store, clock, random }))
-        .pipe(new AuthenticateFilter({ ...base, authenticator }))
+        .pipe(
+            new AuthenticateFilter({
+                ...base,
+                authenticator,
+                getRetryAfterMs: () => guard.getRetryAfterMs(),
+            }),
+        )
         .pipe(new AdmitFilter({ clock, config: store, inFlight, saturation, serviceTimes }))
         .pipe(new InFlightFilter({ clock, inFlight, saturation, serviceTimes, inner: attempt }));
     const serve = Pipeline.start(new KeyedOutcomeFilter(forward)).pipe(new AnswerFilter(codec));
