Hold usage caps over the whole fleet by lent allowances

Cause: organisations have a cap of requests per second and burst for all daemons together, and nothing counted them. A fixed share for each daemon loses most of a cap whose callers use few daemons; shares by demand exceed it while daemons do not reach each other.

What the bounds leave is divided into a floor that needs no lender. The sum of all parts is within the bound whoever reaches whom, so no lender replaces another in a partition: a new place waits until a former lender with an older list has stopped. Asks and grants are beacons of their own. UsageCapFilter stands between route and admit; the bounds come from the settings.

--- a/src/beacon/beacon.ts
+++ b/src/beacon/beacon.ts
@@ -1,4 +1,6 @@
 import type { ServiceCount } from "../forward/service_count.ts";
+import type { AllowanceAsk } from "../usage_cap/allowance_ask.ts";
+import type { AllowanceGrant } from "../usage_cap/allowance_grant.ts";
 import type { BeaconKind } from "./beacon_kind.ts";
 import type { UpstreamReport } from "./upstream_report.ts";
 
@@ -21,4 +23,8 @@
     readonly storeAgeMs?: number | undefined;
     /** Some of the daemons that do not acknowledge probes of the sender. */
     readonly suspects: readonly string[];
+    /** Set when the beacon asks for a part of a usage cap, and contains nothing else. */
+    readonly allowanceAsk?: AllowanceAsk | undefined;
+    /** Set when the beacon answers such an ask, and contains nothing else. */
+    readonly allowanceGrant?: AllowanceGrant | undefined;
 }
--- a/src/edge/beacon_udp/encode_beacon.ts
+++ b/src/edge/beacon_udp/encode_beacon.ts
@@ -5,7 +5,18 @@
 
 /** Encodes a beacon as the protobuf message of one datagram. */
 export function encodeBeacon(beacon: Beacon): Uint8Array {
-    const { counts, daemonId, incarnation, kind, reports, revision, storeAgeMs, suspects } = beacon;
+    const {
+        allowanceAsk,
+        allowanceGrant,
+        counts,
+        daemonId,
+        incarnation,
+        kind,
+        reports,
+        revision,
+        storeAgeMs,
+        suspects,
+    } = beacon;
     return toBinary(
         BeaconSchema,
         create(BeaconSchema, {
@@ -15,6 +26,12 @@
             incarnation,
             revision: BigInt(revision),
             ...(storeAgeMs === undefined ? {} : { storeAgeMs: encodeUint32(storeAgeMs) }),
+            ...(allowanceAsk === undefined
+                ? {}
+                : { allowanceAsk: { ...allowanceAsk, id: BigInt(allowanceAsk.id) } }),
+            ...(allowanceGrant === undefined
+                ? {}
+                : { allowanceGrant: { ...allowanceGrant, id: BigInt(allowanceGrant.id) } }),
             counts: counts.map(count => ({ ...count })),
             reports: reports.map(({ ageMs, sequence, state }) => ({
                 state,
--- a/src/edge/beacon_udp/udp_beacon_transport.ts
+++ b/src/edge/beacon_udp/udp_beacon_transport.ts
@@ -18,10 +18,18 @@
 import { encodeBeacon } from "./encode_beacon.ts";
 
 const decodeBeacon = fromThrowable((bytes: Uint8Array): Beacon => {
-    const { counts, daemonId, incarnation, kind, reports, revision, storeAgeMs, suspects } = fromBinary(
-        BeaconSchema,
-        bytes,
-    );
+    const {
+        allowanceAsk,
+        allowanceGrant,
+        counts,
+        daemonId,
+        incarnation,
+        kind,
+        reports,
+        revision,
+        storeAgeMs,
+        suspects,
+    } = fromBinary(BeaconSchema, bytes);
     return {
         kind: decodeKind(kind),
         daemonId,
@@ -33,6 +41,8 @@
         suspects,
         revision: Number(revision),
         storeAgeMs,
+        allowanceAsk: allowanceAsk && { ...allowanceAsk, id: Number(allowanceAsk.id) },
+        allowanceGrant: allowanceGrant && { ...allowanceGrant, id: Number(allowanceGrant.id) },
     };
 });
 
--- /dev/null
+++ b/src/usage_cap/lender_directory.ts
@@ -0,0 +1,215 @@
+/**
+ * Places of the daemons as lenders for each organisation, from the list of daemons alone.
+ *
+ * Daemons with the same list compute the same places. A daemon whose place is new waits until the former
+ * lender, if it still runs with an older list, has stopped lending because its list is too old.
+ *
+ * @example
+ * ```ts
+ * const directory = new LenderDirectory({ daemonId, startedAtMs, getDaemons });
+ * directory.update(nowMs);
+ * const [lender] = directory.listRanked("organisation-1");
+ * ```
+ *
+ * @module
+ */
+import { computeRendezvousScore } from "../gossip/compute_rendezvous_score.ts";
+import type { DaemonInfo } from "../membership/daemon_info.ts";
+
+interface Options {
+    readonly daemonId: string;
+    /** Start of this process in monotonic milliseconds. */
+    readonly startedAtMs: number;
+    /** The same map until the list changes. */
+    readonly getDaemons: () => ReadonlyMap<string, DaemonInfo>;
+    /** Milliseconds after which a daemon with a new place lends. */
+    readonly placeDelayMs: number;
+    /** Milliseconds for which the largest list divides the floor after a smaller one replaced it. */
+    readonly floorListMs: number;
+}
+
+interface KnownList {
+    readonly ids: readonly string[];
+    readonly sinceMs: number;
+}
+
+/** Milliseconds for which replaced lists are kept; longer than the time in which usual bursts refill. */
+const historyMs = 30_000;
+/** Replaced lists that are kept; a fleet of 300 daemons starts with one list for each. */
+const maxHistory = 400;
+/** Organisations whose places are kept; 300 daemons in each of them take about 3 MB. */
+const maxCached = 1_000;
+
+/** Ranks daemons by rendezvous hashing and remembers recent lists. */
+export class LenderDirectory {
+    private daemons: ReadonlyMap<string, DaemonInfo> = new Map();
+    /** Oldest first; the last one is in force. */
+    private readonly lists: KnownList[] = [];
+    private historyStartMs: number;
+    /** The list that divides the floor. */
+    private floorIds: readonly string[] = [];
+    /** Time at which a smaller list replaced it; undefined while it is in force. */
+    private floorReplacedAtMs: number | undefined;
+    private readonly ranked = new Map<string, readonly DaemonInfo[]>();
+    private readonly floorRanks = new Map<string, number>();
+    private readonly lendingSinceMs = new Map<string, number | undefined>();
+
+    constructor(private readonly options: Options) {
+        this.historyStartMs = options.startedAtMs;
+    }
+
+    /** Takes over a changed list. Must be called before the other methods. */
+    update(nowMs: number): void {
+        const daemons = this.options.getDaemons();
+        if (daemons === this.daemons) {
+            this.updateFloorList(nowMs);
+            return;
+        }
+        const ids = [...daemons.keys()];
+        const hasSameIds = ids.length === this.daemons.size && ids.every(id => this.daemons.has(id));
+        this.daemons = daemons;
+        this.ranked.clear();
+        this.lendingSinceMs.clear();
+        if (!hasSameIds) {
+            this.lists.push({ ids, sinceMs: nowMs });
+            this.removeOldLists(nowMs);
+        }
+        this.updateFloorList(nowMs);
+    }
+
+    /**
+     * Size of the largest list that was in force within the time after which a new place counts. While a list
+     * shrinks, a lender does not take over the share of another that may still run.
+     */
+    getDaemonCount(nowMs: number): number {
+        let count = 0;
+        for (const { ids, sinceMs } of this.lists.toReversed()) {
+            count = Math.max(count, ids.length);
+            if (sinceMs < nowMs - this.options.placeDelayMs) {
+                break;
+            }
+        }
+        return count;
+    }
+
+    /** The daemons for an organisation, the first lender first. */
+    listRanked(organisation: string): readonly DaemonInfo[] {
+        return getCached(this.ranked, organisation, () => this.computeRanked(organisation));
+    }
+
+    /**
+     * Monotonic milliseconds from which on this daemon lends for the organisation, which may lie ahead;
+     * undefined when it is not among the first `lenders`.
+     */
+    getLendingSinceMs(organisation: string, lenders: number): number | undefined {
+        return getCached(
+            this.lendingSinceMs,
+            `${lenders} ${organisation}`,
+            () => this.computeLendingSinceMs(organisation, lenders),
+        );
+    }
+
+    /** Number of daemons between which the floor is divided. */
+    getFloorCount(): number {
+        return this.floorIds.length;
+    }
+
+    /**
+     * Place of this daemon among those that share the floor of an organisation, the least likely lender first;
+     * -1 when it is not one of them.
+     */
+    getFloorRank(organisation: string): number {
+        return getCached(this.floorRanks, organisation, () => {
+            const { daemonId } = this.options;
+            const own = computeRendezvousScore(organisation, daemonId);
+            return this.floorIds.includes(daemonId)
+                ? this.floorIds.filter(id => {
+                    const score = computeRendezvousScore(organisation, id);
+                    return score < own || (score === own && id > daemonId);
+                }).length
+                : -1;
+        });
+    }
+
+    private computeRanked(organisation: string): readonly DaemonInfo[] {
+        const scored = [...this.daemons.values()].map(daemon => ({
+            daemon,
+            score: computeRendezvousScore(organisation, daemon.id),
+        }));
+        scored.sort((left, right) => right.score - left.score || (left.daemon.id < right.daemon.id ? -1 : 1));
+        const ranked = scored.map(({ daemon }) => daemon);
+        return ranked;
+    }
+
+    private computeLendingSinceMs(organisation: string, lenders: number): number | undefined {
+        const { daemonId, placeDelayMs, startedAtMs } = this.options;
+        const scores = new Map<string, number>();
+        let seatedSinceMs: number | undefined;
+        for (const { ids, sinceMs } of this.lists.toReversed()) {
+            if (!isSeated(ids)) {
+                return seatedSinceMs === undefined ? undefined : seatedSinceMs + placeDelayMs;
+            }
+            seatedSinceMs = sinceMs;
+        }
+        return seatedSinceMs === undefined ? undefined : Math.max(startedAtMs, this.historyStartMs);
+
+        function getScore(id: string): number {
+            let score = scores.get(id);
+            if (score === undefined) {
+                score = computeRendezvousScore(organisation, id);
+                scores.set(id, score);
+            }
+            return score;
+        }
+
+        function isSeated(ids: readonly string[]): boolean {
+            const own = getScore(daemonId);
+            let before = 0;
+            let isListed = false;
+            for (const id of ids) {
+                const score = getScore(id);
+                isListed ||= id === daemonId;
+                before += score > own || (score === own && id < daemonId) ? 1 : 0;
+            }
+            return isListed && before < lenders;
+        }
+    }
+
+    private updateFloorList(nowMs: number): void {
+        const ids = this.lists.at(-1)?.ids ?? [];
+        const isExpired = this.floorReplacedAtMs !== undefined
+            && nowMs - this.floorReplacedAtMs > this.options.floorListMs;
+        if (ids.length >= this.floorIds.length || isExpired) {
+            if (ids !== this.floorIds) {
+                this.floorRanks.clear();
+            }
+            this.floorIds = ids;
+            this.floorReplacedAtMs = undefined;
+        }
+        else {
+            this.floorReplacedAtMs ??= nowMs;
+        }
+    }
+
+    private removeOldLists(nowMs: number): void {
+        while (
+            this.lists.length > maxHistory || (this.lists[1]?.sinceMs ?? Infinity) < nowMs - historyMs
+        ) {
+            this.lists.shift();
+            const sinceMs = this.lists[0]?.sinceMs ?? nowMs;
+            this.historyStartMs = Math.max(this.historyStartMs, sinceMs + this.options.placeDelayMs);
+        }
+    }
+}
+
+function getCached<Value>(cache: Map<string, Value>, key: string, compute: () => Value): Value {
+    if (cache.has(key)) {
+        return cache.get(key)!;
+    }
+    if (cache.size >= maxCached) {
+        cache.clear();
+    }
+    const value = compute();
+    cache.set(key, value);
+    return value;
+}
--- a/src/wiring/build_entry.ts
+++ b/src/wiring/build_entry.ts
@@ -97,7 +97,8 @@
         budget,
         leaving: membership,
     });
-    const forward = Pipeline.start(new RouteFilter({ config: store, clock, random }))
+    const route = Pipeline.start(new RouteFilter({ config: store, clock, random }));
+    const forward = (control.usageCap === undefined ? route : route.pipe(control.usageCap.filter))
         .pipe(new AdmitFilter({ clock, config: store, inFlight, saturation, serviceTimes }))
         .pipe(new InFlightFilter({ clock, inFlight, saturation, serviceTimes, inner: attempt }));
     const serve = Pipeline.start(new KeyedOutcomeFilter(forward)).pipe(new AnswerFilter(codec));
--- a/src/wiring/build_store_control.ts
+++ b/src/wiring/build_store_control.ts
@@ -1,4 +1,5 @@
 import { BeaconExchange } from "../beacon/beacon_exchange.ts";
+import type { BeaconTransport } from "../beacon/beacon_transport.ts";
 import type { DaemonAdapters } from "../daemon_adapters.ts";
 import { UdpBeaconTransport } from "../edge/beacon_udp/udp_beacon_transport.ts";
 import { ConnectStorePeerClient } from "../edge/control/connect_store_peer_client.ts";
@@ -11,6 +12,7 @@
 import type { ServeSettings } from "../settings/serve_settings.ts";
 import type { BaseParts } from "./base_parts.ts";
 import type { BeaconBindings } from "./beacon_bindings.ts";
+import { buildUsageCap } from "./build_usage_cap.ts";
 import type { ControlParts } from "./control_parts.ts";
 
 /** Builds the control plane of a daemon that follows the platform's store itself. */
@@ -44,17 +46,27 @@
         counts: { listCounts: () => [], recordPeerCounts: () => undefined },
         listNeighbours: () => [],
     };
-    const transport = new UdpBeaconTransport(base.metrics);
+    const socket = new UdpBeaconTransport(base.metrics);
+    const transport: BeaconTransport = {
+        send: (address, beacon) => {
+            base.activity.add(IoActivity.DatagramsSent);
+            socket.send(address, beacon);
+        },
+    };
+    const usageCap = buildUsageCap({
+        base,
+        settings,
+        adapters,
+        membership,
+        configs: store,
+        transport,
+        getStoreAgeMs: () => follower.getStoreAgeMs(),
+    });
     const exchange: BeaconExchange = new BeaconExchange({
         ...base,
         failureDomain: settings.failureDomain,
         membership,
-        transport: {
-            send: (address, beacon) => {
-                base.activity.add(IoActivity.DatagramsSent);
-                transport.send(address, beacon);
-            },
-        },
+        transport,
         revisions: follower,
         observer: { recordState: (state, nowMs) => bindings.observer.recordState(state, nowMs) },
         listStates: () => bindings.listStates(),
@@ -70,18 +82,23 @@
             ...base,
             follower,
             beacons: exchange,
-            openSocket: () =>
-                transport.open(settings.peerAddress, beacon => {
+            openSocket: () => {
+                usageCap.start();
+                return socket.open(settings.peerAddress, beacon => {
                     base.activity.add(IoActivity.DatagramsReceived);
-                    exchange.handleBeacon(beacon);
-                }),
-            closeSocket: () => transport.close(),
+                    if (!usageCap.handleBeacon(beacon)) {
+                        exchange.handleBeacon(beacon);
+                    }
+                });
+            },
+            closeSocket: () => socket.close(),
         }),
         announcer: exchange,
         gossipHandler: undefined,
         storeChanges: follower,
         transports,
         beacons: { exchange, bindings },
-        closers: [transports],
+        usageCap,
+        closers: [usageCap, transports],
     };
 }
--- a/src/wiring/control_parts.ts
+++ b/src/wiring/control_parts.ts
@@ -7,6 +7,7 @@
 import type { ControlPlane } from "../published/control_plane.ts";
 import type { StoreChangesSource } from "../published/store_changes_source.ts";
 import type { BeaconBindings } from "./beacon_bindings.ts";
+import type { UsageCapParts } from "./usage_cap_parts.ts";
 
 /** Components of the control plane that the request pipelines use. */
 export interface ControlParts {
@@ -20,5 +21,7 @@
     readonly transports: TransportCache;
     /** Undefined when the daemons send no beacons. */
     readonly beacons: { readonly exchange: BeaconExchange; readonly bindings: BeaconBindings; } | undefined;
+    /** Undefined when the daemons send no beacons. */
+    readonly usageCap?: UsageCapParts | undefined;
     readonly closers: readonly { close(): void; }[];
 }
