--- a/proof/usage_cap/usage_cap_daemon.ts
+++ b/proof/usage_cap/usage_cap_daemon.ts
@@ -7,6 +7,7 @@
 import { FleetUsageCap } from "../../src/usage_cap/fleet_usage_cap.ts";
 import { LenderDirectory } from "../../src/usage_cap/lender_directory.ts";
 import { lenderTiming } from "../../src/usage_cap/lender_timing.ts";
+import { UsageCapFilter } from "../../src/usage_cap/usage_cap_filter.ts";
 import type { SeededRandom } from "../fakes/seeded_random.ts";
 import type { UsageCapFleet } from "./usage_cap_fleet.ts";
 
@@ -29,6 +30,7 @@
     staleList: ReadonlyMap<string, DaemonInfo> | undefined;
     /** Milliseconds at which the daemon lost the store; undefined while it reaches it. */
     storeLostAtMs: number | undefined;
+    filter!: UsageCapFilter;
     private exchange!: AllowanceExchange;
     private cap!: FleetUsageCap;
     private frozen = false;
@@ -145,5 +147,12 @@
                     fleet.forward(info.id, id, receiver => receiver.exchange.handleGrant(info.id, grant)),
             },
         });
+        this.filter = new UsageCapFilter({
+            clock: time,
+            cap: this.cap,
+            allowances: this.exchange,
+            logger: sinks,
+            metrics: sinks,
+        });
     }
 }
