--- a/src/usage_cap/usage_cap_filter.test.ts
+++ b/src/usage_cap/usage_cap_filter.test.ts
@@ -61,7 +61,8 @@
     const { filter } = fleet.daemons[0]!;
     const before = Array.from(
         { length: 60 },
-        () => filter.apply(createRequest({ organisationConfig: organisation, signal: controller.signal })),
+        async () =>
+            filter.apply(createRequest({ organisationConfig: organisation, signal: controller.signal })),
     );
     controller.abort();
     await fleet.time.run(1_000);
