Merge usage caps over the whole fleet

Beacons carry claims, store eras and allowances; beacons of allowances have no revision of the store.

Measured: 141 tests of platform, src/usage_cap, proof/usage_cap, src/authenticate, src/published, src/beacon, the beacon transport, src/metrics and src/build_daemon.test.ts pass; one of them failed first, since decoded beacons listed allowances that were absent.

--- a/src/daemon_adapters.ts
+++ b/src/daemon_adapters.ts
@@ -3,6 +3,7 @@
 import type { RetryBounds } from "./forward/retry_bounds.ts";
 import type { PlatformStore } from "./published/platform_store.ts";
 import type { CallerCodec } from "./receive/caller_codec.ts";
+import type { UsageCapBounds } from "./usage_cap/usage_cap_bounds.ts";
 
 /** Adapters for a platform with its own formats, used in place of zinniaglade's own interfaces. */
 export interface DaemonAdapters {
@@ -15,7 +16,9 @@
     getService(): string;
     /** Limits of retries; can change with the settings. */
     getRetryBounds(): RetryBounds;
-    /** Bounds for requests with removed keys; can change with the settings. */
+    /** Bounds of usage caps; can change with the settings. */
+    getUsageCapBounds(): UsageCapBounds;
+    /** Bounds for requests with keys that were removed; can change with the settings. */
     getRevocationBounds(): RevocationBounds;
     /** Milliseconds within which a change in the store must be in force; can change with the settings. */
     getApplyMs(): number;
--- a/src/edge/beacon_udp/encode_beacon.ts
+++ b/src/edge/beacon_udp/encode_beacon.ts
@@ -6,7 +6,7 @@
 /** Encodes a beacon as the protobuf message of one datagram. */
 export function encodeBeacon(beacon: Beacon): Uint8Array {
     const { counts, daemonId, incarnation, kind, reports, revision, storeAgeMs, suspects } = beacon;
-    const { claim, probeNumber } = beacon;
+    const { allowanceAsk, allowanceGrant, claim, probeNumber } = beacon;
     return toBinary(
         BeaconSchema,
         create(BeaconSchema, {
@@ -23,6 +23,12 @@
                 proofAgeMs: encodeUint32(Math.ceil(claim.ageMs)),
             }),
             ...(probeNumber === undefined ? {} : { probeNumber: BigInt(probeNumber) }),
+            ...(allowanceAsk === undefined
+                ? {}
+                : { allowanceAsk: { ...allowanceAsk, id: BigInt(allowanceAsk.id) } }),
+            ...(allowanceGrant === undefined
+                ? {}
+                : { allowanceGrant: { ...allowanceGrant, id: BigInt(allowanceGrant.id) } }),
             counts: counts.map(count => ({ ...count })),
             reports: reports.map(({ ageMs, sequence, state }) => ({
                 state,
--- a/src/edge/beacon_udp/udp_beacon_transport.ts
+++ b/src/edge/beacon_udp/udp_beacon_transport.ts
@@ -20,7 +20,7 @@
 const decodeBeacon = fromThrowable((bytes: Uint8Array): Beacon => {
     const message = fromBinary(BeaconSchema, bytes);
     const { counts, daemonId, incarnation, kind, reports, revision, storeAgeMs, suspects } = message;
-    const { configVersion, probeNumber, proofAgeMs, storeEra } = message;
+    const { allowanceAsk, allowanceGrant, configVersion, probeNumber, proofAgeMs, storeEra } = message;
     return {
         kind: decodeKind(kind),
         daemonId,
@@ -34,6 +34,12 @@
         storeAgeMs,
         claim: proofAgeMs === undefined ? undefined : { version: Number(configVersion), ageMs: proofAgeMs },
         probeNumber: probeNumber === 0n ? undefined : Number(probeNumber),
+        ...(allowanceAsk === undefined
+            ? {}
+            : { allowanceAsk: { ...allowanceAsk, id: Number(allowanceAsk.id) } }),
+        ...(allowanceGrant === undefined
+            ? {}
+            : { allowanceGrant: { ...allowanceGrant, id: Number(allowanceGrant.id) } }),
     };
 });
 
--- a/src/wiring/build_entry.ts
+++ b/src/wiring/build_entry.ts
@@ -124,16 +124,18 @@
         runs: owner.runs,
         guard,
     });
-    const forward = Pipeline.start(new RouteFilter({ config: store, clock, random }))
+    const authenticate = Pipeline.start(new RouteFilter({ config: store, clock, random }))
         .pipe(
             new AuthenticateFilter({
                 ...base,
                 authenticator,
                 getRetryAfterMs: () => guard.getRetryAfterMs(),
             }),
-        )
-        .pipe(new AdmitFilter({ clock, config: store, inFlight, saturation, serviceTimes }))
-        .pipe(new InFlightFilter({ clock, inFlight, saturation, serviceTimes, inner: attempt }));
+        );
+    const forward =
+        (control.usageCap === undefined ? authenticate : authenticate.pipe(control.usageCap.filter))
+            .pipe(new AdmitFilter({ clock, config: store, inFlight, saturation, serviceTimes }))
+            .pipe(new InFlightFilter({ clock, inFlight, saturation, serviceTimes, inner: attempt }));
     const serve = Pipeline.start(new KeyedOutcomeFilter(forward)).pipe(new AnswerFilter(codec));
     const handler = new CallerHandler({
         ...base,
