Reserve the last slot only for work that cannot wait for the next one

Cause: the last free slot of an upstream was kept for more urgent requests as soon as they needed 0.2 slots. With two slots that halves the room of less urgent work, also where urgent work could wait for the next slot.

Change: SlotReserve compares the longest wait with which the more urgent requests meet their target with the expected time until a slot is free.

--- a/src/queue/running_requests.ts
+++ b/src/queue/running_requests.ts
@@ -37,6 +37,15 @@
         return this.entries.size === 0 ? 0 : sumMs / this.entries.size;
     }
 
+    /** Expected milliseconds until the first running request ends; infinite when none is running. */
+    getNextEndMs(nowMs: number): number {
+        let nextMs = Infinity;
+        for (const entry of this.entries) {
+            nextMs = Math.min(nextMs, computeRemainingMs(entry, nowMs));
+        }
+        return nextMs;
+    }
+
     countClass(workClass: WorkClass): number {
         let count = 0;
         for (const entry of this.entries) {
@@ -70,8 +79,7 @@
         const sameClass: number[] = [];
         const otherClass: number[] = [];
         for (const entry of this.entries) {
-            const remainingMs = Math.max(entry.startedAtMs + entry.meanMs - nowMs, entry.deviationMs);
-            (entry.workClass === workClass ? sameClass : otherClass).push(remainingMs);
+            (entry.workClass === workClass ? sameClass : otherClass).push(computeRemainingMs(entry, nowMs));
         }
         const free = Array.from({ length: Math.max(0, slots - this.entries.size) }, () => 0);
         otherClass.sort((left, right) => left - right);
@@ -80,3 +88,8 @@
         return usable.length > 0 ? usable : otherClass.slice(0, 1);
     }
 }
+
+/** A request that takes longer than the mean is expected to take one mean deviation more. */
+function computeRemainingMs({ deviationMs, meanMs, startedAtMs }: RunningRequest, nowMs: number): number {
+    return Math.max(startedAtMs + meanMs - nowMs, deviationMs);
+}
--- a/src/queue/upstream_queue.ts
+++ b/src/queue/upstream_queue.ts
@@ -23,7 +23,6 @@
 import { isOverShare } from "./is_over_share.ts";
 import type { OwnedUpstream } from "./owned_upstream.ts";
 import type { OwnerRequest } from "./owner_request.ts";
-import { PriorityLoad } from "./priority_load.ts";
 import { PriorityQueue } from "./priority_queue.ts";
 import type { QueueEntry } from "./queue_entry.ts";
 import type { QueueFilterOptions } from "./queue_filter_options.ts";
@@ -34,6 +33,7 @@
 import type { ShedPolicy } from "./shed_policy.ts";
 import type { SlotLimit } from "./slot_limit.ts";
 import type { SlotPermit } from "./slot_permit.ts";
+import { SlotReserve } from "./slot_reserve.ts";
 import { SustainedWaitShedPolicy } from "./sustained_wait_shed_policy.ts";
 import { WaitCorrection } from "./wait_correction.ts";
 
@@ -43,9 +43,6 @@
  */
 const redirectWaitFactor = 0.5;
 
-/** Load of more urgent requests, in slots, from which on the last free slot is reserved for them. */
-const reservedSlotLoad = 0.2;
-
 /** Assigns the slots of one upstream to requests. All refusals happen before dispatch. */
 export class UpstreamQueue {
     private readonly queues = {
@@ -55,7 +52,7 @@
     private readonly running = new RunningRequests();
     private readonly serviceTimes = new ServiceTimes();
     private readonly waitCorrection = new WaitCorrection();
-    private readonly priorityLoad = new PriorityLoad();
+    private readonly slotReserve = new SlotReserve();
     private readonly shedPolicies: Readonly<Record<WorkClass, ShedPolicy>>;
     private readonly slotLimit: SlotLimit;
     /** Slots reserved for short requests, as configured for the service. */
@@ -79,7 +76,8 @@
         this.reserveShort = request.service.limits.reserveShort;
         const costMs = this.serviceTimes.getMeanMs(request.route, nowMs);
         const estimatedWaitMs = this.computeArrivalWaitMs(request, costMs, nowMs);
-        this.priorityLoad.record(request.route.priority, costMs, nowMs);
+        const neededMs = this.serviceTimes.computeNeededMs(request.route, Infinity, nowMs);
+        this.slotReserve.record(request.route, { costMs, neededMs }, nowMs);
         const code = this.checkArrival(request, nowMs, this.waitCorrection.apply(estimatedWaitMs));
         if (code !== Code.Ok) {
             return this.refuse(code);
@@ -237,11 +235,10 @@
         return entry;
     }
 
-    /** True when the only free slot is reserved for more urgent requests, which have needed it recently. */
+    /** True when the only free slot is reserved for more urgent requests. */
     private isLastSlotReserved(priority: number, nowMs: number): boolean {
         const slots = this.slotLimit.getSlots(nowMs);
-        return slots > 1 && this.running.count() === slots - 1
-            && this.priorityLoad.getMoreUrgentSlots(priority, nowMs) >= reservedSlotLoad;
+        return this.slotReserve.isReserved({ priority, slots, running: this.running, nowMs });
     }
 
     private createPermit(request: OwnerRequest, nowMs: number): SlotPermit {
