Choose upstreams by the expected occupancy and space trial requests

Cause: an entry daemon took an upstream for idle once its report was 2 s old or missing, counted one slot until the first report, sent states of neighbours on as if they were new, and all entry daemons sent trial requests to the same suspected upstreams, of which an owner accepts one in 250 ms.

Change: computeOccupancy ages a report towards the mean load of the trusted upstreams within a service time and gives the probability that no slot is free, which weighs the wait loss and decides on candidates. TrialPacing doubles the interval of trial requests when an owner refuses one and halves it when one is accepted; a request that was refused goes to trusted upstreams. The reserve of the last slot adds the end rates of the running requests instead of taking the shortest remaining time.

--- a/proof/health/selection_fleet.ts
+++ b/proof/health/selection_fleet.ts
@@ -55,6 +55,8 @@
 interface CompletedRequest {
     readonly startedAtMs: number;
     readonly served: boolean;
+    /** Served within the target of the route. */
+    readonly inTarget: boolean;
     readonly idempotent: boolean;
 }
 
@@ -62,6 +64,8 @@
 export class SelectionFleet {
     readonly owners = new Map<string, SelectionOwner>();
     readonly completedRequests: CompletedRequest[] = [];
+    /** Number of attempts by the code of the reply. */
+    readonly attemptsByCode = new Map<Code, number>();
     private readonly time = new VirtualTime();
     private readonly random: RandomSource;
     private readonly budgets = new Map<string, RetryBudget>();
@@ -222,11 +226,13 @@
                 selector.recordStart(selected);
                 const reply = await exchanger.forward(selected, handleUnconfirmed);
                 selector.recordReply(selected, reply);
+                this.attemptsByCode.set(reply.code, (this.attemptsByCode.get(reply.code) ?? 0) + 1);
                 return reply;
             },
             revokeAfterHopFailure: (_, reply) => Promise.resolve(reply),
         }).run();
         const served = result.isOk() && result.value.code === Code.Ok;
-        this.completedRequests.push({ startedAtMs, served, idempotent: route.idempotent });
+        const inTarget = served && time.getMonotonicMs() - startedAtMs <= route.targetMs;
+        this.completedRequests.push({ startedAtMs, served, inTarget, idempotent: route.idempotent });
     }
 }
--- a/src/queue/running_requests.ts
+++ b/src/queue/running_requests.ts
@@ -11,6 +11,9 @@
     readonly deviationMs: number;
 }
 
+/** Lower bound of an expected remaining time in milliseconds, the resolution of the timers. */
+const minRemainingMs = 1;
+
 /** The requests that hold a slot of one upstream. */
 export class RunningRequests {
     private readonly entries = new Set<RunningRequest>();
@@ -37,13 +40,16 @@
         return this.entries.size === 0 ? 0 : sumMs / this.entries.size;
     }
 
-    /** Expected milliseconds until the first running request ends; infinite when none is running. */
-    getNextEndMs(nowMs: number): number {
-        let nextMs = Infinity;
+    /**
+     * Rate in requests per millisecond at which the running requests end. Each one ends after an exponential
+     * time with its expected remaining time as the mean, so the rates add up.
+     */
+    computeEndRate(nowMs: number): number {
+        let rate = 0;
         for (const entry of this.entries) {
-            nextMs = Math.min(nextMs, computeRemainingMs(entry, nowMs));
+            rate += 1 / Math.max(minRemainingMs, computeRemainingMs(entry, nowMs));
         }
-        return nextMs;
+        return rate;
     }
 
     countClass(workClass: WorkClass): number {
--- a/src/queue/slot_reserve.ts
+++ b/src/queue/slot_reserve.ts
@@ -67,7 +67,7 @@
             return false;
         }
         const costMs = this.latestByPriority.get(priority)?.costMs ?? Infinity;
-        const nextFreeMs = Math.min(costMs, running.getNextEndMs(nowMs));
+        const nextFreeMs = 1 / (running.computeEndRate(nowMs) + 1 / costMs);
         return this.getLongestWaitMs(priority) < nextFreeMs;
     }
 
--- a/src/select/compute_fault_loss.test.ts
+++ b/src/select/compute_fault_loss.test.ts
@@ -21,7 +21,9 @@
         deadlineMs,
     } as unknown as RoutedRequest;
     const limits = { suspicionLimit: 0.6, trialLimit: 0.8 };
-    return { request, nowMs: 0, canExplore: false, isLastResort: true, isRetryable: true, ...limits };
+    const background = { load: 0.5, serviceMs: 250 };
+    const flags = { canExplore: false, canTry: true, isLastResort: true, isRetryable: true };
+    return { request, nowMs: 0, background, ...flags, ...limits };
 }
 
 function computeLoss(state: Partial<UpstreamState>): number {
@@ -31,7 +33,7 @@
     view.update({ ...base, ...healthy, ...state }, 0);
     const context = buildContext();
     return computeFaultLoss(view, context, { isLocal: true, random: { getFloat: () => 0.5 } }) +
-        computeWaitLoss(view.load, context.request, 0);
+        computeWaitLoss(view, context);
 }
 
 // Requests were sent to upstreams known to fail most of their requests while healthy ones were busy for a moment:
--- a/src/select/compute_wait_loss.ts
+++ b/src/select/compute_wait_loss.ts
@@ -1,5 +1,5 @@
-import type { RoutedRequest } from "../route/routed_request.ts";
-import type { ObservedLoad } from "./observed_load.ts";
+import type { SelectionContext } from "./selection_context.ts";
+import type { UpstreamView } from "./upstream_view.ts";
 
 /**
  * Losses of an upstream without a free slot and of an answer after the target, as fractions of a request's
@@ -13,24 +13,21 @@
 const serviceShare = 0.25;
 
 /**
- * Loss by the wait for a slot. An answer after its target has lost most of its value, one after the deadline
- * all of it. `nowMs` is monotonic.
+ * Expected loss by the wait for a slot. An answer after its target has lost most of its value, one after the
+ * deadline all of it.
  */
 export function computeWaitLoss(
-    load: ObservedLoad,
-    { deadlineMs, receivedAtMs, route }: RoutedRequest,
-    nowMs: number,
+    view: UpstreamView,
+    { background, nowMs, request }: Pick<SelectionContext, "background" | "nowMs" | "request">,
 ): number {
-    const requests = load.measure(nowMs);
-    if (requests < 1) {
-        return 0;
-    }
+    const { deadlineMs, receivedAtMs, route } = request;
+    const { freshness, fullProbability, load } = view.computeOccupancy(background, nowMs);
     const targetMs = route.targetMs > 0 ? route.targetMs : route.deadlineMs;
     const serviceMs = serviceShare * targetMs;
-    const waitMs = Math.max(load.getWaitMs(), (requests - 1) * serviceMs);
-    if (nowMs + waitMs + serviceMs >= deadlineMs) {
+    const waitMs = Math.max(freshness * view.load.getWaitMs(), (load - 1) * serviceMs);
+    if (load >= 1 && nowMs + waitMs + serviceMs >= deadlineMs) {
         return 1;
     }
     const slackMs = Math.max(minSlackMs, receivedAtMs + targetMs - nowMs - serviceMs);
-    return fullLoss + lateLoss * Math.min(1, waitMs / slackMs) ** 2;
+    return fullProbability * (fullLoss + lateLoss * Math.min(1, Math.max(0, waitMs) / slackMs) ** 2);
 }
--- a/src/select/expected_loss_selector.ts
+++ b/src/select/expected_loss_selector.ts
@@ -43,7 +43,7 @@
 import type { SelectedRequest } from "./selected_request.ts";
 import type { SelectionContext } from "./selection_context.ts";
 import type { UpstreamSelector } from "./upstream_selector.ts";
-import { UpstreamView } from "./upstream_view.ts";
+import { UpstreamViewTable } from "./upstream_view_table.ts";
 
 interface Options {
     readonly clock: Clock;
@@ -68,6 +68,8 @@
 const explorationBudgetShare = 0.4;
 /** Increase of the fault probability that a request accepts between its selection and its dispatch. */
 const faultLimitMargin = 0.15;
+/** Probability that no slot is free from which on an upstream is no candidate for service at once. */
+const fullLimit = 0.75;
 /** Redirecting refusals after which a request waits for a slot instead of looking for a free upstream. */
 const maxRedirects = 3;
 /** Allowance in milliseconds for the round trip and for scheduling before a reply counts as overdue. */
@@ -85,7 +87,7 @@
 
 /** Selects the upstream with the smallest expected loss. */
 export class ExpectedLossSelector implements UpstreamSelector, StateObserver {
-    private readonly views = new Map<string, UpstreamView>();
+    private readonly views = new UpstreamViewTable();
     private readonly baselines = new BaselineTable();
     private readonly paths = new PathTable();
 
@@ -100,7 +102,7 @@
         const nowMs = this.options.clock.getMonotonicMs();
         const { failureDomain } = this.options;
         const { candidates, context } = this.findCandidates(request, excluded, history, nowMs);
-        const { canExplore, isLastResort, suspicionLimit } = context;
+        const { background, canExplore, isLastResort, suspicionLimit } = context;
         const upstream = this.selectBest(candidates, context);
         if (upstream === undefined) {
             return err(createFailure(Code.NoUpstream));
@@ -110,8 +112,12 @@
             excluded: new Set(),
             nowMs,
         });
-        const view = this.getView(upstream.id);
-        const basis = { ...view.buildBasis(nowMs), candidates: candidates.length, learns: canExplore };
+        const view = this.views.get(upstream.id);
+        const basis = {
+            ...view.buildBasis(background, nowMs),
+            candidates: candidates.length,
+            learns: canExplore,
+        };
         const remote = upstream.failureDomain !== failureDomain;
         // A request without a better upstream accepts the known fault probability and a small increase of it.
         const faultLimit = isLastResort
@@ -133,12 +139,15 @@
     recordStart(selected: SelectedRequest): void {
         const { baselineMs, upstream } = selected;
         const nowMs = this.options.clock.getMonotonicMs();
-        const view = this.getView(upstream.id);
+        const view = this.views.get(upstream.id);
         const overdueAfterMs = baselineMs > 0
             ? baselineMs + 2 * view.load.getWaitMs() + pathSlackMs
             : (selected.deadlineMs - nowMs) * defaultOverdueShare;
         view.load.addRequest(formatKey(selected), nowMs + overdueAfterMs);
         view.recordAttempt(nowMs);
+        if (isTrial(selected)) {
+            view.trials.recordStart(nowMs);
+        }
     }
 
     recordUnconfirmed(selected: SelectedRequest): void {
@@ -148,11 +157,14 @@
     recordReply(selected: SelectedRequest, reply: OwnerReply): void {
         const { route, service, upstream } = selected;
         const nowMs = this.options.clock.getMonotonicMs();
-        const view = this.getView(upstream.id);
+        const view = this.views.get(upstream.id);
         view.load.removeRequest(formatKey(selected));
+        if (isTrial(selected)) {
+            view.trials.recordEnd(reply.code === Code.UpstreamSuspected);
+        }
         if (reply.upstream !== undefined) {
             view.update(reply.upstream, nowMs);
-            reply.neighbours?.forEach(state => this.getView(state.upstreamId).update(state, nowMs));
+            reply.neighbours?.forEach(state => this.views.get(state.upstreamId).update(state, nowMs));
             this.paths.recordSuccess(upstream.ownerId);
         }
         else if (reply.code >= firstHopCode && reply.code <= lastHopCode) {
@@ -162,13 +174,14 @@
             this.options.leaving.setLeaving(upstream.id, "reply");
         }
         if (reply.answer !== undefined && isExpected(reply.answer, route.expect)) {
+            this.views.serviceLoads.record(service.name, reply.serviceMs);
             const sample = { upstreamId: upstream.id, serviceMs: reply.serviceMs, atMs: nowMs };
             this.baselines.record(service, route, sample);
         }
     }
 
     recordState(state: UpstreamState, nowMs: number): void {
-        this.getView(state.upstreamId).update(state, nowMs);
+        this.views.get(state.upstreamId).update(state, nowMs);
         if (state.leaving) {
             this.options.leaving.setLeaving(state.upstreamId, "beacon");
         }
@@ -178,9 +191,11 @@
     listNeighbours(service: string, upstreamId: string): readonly UpstreamState[] {
         const { clock, failureDomain, membership } = this.options;
         const nowMs = clock.getMonotonicMs();
-        return membership.list(service)
+        const members = membership.list(service);
+        const background = this.views.measureBackground(service, members, nowMs);
+        return members
             .filter(upstream => upstream.failureDomain === failureDomain && upstream.id !== upstreamId)
-            .flatMap(({ id }) => this.getView(id).getState(nowMs) ?? []);
+            .flatMap(({ id }) => this.views.get(id).getState(background, nowMs) ?? []);
     }
 
     /**
@@ -206,6 +221,8 @@
             canExplore: isRetryable && budget.has(service.name, explorationBudgetShare),
             isLastResort: false,
             isRetryable,
+            canTry: redirected.size === 0,
+            background: this.views.measureBackground(service.name, members, nowMs),
             suspicionLimit: route.idempotent
                 ? suspicionLimits.idempotentLimit
                 : suspicionLimits.nonIdempotentLimit,
@@ -240,8 +257,8 @@
 
     private computeLoss(upstream: Upstream, context: SelectionContext): number {
         const { failureDomain, random, region } = this.options;
-        const { nowMs, request } = context;
-        const view = this.getView(upstream.id);
+        const { nowMs } = context;
+        const view = this.views.get(upstream.id);
         const distanceLoss = upstream.failureDomain === failureDomain
             ? 0
             : upstream.region === region
@@ -249,7 +266,7 @@
             : otherRegionLoss;
         const overdue = view.load.hasOverdue(nowMs) ? overdueLoss : 0;
         return computeFaultLoss(view, context, { isLocal: distanceLoss === 0, random }) + distanceLoss +
-            computeWaitLoss(view.load, request, nowMs) +
+            computeWaitLoss(view, context) +
             overdue +
             jitterLoss * random.getFloat();
     }
@@ -260,25 +277,21 @@
     private isEligible(upstream: Upstream, context: SelectionContext): boolean {
         const { failureDomain, random } = this.options;
         const { nowMs, suspicionLimit } = context;
-        const view = this.getView(upstream.id);
-        return view.load.measure(nowMs) < 1
+        const view = this.views.get(upstream.id);
+        return view.computeOccupancy(context.background, nowMs).fullProbability < fullLimit
             && (view.getFaultProbability(nowMs) <= suspicionLimit
                 || isTrialDue(view, context, {
                     isLocal: upstream.failureDomain === failureDomain,
                     randomNumber: random.getFloat(),
                 }));
     }
-
-    private getView(upstreamId: string): UpstreamView {
-        let view = this.views.get(upstreamId);
-        if (view === undefined) {
-            view = new UpstreamView();
-            this.views.set(upstreamId, view);
-        }
-        return view;
-    }
 }
 
 function formatKey(selected: SelectedRequest): string {
     return `${selected.requestId}/${selected.attempt}`;
 }
+
+/** True for a request to an upstream that was suspected when others could be selected. */
+function isTrial({ basis, faultLimit = 1, redirectable }: SelectedRequest): boolean {
+    return redirectable === true && basis !== undefined && basis.faultProbability > faultLimit;
+}
--- a/src/select/observed_load.ts
+++ b/src/select/observed_load.ts
@@ -1,4 +1,5 @@
 import type { UpstreamState } from "../core/upstream_state.ts";
+import type { LoadReport } from "./load_report.ts";
 
 /** Age in milliseconds at which a reported queue state has no weight; queues change within seconds. */
 const stateMaxAgeMs = 2_000;
@@ -7,11 +8,13 @@
 export class ObservedLoad {
     /** Time at which each request in flight becomes overdue, by key of the attempt. */
     private readonly inFlight = new Map<string, number>();
-    private slots = 1;
     private otherRequests = 0;
     private waitMs = 0;
     private reportedAtMs = Number.NEGATIVE_INFINITY;
 
+    /** `slots` counts until the first report. */
+    constructor(private slots = 1) {}
+
     addRequest(key: string, overdueAtMs: number): void {
         this.inFlight.set(key, overdueAtMs);
     }
@@ -38,6 +41,11 @@
         this.reportedAtMs = nowMs;
     }
 
+    getReport(): LoadReport {
+        const { inFlight, otherRequests: others, reportedAtMs, slots } = this;
+        return { slots, inFlight: inFlight.size, others, reportedAtMs };
+    }
+
     /** Longest wait in milliseconds in the last report. */
     getWaitMs(): number {
         return this.waitMs;
--- a/src/select/selection_basis.ts
+++ b/src/select/selection_basis.ts
@@ -4,8 +4,10 @@
     readonly faultProbability: number;
     /** Milliseconds since the owner's last report. */
     readonly ageMs: number;
-    /** Requests per slot. */
+    /** Expected requests per slot. */
     readonly load: number;
+    /** Probability that no slot is free. */
+    readonly fullProbability: number;
     /** Number of upstreams from which it was selected. */
     readonly candidates: number;
     /** True when the request may explore upstreams that are likely to fail. */
--- a/src/select/selection_context.ts
+++ b/src/select/selection_context.ts
@@ -1,4 +1,5 @@
 import type { RoutedRequest } from "../route/routed_request.ts";
+import type { BackgroundLoad } from "./background_load.ts";
 
 /** Inputs and limits of one selection. */
 export interface SelectionContext {
@@ -14,6 +15,9 @@
     readonly isLastResort: boolean;
     /** True when another attempt may follow a failure. */
     readonly isRetryable: boolean;
+    /** True when the request may be a trial request; one that an owner has refused goes to a trusted upstream. */
+    readonly canTry: boolean;
+    readonly background: BackgroundLoad;
     /** Fault probability above which an upstream is suspected. */
     readonly suspicionLimit: number;
     /** Fault probability up to which the request may be a trial request to a suspected upstream. */
