Tell refused callers when a slot is free for them

Cause: Retry-After was the constant 0.2 s for every refusal, so callers came back together, before a slot was free, and waited also where another daemon could have served them at once.

Change: the queue adds the expected wait for the request's priority and organisation to its refusal, the owner of a suspected upstream the time to the next trial request; the entry daemon takes the earliest of the owners that it asked.

--- a/src/answer/answer_filter.ts
+++ b/src/answer/answer_filter.ts
@@ -16,7 +16,8 @@
 
     apply(reply: OwnerReply): Result<Answer, Failure> {
         if (reply.answer === undefined) {
-            return err({ code: reply.code, outcome: reply.outcome, detail: reply.detail });
+            const { code, detail, outcome, retryAfterMs } = reply;
+            return err({ code, outcome, detail, retryAfterMs });
         }
         return ok(this.codec.encodeAnswer(reply.answer, reply));
     }
--- a/src/forward/attempt_sequence.ts
+++ b/src/forward/attempt_sequence.ts
@@ -22,6 +22,7 @@
 import type { SelectedRequest } from "../select/selected_request.ts";
 import type { UpstreamSelector } from "../select/upstream_selector.ts";
 import { declinedCodes } from "./declined_codes.ts";
+import { EarliestReturn } from "./earliest_return.ts";
 import { freeRetryCodes } from "./free_retry_codes.ts";
 import { hopFailureCodes } from "./hop_failure_codes.ts";
 import { IdempotentRetryPolicy } from "./idempotent_retry_policy.ts";
@@ -76,6 +77,7 @@
     private readonly excluded = new Set<string>();
     readonly redirected = new Set<string>();
     private readonly policy: RetryPolicy;
+    private readonly earliestReturn = new EarliestReturn();
     private attempts = 0;
     /** Attempts that an upstream may have run. */
     possibleExecutions = 0;
@@ -114,7 +116,7 @@
                 hedgeTimer?.close();
                 this.cancelRunning();
                 this.options.handleStop?.(reason, this.attempts);
-                return ok(reply);
+                return ok(this.earliestReturn.apply(reply, this.options.clock.getMonotonicMs()));
             }
         }
     }
@@ -191,6 +193,7 @@
         const checkedReply = isLostAtHop
             ? await this.options.revokeAfterHopFailure(running.selected, reply)
             : reply;
+        this.earliestReturn.record(checkedReply, this.options.clock.getMonotonicMs());
         if (notSentCodes.has(checkedReply.code) || declinedCodes.has(checkedReply.code)) {
             this.possibleExecutions -= 1;
             this.refusals += 1;
--- a/src/health/suspected_upstream_filter.ts
+++ b/src/health/suspected_upstream_filter.ts
@@ -46,7 +46,9 @@
         const isTrial = probability <= trialLimit && request.redirectable === true
             && nowMs - (this.lastTrialAtMs.get(upstreamId) ?? -Infinity) >= suspicionLimits.trialIntervalMs;
         if (!isTrial) {
-            return err(createSuspectedFailure(probability));
+            const lastTrialAtMs = this.lastTrialAtMs.get(upstreamId) ?? -Infinity;
+            const retryAfterMs = Math.max(0, lastTrialAtMs + suspicionLimits.trialIntervalMs - nowMs);
+            return err({ ...createSuspectedFailure(probability), retryAfterMs });
         }
         this.lastTrialAtMs.set(upstreamId, nowMs);
         return ok(request);
--- a/src/queue/queue_filter.test.ts
+++ b/src/queue/queue_filter.test.ts
@@ -158,3 +158,25 @@
     first.permit.close(undefined);
     assert.equal((await waiting).isOk(), true);
 });
+
+// Guards against a constant time to return: callers came back while the queue was as long as before.
+test("a refused request learns when a slot is free for its priority and organisation", async () => {
+    const { queue } = openQueue(1);
+    const service = buildService({
+        routes: [{ serviceMs: 100, priority: 1 }, { serviceMs: 100, priority: 0 }],
+        limits: { targetWaitMs: 10_000 },
+    });
+    const [ordinary, urgent] = service.routes;
+    await queue.apply(buildOwnerRequest({ service, route: ordinary! }));
+    for (let count = 0; count < 4; count += 1) {
+        void queue.apply(buildOwnerRequest({ service, route: ordinary! }));
+    }
+    const getReturnMs = async (parts: Parameters<typeof buildOwnerRequest>[0]) =>
+        (await queue.apply(buildOwnerRequest({ service, deadlineMs: 110, ...parts })))._unsafeUnwrapErr()
+            .retryAfterMs;
+    // One request runs and four wait, of 100 ms each.
+    assert.equal(await getReturnMs({ route: ordinary! }), 500);
+    assert.equal(await getReturnMs({ route: ordinary!, organisation: "o2" }), 200);
+    assert.equal(await getReturnMs({ route: urgent! }), 100);
+    queue.drain();
+});
--- a/src/queue/upstream_queue.ts
+++ b/src/queue/upstream_queue.ts
@@ -78,9 +78,10 @@
         const estimatedWaitMs = this.computeArrivalWaitMs(request, costMs, nowMs);
         const neededMs = this.serviceTimes.computeNeededMs(request.route, Infinity, nowMs);
         this.slotReserve.record(request.route, { costMs, neededMs }, nowMs);
-        const code = this.checkArrival(request, nowMs, this.waitCorrection.apply(estimatedWaitMs));
+        const waitMs = this.waitCorrection.apply(estimatedWaitMs);
+        const code = this.checkArrival(request, nowMs, waitMs);
         if (code !== Code.Ok) {
-            return this.refuse(code);
+            return this.refuse(code, waitMs);
         }
         const { organisation, route } = request;
         const firstOfOrganisation = this.queues[route.workClass].countOrganisation(organisation) === 0;
@@ -289,7 +290,8 @@
         return Math.max(1, slots - this.reserveShort);
     }
 
-    private refuse(code: Code): Result<ScheduledRequest, Failure> {
-        return err(createFailure(code, { outcome: Outcome.NotExecuted }));
+    /** `retryAfterMs` is the expected time until a slot is free for such a request. */
+    private refuse(code: Code, retryAfterMs?: number): Result<ScheduledRequest, Failure> {
+        return err(createFailure(code, { outcome: Outcome.NotExecuted, retryAfterMs }));
     }
 }
--- a/src/route/route_filter.ts
+++ b/src/route/route_filter.ts
@@ -34,7 +34,8 @@
         const { clock, config } = this.options;
         const active = config.getActive();
         if (active === undefined) {
-            return err(createFailure(Code.NotReady));
+            // Other daemons may have a configuration, so the caller need not wait.
+            return err(createFailure(Code.NotReady, { retryAfterMs: 0 }));
         }
         const match = this.getFinder(active).find(request);
         if (match.isErr()) {
--- a/src/wiring/build_entry.ts
+++ b/src/wiring/build_entry.ts
@@ -4,6 +4,8 @@
 import { SaturationTable } from "../admit/saturation_table.ts";
 import { AnswerFilter } from "../answer/answer_filter.ts";
 import { CallerHandler } from "../answer/caller_handler.ts";
+import { ReturnTimeFilter } from "../answer/return_time_filter.ts";
+import { ReturnTimePolicy } from "../answer/return_time_policy.ts";
 import { AuthenticateFilter } from "../authenticate/authenticate_filter.ts";
 import { KeyAuthenticator } from "../authenticate/key_authenticator.ts";
 import type { RevocationBounds } from "../authenticate/revocation_bounds.ts";
@@ -109,10 +111,17 @@
         proof: { getProvedMs: () => clock.getMonotonicMs() },
         getBounds: () => adapters?.getRevocationBounds() ?? noRevocationBounds,
     });
-    const forward = Pipeline.start(new RouteFilter({ config: store, clock, random }))
-        .pipe(new AuthenticateFilter({ ...base, authenticator }))
+    const admitted = Pipeline.start(new AuthenticateFilter({ ...base, authenticator }))
         .pipe(new AdmitFilter({ clock, config: store, inFlight, saturation, serviceTimes }))
         .pipe(new InFlightFilter({ clock, inFlight, saturation, serviceTimes, inner: attempt }));
+    const forward = Pipeline.start(new RouteFilter({ config: store, clock, random })).pipe(
+        new ReturnTimeFilter({
+            ...base,
+            serviceTimes,
+            policy: new ReturnTimePolicy(random),
+            inner: admitted,
+        }),
+    );
     const serve = Pipeline.start(new KeyedOutcomeFilter(forward)).pipe(new AnswerFilter(codec));
     const handler = new CallerHandler({
         ...base,
