--- a/src/queue/slot_reserve.test.ts
+++ b/src/queue/slot_reserve.test.ts
@@ -14,7 +14,7 @@
     const replay = new QueueReplay({ seed: 1, slots: 2, durationMs, demands: [listings, uploads] });
     await replay.run();
     const shares = [replay.computeShare(0), replay.computeShare(1)];
-    assert.ok(Math.min(...shares) >= minShare, `${shares}`);
+    assert.ok(Math.min(...shares) >= minShare, shares.join(" "));
 });
 
 // Guards against large requests in all slots while small ones with a tight target arrive.
--- a/src/select/is_trial_due.ts
+++ b/src/select/is_trial_due.ts
@@ -18,7 +18,8 @@
 /**
  * Decides whether the request is a trial request to a suspected upstream. It is one when it may explore and
  * the upstream has not been tried or reported for the trial interval. Otherwise it is one at random, so that
- * only some of the entry daemons with the same information send one, no more often than their pacing allows. Trial requests come from the upstream's
+ * only some of the entry daemons with the same information send one, and in the own failure domain no more often
+ * than their pacing allows. Trial requests come from the upstream's
  * own failure domain until its fault probability has decayed so far that none can have been sent there.
  */
 export function isTrialDue(
@@ -26,7 +27,8 @@
     { canExplore, canTry, isRetryable, nowMs, trialLimit }: SelectionContext,
     { randomNumber, isLocal }: Options,
 ): boolean {
-    if (!canTry || !view.trials.isDue(nowMs)) {
+    // Upstreams of other failure domains get few trial requests, which must not become fewer.
+    if (!canTry || (isLocal && !view.trials.isDue(nowMs))) {
         return false;
     }
     const probability = view.getFaultProbability(nowMs);
