--- a/src/answer/caller_handler.ts
+++ b/src/answer/caller_handler.ts
@@ -61,7 +61,7 @@
             });
             return result.value;
         }
-        const { code, outcome, detail } = result.error;
+        const { code, outcome, detail, retryAfterMs } = result.error;
         this.options.metrics.addCount("caller.problem", { code: `${code}`, outcome });
         this.options.logger.write(LogLevel.Warn, "request_failed", {
             requestId,
@@ -69,6 +69,7 @@
             code,
             outcome,
             detail,
+            ...(retryAfterMs === undefined ? {} : { retryAfterMs: Math.round(retryAfterMs) }),
         });
         return this.options.codec.encodeProblem(result.error, request.requestId);
     }
--- a/src/forward/attempt_log.ts
+++ b/src/forward/attempt_log.ts
@@ -46,6 +46,7 @@
                 faultProbability: formatNumber(basis.faultProbability, 3),
                 ageMs: formatNumber(basis.ageMs, 0),
                 load: formatNumber(basis.load, 2),
+                fullProbability: formatNumber(basis.fullProbability, 2),
                 candidates: basis.candidates,
                 learns: basis.learns,
             }),
@@ -56,6 +57,9 @@
             code: reply.code,
             outcome: reply.outcome,
             detail: reply.detail,
+            ...(reply.retryAfterMs === undefined
+                ? {}
+                : { retryAfterMs: formatNumber(reply.retryAfterMs, 0) }),
             status: reply.answer?.status ?? 0,
             waitMs: formatNumber(reply.waitMs, 0),
             serviceMs: formatNumber(reply.serviceMs, 1),
