Refuse queued requests that can no longer end by their deadline

Cause: a request that was admitted and then displaced by a burst of more urgent ones stayed in the queue until its deadline, so that its caller learnt too late that it was not executed.

Change: each arrival at a queue evicts the entries whose expected wait behind more urgent work and their organisation's own leaves less than the service time. checkStart and isWaitRedirected become files of their own.

--- a/src/queue/priority_queue.ts
+++ b/src/queue/priority_queue.ts
@@ -55,6 +55,34 @@
         return this.getQueue(route.priority).evictFromLargest(organisation);
     }
 
+    /**
+     * Evicts the entries that more urgent arrivals have displaced so far that they cannot end by their deadline.
+     *
+     * Load: a burst of urgent requests beside a full queue of less urgent ones, which were admitted before it.
+     * The work ahead of an entry is a lower bound, because other organisations of its priority do not count.
+     */
+    evictUnservable(computeWaitMs: (aheadMs: number) => number, nowMs: number): readonly QueueEntry[] {
+        const evicted: QueueEntry[] = [];
+        let moreUrgentMs = 0;
+        for (const priority of [...this.queuesByPriority.keys()].sort((left, right) => left - right)) {
+            const queue = this.getQueue(priority);
+            const aheadMsByOrganisation = new Map<string, number>();
+            for (const entry of queue.list()) {
+                const { deadlineMs, organisation } = entry.request;
+                const aheadMs = aheadMsByOrganisation.get(organisation) ?? moreUrgentMs;
+                if (aheadMs > 0 && nowMs + computeWaitMs(aheadMs) + entry.costMs > deadlineMs) {
+                    queue.remove(entry);
+                    evicted.push(entry);
+                }
+                else {
+                    aheadMsByOrganisation.set(organisation, aheadMs + entry.costMs);
+                }
+            }
+            moreUrgentMs += queue.getWorkMs();
+        }
+        return evicted;
+    }
+
     /** False when the entry is not in the queue. */
     remove(entry: QueueEntry): boolean {
         return this.getQueue(entry.request.route.priority).remove(entry);
--- a/src/queue/queue_filter.test.ts
+++ b/src/queue/queue_filter.test.ts
@@ -180,3 +180,24 @@
     assert.equal(await getReturnMs({ route: urgent! }), 100);
     queue.drain();
 });
+
+// Guards against requests that are held until their deadline although they cannot be served any more.
+test("a request that a burst of urgent ones displaces beyond its deadline is refused at once", async () => {
+    const { queue } = openQueue(1);
+    const service = buildService({
+        routes: [{ serviceMs: 100, priority: 1 }, { serviceMs: 100, priority: 0 }],
+        limits: { targetWaitMs: 10_000, organisationPercent: 100 },
+    });
+    const [ordinary, urgent] = service.routes;
+    const running = (await queue.apply(buildOwnerRequest({ service, route: urgent! })))._unsafeUnwrap();
+    const first = queue.apply(buildOwnerRequest({ service, route: ordinary! }));
+    const displaced = queue.apply(buildOwnerRequest({ service, route: ordinary!, deadlineMs: 500 }));
+    for (let count = 0; count < 4; count += 1) {
+        void queue.apply(buildOwnerRequest({ service, route: urgent! }));
+    }
+    checkRefusal(await displaced, Code.WaitTooLong);
+    assert.equal(queue.getState("u1")?.queuedShort, 5);
+    running.permit.close(100);
+    queue.drain();
+    checkRefusal(await first, Code.OwnerLeaving);
+});
--- a/src/queue/upstream_queue.ts
+++ b/src/queue/upstream_queue.ts
@@ -16,11 +16,13 @@
 import { Outcome } from "../core/outcome.ts";
 import { WorkClass } from "../core/work_class.ts";
 import { AdaptiveSlotLimit } from "./adaptive_slot_limit.ts";
+import { checkStart } from "./check_start.ts";
 import { computeMaxWait } from "./compute_max_wait.ts";
 import { computeQueueLimit } from "./compute_queue_limit.ts";
 import { computeTargetWait } from "./compute_target_wait.ts";
 import { createCancellableEntry } from "./create_cancellable_entry.ts";
 import { isOverShare } from "./is_over_share.ts";
+import { isWaitRedirected } from "./is_wait_redirected.ts";
 import type { OwnedUpstream } from "./owned_upstream.ts";
 import type { OwnerRequest } from "./owner_request.ts";
 import { PriorityQueue } from "./priority_queue.ts";
@@ -37,12 +39,6 @@
 import { SustainedWaitShedPolicy } from "./sustained_wait_shed_policy.ts";
 import { WaitCorrection } from "./wait_correction.ts";
 
-/**
- * Multiple of its mean service time up to which a redirectable short request waits. A redirect costs one
- * round trip between daemons; docs/measurements.md compares the figures.
- */
-const redirectWaitFactor = 0.5;
-
 /** Assigns the slots of one upstream to requests. All refusals happen before dispatch. */
 export class UpstreamQueue {
     private readonly queues = {
@@ -142,14 +138,20 @@
     private checkCapacity(request: OwnerRequest, nowMs: number, waitMs: number): Code {
         const { deadlineMs, route, service } = request;
         const neededMs = this.serviceTimes.computeNeededMs(route, waitMs, nowMs);
-        if (nowMs + waitMs + neededMs > deadlineMs || waitMs > this.computeMaxWaitMs(request, nowMs)) {
+        const serviceMs = this.serviceTimes.getMeanMs(route, nowMs);
+        const maxWaitMs = computeMaxWait(request, {
+            serviceMs,
+            runningMeanMs: this.running.getMeanMs(),
+            nowMs,
+        });
+        if (nowMs + waitMs + neededMs > deadlineMs || waitMs > maxWaitMs) {
             return Code.WaitTooLong;
         }
         const queue = this.queues[route.workClass];
         if (isOverShare(request, queue)) {
             return Code.OrganisationOverShare;
         }
-        const targetMs = computeTargetWait(request, this.serviceTimes.getMeanMs(route, nowMs));
+        const targetMs = computeTargetWait(request, serviceMs);
         const isShed = this.shedPolicies[route.workClass].decideShedOnArrival(nowMs, waitMs, targetMs);
         if (isShed || queue.count() >= computeQueueLimit(service, route.workClass)) {
             const refusal = isShed ? Code.OwnerOverloaded : Code.QueueFull;
@@ -158,15 +160,11 @@
         return Code.Ok;
     }
 
-    private computeMaxWaitMs(request: OwnerRequest, nowMs: number): number {
-        const serviceMs = this.serviceTimes.getMeanMs(request.route, nowMs);
-        return computeMaxWait(request, { serviceMs, runningMeanMs: this.running.getMeanMs(), nowMs });
-    }
-
     private isRedirected(request: OwnerRequest, nowMs: number, waitMs: number): boolean {
-        return request.redirectable === true && request.route.workClass === WorkClass.Short
-            && (waitMs > redirectWaitFactor * this.serviceTimes.getMeanMs(request.route, nowMs)
-                || this.isLastSlotReserved(request.route.priority, nowMs));
+        const { redirectable, route } = request;
+        return isWaitRedirected(request, waitMs, this.serviceTimes.getMeanMs(route, nowMs)) ||
+            (redirectable === true && route.workClass === WorkClass.Short
+                && this.isLastSlotReserved(route.priority, nowMs));
     }
 
     /** Evicts a queued request of the same class to make room; false when none may be evicted. */
@@ -184,6 +182,7 @@
             }
         });
         queue.add(entry);
+        this.refuseUnservable(arrival.request.route.workClass);
         this.startNext();
     }
 
@@ -195,26 +194,29 @@
                 this.waitCorrection.record(entry.estimatedWaitMs, waitMs);
             }
             const code = this.checkStart(entry.request, nowMs, waitMs);
-            if (code !== Code.Ok) {
-                entry.resolve(this.refuse(code));
-                continue;
-            }
-            entry.resolve(ok({ ...entry.request, permit: this.createPermit(entry.request, nowMs), waitMs }));
+            entry.resolve(
+                code === Code.Ok
+                    ? ok({ ...entry.request, permit: this.createPermit(entry.request, nowMs), waitMs })
+                    : this.refuse(code),
+            );
         }
     }
 
     private checkStart(request: OwnerRequest, nowMs: number, waitMs: number): Code {
-        const { deadlineMs, route } = request;
-        const targetMs = computeTargetWait(request, this.serviceTimes.getMeanMs(route, nowMs));
-        const isShed = this.shedPolicies[route.workClass].decideShedOnStart(nowMs, waitMs, targetMs);
-        if (nowMs >= deadlineMs) {
-            return Code.DeadlineExceeded;
-        }
-        // The slot is free now, so the margin for the uncertain wait is not needed any more.
-        if (nowMs + this.serviceTimes.getMeanMs(route, nowMs) > deadlineMs) {
-            return Code.WaitTooLong;
+        const serviceMs = this.serviceTimes.getMeanMs(request.route, nowMs);
+        const targetMs = computeTargetWait(request, serviceMs);
+        const isShed = this.shedPolicies[request.route.workClass].decideShedOnStart(nowMs, waitMs, targetMs);
+        return checkStart(request, { nowMs, serviceMs, isShed });
+    }
+
+    /** Refuses queued requests at once that can no longer be served by their deadline. */
+    private refuseUnservable(workClass: WorkClass): void {
+        const nowMs = this.options.clock.getMonotonicMs();
+        const computeWaitMs = (aheadMs: number) => this.computeWaitMs(workClass, aheadMs, nowMs);
+        const queue = this.queues[workClass];
+        for (const { resolve } of queue.evictUnservable(computeWaitMs, nowMs)) {
+            resolve(this.refuse(Code.WaitTooLong, computeWaitMs(queue.getWorkMs())));
         }
-        return isShed ? Code.OwnerOverloaded : Code.Ok;
     }
 
     /** Takes the next request that may use a slot. The classes alternate on slots that both can use. */
