--- a/src/forward/attempt_sequence.ts
+++ b/src/forward/attempt_sequence.ts
@@ -21,6 +21,7 @@
 import type { SelectedRequest } from "../select/selected_request.ts";
 import type { UpstreamSelector } from "../select/upstream_selector.ts";
 import { declinedCodes } from "./declined_codes.ts";
+import { EarliestReturn } from "./earliest_return.ts";
 import { freeRetryCodes } from "./free_retry_codes.ts";
 import { HedgeEvent } from "./hedge_event.ts";
 import { HedgeTrigger } from "./hedge_trigger.ts";
@@ -34,6 +35,7 @@
 import { redirectCodes } from "./redirect_codes.ts";
 import type { RetryBudget } from "./retry_budget.ts";
 import type { RetryPolicy } from "./retry_policy.ts";
+import type { RunningAttempt } from "./running_attempt.ts";
 import { SecondAttemptCause } from "./second_attempt_cause.ts";
 import { StopReason } from "./stop_reason.ts";
 
@@ -53,18 +55,7 @@
     readonly handleHedge?: (event: HedgeEvent, verdict: HedgeVerdict) => void;
 }
 
-interface RunningAttempt {
-    readonly selected: SelectedRequest;
-    readonly controller: AbortController;
-    readonly done: Promise<EndedAttempt>;
-    /** Returns the charge to the retry budget; undefined when the attempt was not charged. */
-    readonly releaseCharge: (() => void) | undefined;
-}
-
-interface EndedAttempt {
-    readonly running: RunningAttempt;
-    readonly reply: OwnerReply;
-}
+type EndedAttempt = Awaited<RunningAttempt["done"]>;
 
 /** Refusals before dispatch after which a request is not retried any more. */
 const maxRefusals = 8;
@@ -81,6 +72,7 @@
     private readonly excluded = new Set<string>();
     readonly redirected = new Set<string>();
     private readonly policy: RetryPolicy;
+    private readonly earliestReturn = new EarliestReturn();
     private attempts = 0;
     /** Attempts that an upstream may have run. */
     possibleExecutions = 0;
@@ -119,7 +111,7 @@
                 this.reportHedge(reply, ended.running);
                 this.cancelRunning();
                 this.options.handleStop?.(reason, this.attempts);
-                return ok(reply);
+                return ok(this.earliestReturn.apply(reply, this.options.clock.getMonotonicMs()));
             }
         }
     }
@@ -221,6 +213,7 @@
         const checkedReply = isLostAtHop
             ? await this.options.revokeAfterHopFailure(running.selected, reply)
             : reply;
+        this.earliestReturn.record(checkedReply, this.options.clock.getMonotonicMs());
         if (notSentCodes.has(checkedReply.code) || declinedCodes.has(checkedReply.code)) {
             this.possibleExecutions -= 1;
             this.refusals += 1;
--- a/src/queue/running_requests.ts
+++ b/src/queue/running_requests.ts
@@ -11,6 +11,9 @@
     readonly deviationMs: number;
 }
 
+/** Lower bound of an expected remaining time in milliseconds, the resolution of the timers. */
+const minRemainingMs = 1;
+
 /** The requests that hold a slot of one upstream. */
 export class RunningRequests {
     private readonly entries = new Set<RunningRequest>();
@@ -37,6 +40,18 @@
         return this.entries.size === 0 ? 0 : sumMs / this.entries.size;
     }
 
+    /**
+     * Rate in requests per millisecond at which the running requests end. Each one ends after an exponential
+     * time with its expected remaining time as the mean, so the rates add up.
+     */
+    computeEndRate(nowMs: number): number {
+        let rate = 0;
+        for (const entry of this.entries) {
+            rate += 1 / Math.max(minRemainingMs, computeRemainingMs(entry, nowMs));
+        }
+        return rate;
+    }
+
     countClass(workClass: WorkClass): number {
         let count = 0;
         for (const entry of this.entries) {
@@ -70,8 +85,7 @@
         const sameClass: number[] = [];
         const otherClass: number[] = [];
         for (const entry of this.entries) {
-            const remainingMs = Math.max(entry.startedAtMs + entry.meanMs - nowMs, entry.deviationMs);
-            (entry.workClass === workClass ? sameClass : otherClass).push(remainingMs);
+            (entry.workClass === workClass ? sameClass : otherClass).push(computeRemainingMs(entry, nowMs));
         }
         const free = Array.from({ length: Math.max(0, slots - this.entries.size) }, () => 0);
         otherClass.sort((left, right) => left - right);
@@ -80,3 +94,8 @@
         return usable.length > 0 ? usable : otherClass.slice(0, 1);
     }
 }
+
+/** A request that takes longer than the mean is expected to take one mean deviation more. */
+function computeRemainingMs({ deviationMs, meanMs, startedAtMs }: RunningRequest, nowMs: number): number {
+    return Math.max(startedAtMs + meanMs - nowMs, deviationMs);
+}
--- a/src/queue/upstream_queue.ts
+++ b/src/queue/upstream_queue.ts
@@ -16,14 +16,15 @@
 import { Outcome } from "../core/outcome.ts";
 import { WorkClass } from "../core/work_class.ts";
 import { AdaptiveSlotLimit } from "./adaptive_slot_limit.ts";
+import { checkStart } from "./check_start.ts";
 import { computeMaxWait } from "./compute_max_wait.ts";
 import { computeQueueLimit } from "./compute_queue_limit.ts";
 import { computeTargetWait } from "./compute_target_wait.ts";
 import { createCancellableEntry } from "./create_cancellable_entry.ts";
 import { isOverShare } from "./is_over_share.ts";
+import { isWaitRedirected } from "./is_wait_redirected.ts";
 import type { OwnedUpstream } from "./owned_upstream.ts";
 import type { OwnerRequest } from "./owner_request.ts";
-import { PriorityLoad } from "./priority_load.ts";
 import { PriorityQueue } from "./priority_queue.ts";
 import type { QueueEntry } from "./queue_entry.ts";
 import type { QueueFilterOptions } from "./queue_filter_options.ts";
@@ -34,18 +35,10 @@
 import type { ShedPolicy } from "./shed_policy.ts";
 import type { SlotLimit } from "./slot_limit.ts";
 import type { SlotPermit } from "./slot_permit.ts";
+import { SlotReserve } from "./slot_reserve.ts";
 import { SustainedWaitShedPolicy } from "./sustained_wait_shed_policy.ts";
 import { WaitCorrection } from "./wait_correction.ts";
 
-/**
- * Multiple of its mean service time up to which a redirectable short request waits. A redirect costs one
- * round trip between daemons; docs/measurements.md compares the figures.
- */
-const redirectWaitFactor = 0.5;
-
-/** Load of more urgent requests, in slots, from which on the last free slot is reserved for them. */
-const reservedSlotLoad = 0.2;
-
 /** Assigns the slots of one upstream to requests. All refusals happen before dispatch. */
 export class UpstreamQueue {
     private readonly queues = {
@@ -55,7 +48,7 @@
     private readonly running = new RunningRequests();
     private readonly serviceTimes = new ServiceTimes();
     private readonly waitCorrection = new WaitCorrection();
-    private readonly priorityLoad = new PriorityLoad();
+    private readonly slotReserve = new SlotReserve();
     private readonly shedPolicies: Readonly<Record<WorkClass, ShedPolicy>>;
     private readonly slotLimit: SlotLimit;
     /** Slots reserved for short requests, as configured for the service. */
@@ -79,10 +72,12 @@
         this.reserveShort = request.service.limits.reserveShort;
         const costMs = this.serviceTimes.getMeanMs(request.route, nowMs);
         const estimatedWaitMs = this.computeArrivalWaitMs(request, costMs, nowMs);
-        this.priorityLoad.record(request.route.priority, costMs, nowMs);
-        const code = this.checkArrival(request, nowMs, this.waitCorrection.apply(estimatedWaitMs));
+        const neededMs = this.serviceTimes.computeNeededMs(request.route, Infinity, nowMs);
+        this.slotReserve.record(request.route, { costMs, neededMs }, nowMs);
+        const waitMs = this.waitCorrection.apply(estimatedWaitMs);
+        const code = this.checkArrival(request, nowMs, waitMs);
         if (code !== Code.Ok) {
-            return this.refuse(code);
+            return this.refuse(code, waitMs);
         }
         const { organisation, route } = request;
         const firstOfOrganisation = this.queues[route.workClass].countOrganisation(organisation) === 0;
@@ -143,14 +138,20 @@
     private checkCapacity(request: OwnerRequest, nowMs: number, waitMs: number): Code {
         const { deadlineMs, route, service } = request;
         const neededMs = this.serviceTimes.computeNeededMs(route, waitMs, nowMs);
-        if (nowMs + waitMs + neededMs > deadlineMs || waitMs > this.computeMaxWaitMs(request, nowMs)) {
+        const serviceMs = this.serviceTimes.getMeanMs(route, nowMs);
+        const maxWaitMs = computeMaxWait(request, {
+            serviceMs,
+            runningMeanMs: this.running.getMeanMs(),
+            nowMs,
+        });
+        if (nowMs + waitMs + neededMs > deadlineMs || waitMs > maxWaitMs) {
             return Code.WaitTooLong;
         }
         const queue = this.queues[route.workClass];
         if (isOverShare(request, queue)) {
             return Code.OrganisationOverShare;
         }
-        const targetMs = computeTargetWait(request, this.serviceTimes.getMeanMs(route, nowMs));
+        const targetMs = computeTargetWait(request, serviceMs);
         const isShed = this.shedPolicies[route.workClass].decideShedOnArrival(nowMs, waitMs, targetMs);
         if (isShed || queue.count() >= computeQueueLimit(service, route.workClass)) {
             const refusal = isShed ? Code.OwnerOverloaded : Code.QueueFull;
@@ -159,15 +160,11 @@
         return Code.Ok;
     }
 
-    private computeMaxWaitMs(request: OwnerRequest, nowMs: number): number {
-        const serviceMs = this.serviceTimes.getMeanMs(request.route, nowMs);
-        return computeMaxWait(request, { serviceMs, runningMeanMs: this.running.getMeanMs(), nowMs });
-    }
-
     private isRedirected(request: OwnerRequest, nowMs: number, waitMs: number): boolean {
-        return request.redirectable === true && request.route.workClass === WorkClass.Short
-            && (waitMs > redirectWaitFactor * this.serviceTimes.getMeanMs(request.route, nowMs)
-                || this.isLastSlotReserved(request.route.priority, nowMs));
+        const { redirectable, route } = request;
+        return isWaitRedirected(request, waitMs, this.serviceTimes.getMeanMs(route, nowMs)) ||
+            (redirectable === true && route.workClass === WorkClass.Short
+                && this.isLastSlotReserved(route.priority, nowMs));
     }
 
     /** Evicts a queued request of the same class to make room; false when none may be evicted. */
@@ -185,6 +182,7 @@
             }
         });
         queue.add(entry);
+        this.refuseUnservable(arrival.request.route.workClass);
         this.startNext();
     }
 
@@ -196,26 +194,29 @@
                 this.waitCorrection.record(entry.estimatedWaitMs, waitMs);
             }
             const code = this.checkStart(entry.request, nowMs, waitMs);
-            if (code !== Code.Ok) {
-                entry.resolve(this.refuse(code));
-                continue;
-            }
-            entry.resolve(ok({ ...entry.request, permit: this.createPermit(entry.request, nowMs), waitMs }));
+            entry.resolve(
+                code === Code.Ok
+                    ? ok({ ...entry.request, permit: this.createPermit(entry.request, nowMs), waitMs })
+                    : this.refuse(code),
+            );
         }
     }
 
     private checkStart(request: OwnerRequest, nowMs: number, waitMs: number): Code {
-        const { deadlineMs, route } = request;
-        const targetMs = computeTargetWait(request, this.serviceTimes.getMeanMs(route, nowMs));
-        const isShed = this.shedPolicies[route.workClass].decideShedOnStart(nowMs, waitMs, targetMs);
-        if (nowMs >= deadlineMs) {
-            return Code.DeadlineExceeded;
-        }
-        // The slot is free now, so the margin for the uncertain wait is not needed any more.
-        if (nowMs + this.serviceTimes.getMeanMs(route, nowMs) > deadlineMs) {
-            return Code.WaitTooLong;
+        const serviceMs = this.serviceTimes.getMeanMs(request.route, nowMs);
+        const targetMs = computeTargetWait(request, serviceMs);
+        const isShed = this.shedPolicies[request.route.workClass].decideShedOnStart(nowMs, waitMs, targetMs);
+        return checkStart(request, { nowMs, serviceMs, isShed });
+    }
+
+    /** Refuses queued requests at once that can no longer be served by their deadline. */
+    private refuseUnservable(workClass: WorkClass): void {
+        const nowMs = this.options.clock.getMonotonicMs();
+        const computeWaitMs = (aheadMs: number) => this.computeWaitMs(workClass, aheadMs, nowMs);
+        const queue = this.queues[workClass];
+        for (const { resolve } of queue.evictUnservable(computeWaitMs, nowMs)) {
+            resolve(this.refuse(Code.WaitTooLong, computeWaitMs(queue.getWorkMs())));
         }
-        return isShed ? Code.OwnerOverloaded : Code.Ok;
     }
 
     /** Takes the next request that may use a slot. The classes alternate on slots that both can use. */
@@ -237,11 +238,10 @@
         return entry;
     }
 
-    /** True when the only free slot is reserved for more urgent requests, which have needed it recently. */
+    /** True when the only free slot is reserved for more urgent requests. */
     private isLastSlotReserved(priority: number, nowMs: number): boolean {
         const slots = this.slotLimit.getSlots(nowMs);
-        return slots > 1 && this.running.count() === slots - 1
-            && this.priorityLoad.getMoreUrgentSlots(priority, nowMs) >= reservedSlotLoad;
+        return this.slotReserve.isReserved({ priority, slots, running: this.running, nowMs });
     }
 
     private createPermit(request: OwnerRequest, nowMs: number): SlotPermit {
@@ -292,7 +292,8 @@
         return Math.max(1, slots - this.reserveShort);
     }
 
-    private refuse(code: Code): Result<ScheduledRequest, Failure> {
-        return err(createFailure(code, { outcome: Outcome.NotExecuted }));
+    /** `retryAfterMs` is the expected time until a slot is free for such a request. */
+    private refuse(code: Code, retryAfterMs?: number): Result<ScheduledRequest, Failure> {
+        return err(createFailure(code, { outcome: Outcome.NotExecuted, retryAfterMs }));
     }
 }
