Lend what a window allows in place of a steady rate

Cause: lenders were token buckets with the rate and burst of the cap. Change: a lender counts what it lent within the window and the life of an allowance. A lowered cap counts earlier loans in proportion. A new process lends after one such window; a new place counts 8 s and one such window after the list changed, and the number of lenders shrinks as late. A refused borrower is told when the oldest loan expires, in turns.

--- a/src/usage_cap/allowance_lender.ts
+++ b/src/usage_cap/allowance_lender.ts
@@ -9,9 +9,12 @@
  * @module
  */
 import type { Organisation } from "../config/organisation.ts";
+import { allowanceLifeMs } from "./allowance_life_ms.ts";
+import type { AllowanceLimits } from "./allowance_limits.ts";
 import type { AllowanceLoan } from "./allowance_loan.ts";
 import { computeAllowanceLimits } from "./compute_allowance_limits.ts";
 import type { LenderDirectory } from "./lender_directory.ts";
+import { LentWindow } from "./lent_window.ts";
 import type { UsageCapBounds } from "./usage_cap_bounds.ts";
 
 interface Options {
@@ -24,25 +27,23 @@
 }
 
 interface Stock {
-    /** Requests that may be lent now, not a whole number. */
-    level: number;
-    updatedAtMs: number;
-    lendingSinceMs: number;
-    rate: number;
-    burst: number;
+    readonly lent: LentWindow;
+    lentAtMs: number;
+    windowMs: number;
     /** Time at which the borrower that was refused last may ask again. */
     lastTurnMs: number;
 }
 
-/** Shortest and longest time for which a borrower is told not to ask again. */
+/** Shortest time for which a borrower is told not to ask again. */
 const minEmptyMs = 20;
-const maxEmptyMs = 2_000;
+/** Longest time for which a refused borrower waits for those before it, once there is something to lend. */
+const maxTurnMs = 1_000;
 /** Time for which a daemon that does not lend need not be asked again. */
 const notLendingMs = 1_000;
 /** Stocks that one call checks for removal. */
 const checksPerEviction = 500;
 
-/** Token bucket for each organisation that has recently been asked for. */
+/** Counts what it has lent to each organisation within the window. */
 export class AllowanceLender {
     private readonly stocks = new Map<string, Stock>();
     /** Continues where the last call of `evict` ended. */
@@ -54,26 +55,34 @@
     take(organisation: Organisation, amount: number, nowMs: number): AllowanceLoan {
         const { directory, getBounds, getListAgeMs, maxListAgeMs } = this.options;
         directory.update(nowMs);
-        const { lenderBurst, lenderRate, lenders } = computeAllowanceLimits(
-            organisation,
-            getBounds(),
-            directory.getDaemonCount(nowMs),
-        );
+        const bounds = getBounds();
+        const daemons = directory.getDaemonCount(bounds.windowMs + allowanceLifeMs, nowMs);
+        const limits = computeAllowanceLimits(organisation, bounds, daemons);
+        const { lenderCapacity, lenders, lentWindowMs } = limits;
         const { name } = organisation;
         const sinceMs = directory.getLendingSinceMs(name, lenders);
-        if (sinceMs === undefined || sinceMs > nowMs || getListAgeMs() > maxListAgeMs) {
+        if (sinceMs === undefined || getListAgeMs() > maxListAgeMs) {
             return { amount: 0, emptyMs: notLendingMs };
         }
-        const stock = this.updateStock(name, sinceMs, { lenderBurst, lenderRate }, nowMs);
-        const lent = Math.min(amount, Math.floor(stock.level));
-        stock.level -= lent;
-        if (lent === amount) {
-            return { amount, emptyMs: 0 };
+        // The former process of the instance, or the former lender, may have lent everything just before.
+        const startMs = sinceMs + lentWindowMs;
+        if (nowMs < startMs) {
+            return { amount: 0, emptyMs: Math.max(minEmptyMs, Math.ceil(startMs - nowMs)) };
         }
-        return { amount: lent, emptyMs: this.takeTurn(stock, nowMs) };
+        const stock = this.stocks.get(name)
+            ?? { lent: new LentWindow(), lentAtMs: nowMs, windowMs: lentWindowMs, lastTurnMs: 0 };
+        this.stocks.set(name, stock);
+        const left = Math.max(0, Math.floor(stock.lent.countLeft(lenderCapacity, lentWindowMs, nowMs)));
+        const loan = Math.min(amount, left);
+        if (loan > 0) {
+            stock.lent.add(loan, lenderCapacity, nowMs);
+            stock.lentAtMs = nowMs;
+            stock.windowMs = lentWindowMs;
+        }
+        return { amount: loan, emptyMs: loan === amount ? 0 : this.takeTurn(stock, limits, nowMs) };
     }
 
-    /** Removes some of the stocks that are full again: a new one would start full too. Called periodically. */
+    /** Removes some of the stocks of which nothing is lent any more; called periodically. */
     evict(nowMs: number): void {
         for (let checked = 0; checked < checksPerEviction; checked += 1) {
             const next = this.unchecked.next();
@@ -81,54 +90,22 @@
                 this.unchecked = this.stocks.entries();
                 return;
             }
-            const [name, { burst, lendingSinceMs, level, rate, updatedAtMs }] = next.value;
-            const isFull = level + rate * (nowMs - updatedAtMs) / 1_000 >= burst
-                && rate * (nowMs - lendingSinceMs) / 1_000 >= burst
-                && nowMs - updatedAtMs > maxEmptyMs;
-            if (isFull) {
+            const [name, { lentAtMs, windowMs }] = next.value;
+            if (nowMs - lentAtMs > 2 * windowMs) {
                 this.stocks.delete(name);
             }
         }
     }
 
     /**
-     * Milliseconds after which a refused borrower may ask again: each gets the time at which the stock gains one
-     * more request. No turn is later than the time at which
-     * the stock is full.
+     * Milliseconds after which a refused borrower may ask again: each gets another time after the oldest part
+     * expires, in steps in which the lender can lend one request in the long run.
      */
-    private takeTurn(stock: Stock, nowMs: number): number {
-        const { burst, lastTurnMs, level, rate } = stock;
-        const requestMs = 1_000 / Math.max(rate, 1e-6);
-        const latestMs = Math.min(maxEmptyMs, Math.max(minEmptyMs, burst * requestMs));
-        const turnMs = Math.max(lastTurnMs, nowMs - level * requestMs) + requestMs;
-        stock.lastTurnMs = Math.min(turnMs, nowMs + latestMs);
+    private takeTurn(stock: Stock, limits: AllowanceLimits, nowMs: number): number {
+        const { lenderCapacity, lentWindowMs } = limits;
+        const expiryMs = Math.max(nowMs, stock.lent.findNextExpiryMs(lentWindowMs) ?? nowMs);
+        const stepMs = lentWindowMs / Math.max(lenderCapacity, 1);
+        stock.lastTurnMs = Math.min(Math.max(stock.lastTurnMs + stepMs, expiryMs), expiryMs + maxTurnMs);
         return Math.max(minEmptyMs, Math.ceil(stock.lastTurnMs - nowMs));
     }
-
-    private updateStock(
-        name: string,
-        lendingSinceMs: number,
-        { lenderBurst, lenderRate }: { readonly lenderBurst: number; readonly lenderRate: number; },
-        nowMs: number,
-    ): Stock {
-        let stock = this.stocks.get(name);
-        if (stock === undefined || lendingSinceMs > stock.updatedAtMs) {
-            // The former process, or a former lender, may have lent a whole burst just before.
-            stock = {
-                level: 0,
-                updatedAtMs: lendingSinceMs,
-                lendingSinceMs,
-                rate: 0,
-                burst: 0,
-                lastTurnMs: 0,
-            };
-        }
-        stock.level = Math.min(lenderBurst, stock.level + lenderRate * (nowMs - stock.updatedAtMs) / 1_000);
-        stock.updatedAtMs = nowMs;
-        stock.lendingSinceMs = lendingSinceMs;
-        stock.rate = lenderRate;
-        stock.burst = lenderBurst;
-        this.stocks.set(name, stock);
-        return stock;
-    }
 }
--- a/src/usage_cap/compute_allowance_limits.ts
+++ b/src/usage_cap/compute_allowance_limits.ts
@@ -11,11 +11,9 @@
 const minLenders = 2;
 /** Requests in a window for which one more lender is used; fewer would leave lenders without a whole request. */
 const minRequestsPerLender = 4;
-/** Smallest burst of a lender in requests: one that is asked twice in a row can still lend. */
-const minLenderBurst = 2;
 /**
- * Share of what the bounds leave that lenders get: with the burst alone, some of them would be full and lose
- * requests while others are empty.
+ * Share of what the bounds leave that lenders get. Requests that are lent and not used, and lenders that are not
+ * asked, would otherwise keep an organisation below its cap.
  */
 const lentSpareShare = 0.5;
 /** Share of the floor that is used. The rest covers daemons whose list is up to a fifth shorter than the newest. */
@@ -27,24 +25,18 @@
  * come from what was lent in a window that is longer by that life.
  */
 export function computeAllowanceLimits(cap: Cap, bounds: UsageCapBounds, daemons: number): AllowanceLimits {
-    const windowS = bounds.windowMs / 1_000;
-    const lentS = windowS + allowanceLifeMs / 1_000;
-    const inWindow = cap.requestsPerSecond * windowS;
-    const total = (inWindow + cap.burst) * (1 + bounds.overage) + bounds.slack;
-    const wanted = Math.floor(inWindow / minRequestsPerLender);
-    let lenders = Math.min(Math.max(1, daemons), maxLenders, Math.max(minLenders, wanted));
-    while (lenders > 1 && lenders * minLenderBurst + cap.requestsPerSecond * lentS > total) {
-        lenders -= 1;
-    }
-    const burst = Math.min(Math.max(cap.burst, lenders * minLenderBurst), Math.max(1, total));
-    const rate = Math.max(0, Math.min(cap.requestsPerSecond, (total - burst) / lentS));
+    const allowed = cap.requestsPerSecond * bounds.windowMs / 1_000 + cap.burst;
+    const total = allowed * (1 + bounds.overage) + bounds.slack;
+    const wanted = Math.floor(allowed / minRequestsPerLender);
+    const lenders = Math.min(Math.max(1, daemons), maxLenders, Math.max(minLenders, wanted));
     // A lender that restarts after its place moved to it may lend beside the former lender for one window.
-    const handover = rate / lenders * windowS;
-    const spare = Math.max(0, total - burst - rate * lentS - handover);
+    const handoverFactor = 1 + 1 / lenders;
+    const spare = Math.max(0, total - allowed * handoverFactor);
+    const lent = Math.min(allowed + spare * lentSpareShare / handoverFactor, total / handoverFactor);
     return {
         lenders,
-        lenderRate: rate / lenders,
-        lenderBurst: (burst + spare * lentSpareShare) / lenders,
+        lenderCapacity: lent / lenders,
+        lentWindowMs: bounds.windowMs + allowanceLifeMs,
         floor: spare * (1 - lentSpareShare) * usableFloorShare,
     };
 }
--- a/src/usage_cap/fleet_usage_cap.ts
+++ b/src/usage_cap/fleet_usage_cap.ts
@@ -62,7 +62,8 @@
 const advanceMs = 100;
 /** Time for which a lender that did not answer is asked only after the others. */
 const silenceMs = 1_000;
-const maxRetryAfterMs = 5_000;
+/** Longest time that a caller is told to wait; longer than a window, so that callers are spread after it too. */
+const maxRetryAfterMs = 10_000;
 /** Organisations that one call checks for removal. */
 const checksPerEviction = 500;
 
@@ -198,7 +199,9 @@
 
     private computeLimits(organisation: Organisation, nowMs: number) {
         const { directory, getBounds } = this.options;
-        return computeAllowanceLimits(organisation, getBounds(), directory.getDaemonCount(nowMs));
+        const bounds = getBounds();
+        const daemons = directory.getDaemonCount(bounds.windowMs + allowanceLifeMs, nowMs);
+        return computeAllowanceLimits(organisation, bounds, daemons);
     }
 
     /** Time at which a lender is expected to lend again, spread by the number of refused requests. */
@@ -209,7 +212,7 @@
         const soonestMs = waits.length === 0 ? rateWindowMs : Math.min(...waits);
         const refused = usage.refused.get(nowMs);
         const spreadMs = rateWindowMs * refused / Math.max(1, usage.taken.get(nowMs));
-        const retryAfterMs = soonestMs + this.options.random.getFloat() * Math.max(soonestMs, spreadMs);
+        const retryAfterMs = soonestMs + this.options.random.getFloat() * Math.max(rateWindowMs, spreadMs);
         return Math.min(maxRetryAfterMs, Math.ceil(retryAfterMs));
     }
 
--- a/src/usage_cap/lender_directory.ts
+++ b/src/usage_cap/lender_directory.ts
@@ -23,7 +23,7 @@
     readonly startedAtMs: number;
     /** The same map until the list changes. */
     readonly getDaemons: () => ReadonlyMap<string, DaemonInfo>;
-    /** Milliseconds after which a daemon with a new place lends. */
+    /** Milliseconds after which the former lender of a place has stopped. */
     readonly placeDelayMs: number;
     /** Milliseconds for which the largest list divides the floor after a smaller one replaced it. */
     readonly floorListMs: number;
@@ -34,8 +34,8 @@
     readonly sinceMs: number;
 }
 
-/** Milliseconds for which replaced lists are kept; longer than the time in which usual bursts refill. */
-const historyMs = 30_000;
+/** Milliseconds for which replaced lists are kept; windows of up to 100 s need no older ones. */
+const historyMs = 110_000;
 /** Replaced lists that are kept; a fleet of 300 daemons starts with one list for each. */
 const maxHistory = 400;
 /** Daemons that are ranked for an organisation. */
@@ -83,14 +83,15 @@
     }
 
     /**
-     * Size of the largest list that was in force within the time after which a new place counts. While a list
-     * shrinks, a lender does not take over the share of another that may still run.
+     * Size of the largest list that was in force until the former lender of a place has stopped and `lentWindowMs`
+     * has passed since. While a list shrinks, a lender does not take over the share of another that may still run.
      */
-    getDaemonCount(nowMs: number): number {
+    getDaemonCount(lentWindowMs: number, nowMs: number): number {
+        const sinceNeededMs = nowMs - this.options.placeDelayMs - lentWindowMs;
         let count = 0;
         for (const { ids, sinceMs } of this.lists.toReversed()) {
             count = Math.max(count, ids.length);
-            if (sinceMs < nowMs - this.options.placeDelayMs) {
+            if (sinceMs < sinceNeededMs) {
                 break;
             }
         }
@@ -103,8 +104,8 @@
     }
 
     /**
-     * Monotonic milliseconds from which on this daemon lends for the organisation, which may lie ahead;
-     * undefined when it is not among the first `lenders`.
+     * Monotonic milliseconds from which on no other process lends in the place of this daemon, which may lie
+     * ahead; undefined when it is not among the first `lenders`.
      */
     getLendingSinceMs(organisation: string, lenders: number): number | undefined {
         return getCached(
--- a/src/usage_cap/lender_timing.ts
+++ b/src/usage_cap/lender_timing.ts
@@ -3,7 +3,7 @@
     /** Milliseconds since the last contact with the store after which a daemon stops lending. */
     maxListAgeMs: 5_000,
     /**
-     * Milliseconds after which a daemon with a new place lends. A list may be older than the contact that
+     * Milliseconds after which the former lender of a place has stopped. A list may be older than the contact that
      * confirms it by the longest watch of the store and the time to notice that it delivers nothing.
      */
     placeDelayMs: 8_000,
