Give organisations of low rate more lenders

Cause: with 40 of 73 daemons stopped, an organisation of 3.2/s that had four lenders was allowed 0.49 of its usual demand.

--- a/src/usage_cap/compute_allowance_limits.ts
+++ b/src/usage_cap/compute_allowance_limits.ts
@@ -10,7 +10,7 @@
 /** With two lenders, an organisation of low rate is not refused while one of them restarts. */
 const minLenders = 2;
 /** Requests in a window for which one more lender is used; fewer would leave lenders without a whole request. */
-const minRequestsPerLender = 4;
+const minRequestsPerLender = 2;
 /**
  * Share of what the bounds leave that lenders get. Requests that are lent and not used, and lenders that are not
  * asked, would otherwise keep an organisation below its cap.
