--- a/src/usage_cap/lender_directory.ts
+++ b/src/usage_cap/lender_directory.ts
@@ -36,6 +36,11 @@
 
 /** Milliseconds for which replaced lists are kept; windows of up to 100 s need no older ones. */
 const historyMs = 110_000;
+/**
+ * Milliseconds after the start in which a changed list counts as the first one. Daemons that start together see
+ * the list grow, and would all wait for lenders that never were.
+ */
+const learnMs = 5_000;
 /** Replaced lists that are kept; a fleet of 300 daemons starts with one list for each. */
 const maxHistory = 400;
 /** Daemons that are ranked for an organisation. */
@@ -76,6 +81,9 @@
         this.ranked.clear();
         this.lendingSinceMs.clear();
         if (!hasSameIds) {
+            if (nowMs - this.options.startedAtMs < learnMs) {
+                this.lists.length = 0;
+            }
             this.lists.push({ ids, sinceMs: nowMs });
             this.removeOldLists(nowMs);
         }
