--- a/src/forward/no_hedging_policy.ts
+++ b/src/forward/no_hedging_policy.ts
@@ -5,7 +5,7 @@
 export class NoHedgingPolicy implements HedgingPolicy {
     add(): void {}
 
-    computeDelayMs(): undefined {
+    computeDelayMs(): number | undefined {
         return undefined;
     }
 
--- a/src/forward/quantile_hedging_policy.ts
+++ b/src/forward/quantile_hedging_policy.ts
@@ -63,21 +63,26 @@
 
     /**
      * A request is late when it takes longer than the quantile of its route, or of its upstream if that one is
-     * faster. With a target, it has until a second attempt would just be in time: what is in time without
-     * a hedge needs none.
+     * faster. With a target, it has until a second attempt would just be in time, because a request that is in
+     * time without a hedge needs none.
      */
     computeDelayMs(request: RoutedRequest, upstreamId: string, nowMs: number): number | undefined {
         const { idempotent, maxAttempts, targetMs } = request.route;
         if (!idempotent || maxAttempts < 2) {
             return undefined;
         }
-        const routeMs = this.computeQuantileMs(formatRouteKey(request), nowMs);
-        const upstreamMs = this.computeQuantileMs(formatUpstreamKey(request, upstreamId), nowMs);
-        const lateMs = Math.min(routeMs ?? Infinity, upstreamMs ?? Infinity);
-        if (routeMs === undefined) {
+        const routeTimes = this.times.find(formatRouteKey(request));
+        const routeMs = routeTimes?.computeQuantileMs(this.quantile, nowMs);
+        const secondMs = routeTimes?.computeQuantileMs(maxQuantile, nowMs);
+        if (routeMs === undefined || secondMs === undefined) {
             return targetMs > 0 ? unknownDelayRatio * targetMs : undefined;
         }
-        return Math.max(lateMs, targetMs - routeMs);
+        const upstreamTimes = this.times.find(formatUpstreamKey(request, upstreamId));
+        const upstreamMs = upstreamTimes?.computeQuantileMs(this.quantile, nowMs) ?? routeMs;
+        const lateMs = Math.min(routeMs, upstreamMs);
+        // While some upstreams are slow, the largest quantile is theirs, and a second attempt goes elsewhere.
+        const neededMs = targetMs - secondMs >= lateMs ? secondMs : routeMs;
+        return Math.max(lateMs, targetMs - neededMs);
     }
 
     take({ route, service }: RoutedRequest, nowMs: number): HedgeVerdict {
@@ -116,10 +121,6 @@
         }
     }
 
-    private computeQuantileMs(key: string, nowMs: number): number | undefined {
-        return this.times.find(key)?.computeQuantileMs(this.quantile, nowMs);
-    }
-
     private getCounters(service: string): ServiceCounters {
         let counters = this.countersByService.get(service);
         if (counters === undefined) {
