Add the command preview: where a request would go now, and why

Cause: operators can ask afterwards what happened to a request (explain), but not what would happen to one now.

Change: `zinniaglade preview` asks a running daemon through its administration interface (POST /v1/preview). A key comes from an environment variable and appears nowhere in the output. Stages for authentication and usage caps are not part of this commit.

Tests: a preview names the upstream that the selector then selects and does not change the next one; it ends at the stage that refuses, with code and Retry-After; no key in trace, text or error; the way through command, HTTP and decoder on loopback.

Measured: tests of src/preview, src/edge/admin_http, src/cli, src/select, src/metrics/metrics_page.test.ts and scripts. On the users' platform it was not played.

--- a/src/build_daemon.ts
+++ b/src/build_daemon.ts
@@ -49,6 +49,7 @@
         storeChanges: control.storeChanges,
         metrics: base.registry,
         buildStatus: () => status.build(),
+        buildPreview: query => entry.preview.build(query),
         drain: cause => daemon.drain(cause),
     });
     owner.setListeners(() => servers.getDrainableListeners());
--- a/src/cli/run_admin.ts
+++ b/src/cli/run_admin.ts
@@ -9,13 +9,14 @@
 import type { Output } from "./output.ts";
 import { parseFlags } from "./parse_flags.ts";
 
-type AdminCall = (client: AdminClient) => Promise<Result<unknown, Failure>>;
+type AdminCall<Value> = (client: AdminClient) => Promise<Result<Value, Failure>>;
 
-/** Sends a request to a running daemon and prints the result as JSON. */
-export async function runAdmin(
+/** Sends a request to a running daemon and prints the result, as JSON unless `format` says otherwise. */
+export async function runAdmin<Value>(
     rawArgs: readonly string[],
-    call: AdminCall,
+    call: AdminCall<Value>,
     output: Output,
+    format: (value: Value) => string = formatJson,
 ): Promise<ExitCode> {
     // The environment may also contain variables of other commands, which would be reported as unknown.
     const names = new Set(adminSpecs.map(spec => formatVariableName(spec.name)));
@@ -36,6 +37,10 @@
         output.writeError(formatFailure(result.error));
         return ExitCode.Failed;
     }
-    output.write(`${JSON.stringify(result.value, undefined, 4)}\n`);
+    output.write(format(result.value));
     return ExitCode.Ok;
 }
+
+function formatJson(value: unknown): string {
+    return `${JSON.stringify(value, undefined, 4)}\n`;
+}
--- a/src/edge/admin_http/admin_client.ts
+++ b/src/edge/admin_http/admin_client.ts
@@ -8,6 +8,8 @@
 import { Code } from "../../core/code.ts";
 import { createFailure } from "../../core/create_failure.ts";
 import type { Failure } from "../../core/failure.ts";
+import type { DecisionTrace } from "../../preview/decision_trace.ts";
+import type { PreviewQuery } from "../../preview/preview_query.ts";
 
 const STATUS_TIMEOUT_MS = 5_000;
 
@@ -26,14 +28,25 @@
         return this.send("GET", "v1/status", STATUS_TIMEOUT_MS);
     }
 
+    async fetchPreview(query: PreviewQuery): Promise<Result<DecisionTrace, Failure>> {
+        const result = await this.send("POST", "v1/preview", STATUS_TIMEOUT_MS, query);
+        return result.map(trace => trace as DecisionTrace);
+    }
+
     drain(): Promise<Result<unknown, Failure>> {
         return this.send("POST", "v1/drain", this.options.drainTimeoutMs);
     }
 
-    private async send(method: Method, path: string, timeoutMs: number): Promise<Result<unknown, Failure>> {
+    private async send(
+        method: Method,
+        path: string,
+        timeoutMs: number,
+        content?: object,
+    ): Promise<Result<unknown, Failure>> {
         try {
             const response = await got(`http://${this.options.address}/${path}`, {
                 method,
+                ...(content === undefined ? {} : { json: content }),
                 retry: { limit: 0 },
                 timeout: { request: timeoutMs },
                 throwHttpErrors: false,
--- a/src/edge/daemon_servers.ts
+++ b/src/edge/daemon_servers.ts
@@ -23,6 +23,8 @@
 import { RequestSource } from "../lifecycle/request_source.ts";
 import type { OwnerIdentity } from "../operations/owner_identity.ts";
 import type { Revoker } from "../operations/revoker.ts";
+import type { DecisionTrace } from "../preview/decision_trace.ts";
+import type { PreviewQuery } from "../preview/preview_query.ts";
 import type { StoreChangesSource } from "../published/store_changes_source.ts";
 import type { IncomingDispatch } from "../queue/incoming_dispatch.ts";
 import type { CallerCodec } from "../receive/caller_codec.ts";
@@ -52,6 +54,7 @@
     /** Undefined when metrics are not served. */
     readonly metrics: RegistryMetrics | undefined;
     readonly buildStatus: () => DaemonStatus;
+    readonly buildPreview: (query: PreviewQuery) => DecisionTrace;
     readonly drain: (cause: string) => Promise<Result<DrainReport, Failure>>;
 }
 
--- a/src/main.ts
+++ b/src/main.ts
@@ -8,6 +8,7 @@
 import { codesCommand } from "./cli/codes_command.ts";
 import { drainCommand } from "./cli/drain_command.ts";
 import { explainCommand } from "./cli/explain_command.ts";
+import { previewCommand } from "./cli/preview_command.ts";
 import { serveCommand } from "./cli/serve_command.ts";
 import { showCommand } from "./cli/show_command.ts";
 
@@ -21,6 +22,7 @@
         serve: serveCommand,
         check: checkCommand,
         show: showCommand,
+        preview: previewCommand,
         drain: drainCommand,
         codes: codesCommand,
         explain: explainCommand,
--- a/src/select/expected_loss_selector.ts
+++ b/src/select/expected_loss_selector.ts
@@ -102,17 +102,18 @@
         const { failureDomain } = this.options;
         const { candidates, context } = this.findCandidates(request, excluded, history, nowMs);
         const { canExplore, isLastResort, suspicionLimit } = context;
-        const upstream = this.selectBest(candidates, context);
-        if (upstream === undefined) {
+        const best = this.selectBest(candidates, context);
+        if (best === undefined) {
             return err(createFailure(Code.NoUpstream));
         }
+        const { loss, upstream } = best;
         const baselineMs = this.baselines.compute(request.service, request.route, {
             upstreamId: upstream.id,
             excluded: new Set(),
             nowMs,
         });
         const view = this.getView(upstream.id);
-        const basis = { ...view.buildBasis(nowMs), candidates: candidates.length, learns: canExplore };
+        const basis = { ...view.buildBasis(nowMs), candidates: candidates.length, learns: canExplore, loss };
         const remote = upstream.failureDomain !== failureDomain;
         // A request without a better upstream accepts the known fault probability and a small increase of it.
         const faultLimit = isLastResort
@@ -226,7 +227,10 @@
         return { candidates, context: { ...context, canExplore: false, isLastResort: true } };
     }
 
-    private selectBest(candidates: readonly Upstream[], context: SelectionContext): Upstream | undefined {
+    private selectBest(
+        candidates: readonly Upstream[],
+        context: SelectionContext,
+    ): { readonly upstream: Upstream; readonly loss: number; } | undefined {
         let best: Upstream | undefined;
         let bestLoss = Infinity;
         for (const candidate of candidates) {
@@ -236,7 +240,7 @@
                 bestLoss = loss;
             }
         }
-        return best;
+        return best === undefined ? undefined : { upstream: best, loss: bestLoss };
     }
 
     private computeLoss(upstream: Upstream, context: SelectionContext): number {
--- a/src/select/selection_basis.ts
+++ b/src/select/selection_basis.ts
@@ -8,6 +8,8 @@
     readonly load: number;
     /** Number of upstreams from which it was selected. */
     readonly candidates: number;
+    /** Expected loss as a fraction of the value of the request; absent when it was not selected by loss. */
+    readonly loss?: number;
     /** True when the request may explore upstreams that are likely to fail. */
     readonly learns: boolean;
 }
--- a/src/wiring/build_entry.ts
+++ b/src/wiring/build_entry.ts
@@ -23,6 +23,9 @@
 import { KeyedOutcomeFilter } from "../operations/keyed_outcome_filter.ts";
 import { KeyedSelector } from "../operations/keyed_selector.ts";
 import { KnownOwnerTable } from "../operations/known_owner_table.ts";
+import { FilterPreviewStage } from "../preview/filter_preview_stage.ts";
+import { RequestPreview } from "../preview/request_preview.ts";
+import { SelectionPreviewStage } from "../preview/selection_preview_stage.ts";
 import { ServiceTimes } from "../queue/service_times.ts";
 import { HeaderCallerCodec } from "../receive/header_caller_codec.ts";
 import { ReceiveFilter } from "../receive/receive_filter.ts";
@@ -85,18 +88,17 @@
     const inFlight = new InFlightTable();
     const saturation = new SaturationTable(clock, membership);
     const serviceTimes = new ServiceTimes();
-    const loads = new ServiceLoadMeter({
-        membership,
-        findLoad: id => (adapters === undefined ? selector : lossSelector).findLoad(id),
-    });
+    const attemptSelector = adapters === undefined ? selector : lossSelector;
+    const loads = new ServiceLoadMeter({ membership, findLoad: id => attemptSelector.findLoad(id) });
+    const hedging = hedgePercent === 0
+        ? new NoHedgingPolicy()
+        : new QuantileHedgingPolicy({ percent: hedgePercent, budget, loads });
     const attempt = new AttemptFilter({
         ...base,
-        hedging: hedgePercent === 0
-            ? new NoHedgingPolicy()
-            : new QuantileHedgingPolicy({ percent: hedgePercent, budget, loads }),
+        hedging,
         observer: new AttemptLog(base),
         repeatedRuns: owner.repeatedRuns,
-        selector: adapters === undefined ? selector : lossSelector,
+        selector: attemptSelector,
         keyedSelector: new KeyedSelector({
             upstreams: new OwnerUpstreamIndex(() => membership.getList().list),
             owners,
@@ -108,8 +110,9 @@
         budget,
         leaving: membership,
     });
+    const admitFilter = new AdmitFilter({ clock, config: store, inFlight, saturation, serviceTimes });
     const forward = Pipeline.start(new RouteFilter({ config: store, clock, random }))
-        .pipe(new AdmitFilter({ clock, config: store, inFlight, saturation, serviceTimes }))
+        .pipe(admitFilter)
         .pipe(new InFlightFilter({ clock, inFlight, saturation, serviceTimes, inner: attempt }));
     const serve = Pipeline.start(new KeyedOutcomeFilter(forward)).pipe(new AnswerFilter(codec));
     const handler = new CallerHandler({
@@ -122,5 +125,13 @@
         metrics,
         callFailures: owner.callFailures,
     });
-    return { codec, handler, remote, selector };
+    const preview = new RequestPreview({
+        clock,
+        route: new RouteFilter({ config: store, clock, random }),
+        stages: [
+            new FilterPreviewStage("admit", admitFilter),
+            new SelectionPreviewStage({ selector: attemptSelector, hedging }),
+        ],
+    });
+    return { codec, handler, preview, remote, selector };
 }
