--- a/proof/operations/daemon_variant.ts
+++ b/proof/operations/daemon_variant.ts
@@ -1,6 +1,8 @@
 import type { Clock } from "../../src/core/clock.ts";
 import type { Filter } from "../../src/core/filter.ts";
 import type { Forwarder } from "../../src/forward/forwarder.ts";
+import type { HedgingPolicy } from "../../src/forward/hedging_policy.ts";
+import { NoHedgingPolicy } from "../../src/forward/no_hedging_policy.ts";
 import type { OwnerReply } from "../../src/forward/owner_reply.ts";
 import { AttemptTable } from "../../src/operations/attempt_table.ts";
 import { KeyedOutcomeFilter } from "../../src/operations/keyed_outcome_filter.ts";
@@ -35,6 +37,10 @@
         return forwarder;
     }
 
+    createHedging(): HedgingPolicy {
+        return new NoHedgingPolicy();
+    }
+
     createRevoker(revoker: Revoker, _: OwnerIdentity): Revoker {
         return revoker;
     }
--- a/proof/operations/fake_daemon.ts
+++ b/proof/operations/fake_daemon.ts
@@ -9,7 +9,6 @@
 import { PauseDetector } from "../../src/dispatch/pause_detector.ts";
 import { AttemptExchanger } from "../../src/forward/attempt_exchanger.ts";
 import { AttemptFilter } from "../../src/forward/attempt_filter.ts";
-import { NoHedgingPolicy } from "../../src/forward/no_hedging_policy.ts";
 import type { OwnerReply } from "../../src/forward/owner_reply.ts";
 import { DaemonState } from "../../src/lifecycle/daemon_state.ts";
 import { DeduplicationFilter } from "../../src/operations/deduplication_filter.ts";
@@ -143,7 +142,7 @@
                     owners,
                     exchanger,
                     budget,
-                    hedging: new NoHedgingPolicy(),
+                    hedging: variant.createHedging(),
                     leaving,
                     clock: process,
                     timers: process,
