Merge the proof of the configuration, keys of organisations and the era of the store

build_entry.ts conflicted: the filters of authentication and admission are now named, so that a preview applies them too. The preview gains the stage "authenticate", which decides by the authenticator that serves and counts no refusal; steps of filters show the organisation and the priority with which a request goes on.

--- a/src/preview/filter_preview_stage.ts
+++ b/src/preview/filter_preview_stage.ts
@@ -24,6 +24,8 @@
                 failure,
             };
         }
-        return { steps: [{ stage: this.name, decision: "allowed", values: {} }], request: result.value };
+        const { organisation, route } = result.value;
+        const values = { organisation, priority: route.priority };
+        return { steps: [{ stage: this.name, decision: "allowed", values }], request: result.value };
     }
 }
--- a/src/preview/request_preview.test.ts
+++ b/src/preview/request_preview.test.ts
@@ -3,10 +3,13 @@
 import { test } from "node:test";
 import { VirtualTime } from "../../proof/fakes/virtual_time.ts";
 import { buildService } from "../../proof/operations/build_service.ts";
+import { AuthenticateFilter } from "../authenticate/authenticate_filter.ts";
+import { AuthenticationKind } from "../authenticate/authentication_kind.ts";
 import { Code } from "../core/code.ts";
 import { createFailure } from "../core/create_failure.ts";
 import { NoHedgingPolicy } from "../forward/no_hedging_policy.ts";
 import { TokenRetryBudget } from "../forward/token_retry_budget.ts";
+import { CombinedMetrics } from "../metrics/combined_metrics.ts";
 import { ExpectedLossSelector } from "../select/expected_loss_selector.ts";
 import { FilterPreviewStage } from "./filter_preview_stage.ts";
 import { formatTrace } from "./format_trace.ts";
@@ -85,6 +88,25 @@
     assert.deepEqual(waits, [0, 0, 90]);
 });
 
+test("a preview of a key names its organisation or that it is unknown", () => {
+    const organisation = { name: "acme", keys: [], requestsPerSecond: 0, burst: 0, priority: undefined };
+    const build = (kind: AuthenticationKind) => {
+        const filter = new AuthenticateFilter({
+            authenticator: { decide: () => ({ kind, organisation }) },
+            clock: new VirtualTime(),
+            metrics: new CombinedMetrics([]),
+            getRetryAfterMs: () => 0,
+        });
+        return createPreview({ stages: [new FilterPreviewStage("authenticate", filter)] }).preview.build(
+            query,
+        );
+    };
+    assert.equal(build(AuthenticationKind.Accepted).steps[1]?.values["organisation"], "acme");
+    const unknown = build(AuthenticationKind.UnknownKey);
+    assert.equal(unknown.code, Code.UnknownCredential);
+    assert.ok(!JSON.stringify(unknown).includes("secret-key"));
+});
+
 test("a preview ends at the stage that refuses, with its code and the time to return, and shows no key", () => {
     const failure = createFailure(Code.EntryOverloaded, { retryAfterMs: 750 });
     const stages = [new FilterPreviewStage("admit", { apply: () => err(failure) })];
--- a/src/published/store_follower.ts
+++ b/src/published/store_follower.ts
@@ -12,6 +12,7 @@
  *
  * @module
  */
+import type { RevocationBounds } from "../authenticate/revocation_bounds.ts";
 import type { PeerRevision } from "../beacon/peer_revision.ts";
 import type { RevisionExchange } from "../beacon/revision_exchange.ts";
 import type { Clock } from "../core/clock.ts";
@@ -22,8 +23,12 @@
 import type { Timer } from "../core/timer.ts";
 import type { Timers } from "../core/timers.ts";
 import type { MembershipTable } from "../membership/membership_table.ts";
+import { compareRevisions } from "./compare_revisions.ts";
+import { ConfigProof } from "./config_proof.ts";
+import { ConfigProofMonitor } from "./config_proof_monitor.ts";
 import type { ConfigStore } from "./config_store.ts";
 import type { ControlPlane } from "./control_plane.ts";
+import { noRevision } from "./no_revision.ts";
 import type { PeerChanges } from "./peer_changes.ts";
 import { PeerProgress } from "./peer_progress.ts";
 import type { PlatformStore } from "./platform_store.ts";
@@ -33,7 +38,9 @@
 import { StoreHistory } from "./store_history.ts";
 import type { StorePage } from "./store_page.ts";
 import type { StorePeers } from "./store_peers.ts";
+import { StoreReadPolicy } from "./store_read_policy.ts";
 import { StoreReader } from "./store_reader.ts";
+import type { StoreRevision } from "./store_revision.ts";
 
 interface Options {
     readonly store: PlatformStore;
@@ -51,17 +58,9 @@
     readonly getApplyMs: () => number;
     /** Milliseconds after open connections went silent within which changes must be read again. */
     readonly getSilenceMs: () => number;
+    readonly getBounds: () => RevocationBounds;
 }
 
-/**
- * Milliseconds by which a watch is shorter than the time in which a silent connection must be noticed: 500 until it
- * counts as silent, the rest for one more read and for passing it on.
- */
-const silenceReserveMs = 800;
-/** Shortest watch in milliseconds; each call has a cost, even one without a change. */
-const minWatchMs = 1_000;
-/** Milliseconds that a read waits for a change when no other daemon is known to read the store. */
-const pollMs = 1;
 /** Milliseconds between a change and the next watch, so that changes in quick succession cost one call. */
 const coalescingDelayMs = 400;
 /**
@@ -70,20 +69,6 @@
  * suffices to put a change in force in time.
  */
 const maxLagMs = 800;
-/**
- * Fraction of the time to put a change in force after which a daemon reads the store itself if no other daemon
- * of its failure domain is known to have reached it. The rest is a margin for that read.
- */
-const contactShare = 0.5;
-/** The same fraction at the standby of the daemon that watches the store. */
-const standbyContactShare = 0.4;
-/** Largest part by which a daemon delays that read at random, so that one daemon reads for the others. */
-const contactJitter = 0.15;
-/**
- * Milliseconds after the first report of a newer revision in which the changes should arrive from a daemon that
- * holds them. One that has just started knows the revision and not the changes before.
- */
-const maxBehindMs = 300;
 /** Milliseconds before the next step after an unexpected error. */
 const errorDelayMs = 1_000;
 /** Longest time in milliseconds until a daemon checks again whether it should watch the store. */
@@ -91,13 +76,18 @@
 
 /** Control plane of a daemon that shares what it reads of the platform's store with its failure domain. */
 export class StoreFollower implements ControlPlane, RevisionExchange, StoreChangesSource {
+    readonly proof: ConfigProof;
     private readonly applier: StoreChangeApplier;
     private readonly contact = new StoreContact();
     private readonly history = new StoreHistory();
     private readonly progress = new PeerProgress();
+    private readonly proofMonitor: ConfigProofMonitor;
+    private readonly policy: StoreReadPolicy;
     private readonly reader: StoreReader;
     /** Revision to continue from; undefined when all values must be read. */
-    private revision: number | undefined;
+    private revision: StoreRevision | undefined;
+    /** Era of the last page; the store came back from an older copy when that of a page is later. */
+    private era = 0;
     private lagTimer: Timer | undefined;
     private hasRead = false;
     private closed = false;
@@ -110,6 +100,9 @@
 
     constructor(private readonly options: Options) {
         this.applier = new StoreChangeApplier(options);
+        this.policy = new StoreReadPolicy(options);
+        this.proof = new ConfigProof({ getVersion: () => options.configs.getActive()?.version });
+        this.proofMonitor = new ConfigProofMonitor(this.proof, options);
         const handleRecovery = (answeredMs: number) =>
             this.applier.upstreams.recordPlatformRecovery(answeredMs);
         const handleContact = () => options.peers.sendContact();
@@ -118,6 +111,7 @@
 
     async start(): Promise<void> {
         void this.run();
+        this.proofMonitor.start();
         const limit = this.options.timers.start(this.options.startWaitMs, () => this.resolveReady());
         await this.ready;
         limit.close();
@@ -127,11 +121,13 @@
         this.closed = true;
         this.wake();
         this.lagTimer?.close();
+        this.proofMonitor.close();
+        this.applier.upstreams.close();
         this.options.store.close();
     }
 
-    getRevision(): number {
-        return this.revision ?? 0;
+    getRevision(): StoreRevision {
+        return this.revision ?? noRevision;
     }
 
     getStoreAgeMs(): number | undefined {
@@ -139,7 +135,7 @@
         return Number.isFinite(ageMs) ? ageMs : undefined;
     }
 
-    findChanges(afterRevision: number): PeerChanges | undefined {
+    findChanges(afterRevision: StoreRevision): PeerChanges | undefined {
         const changes = this.history.find(afterRevision, this.options.clock.getMonotonicMs());
         return changes && { ...changes, recoveryMs: this.applier.upstreams.getRecoveryMs() };
     }
@@ -182,7 +178,7 @@
 
     /** Makes one call at most and returns the delay before the next step in milliseconds. */
     private async runOnce(): Promise<number> {
-        const { clock, getSilenceMs, peers } = this.options;
+        const { clock, peers } = this.options;
         if (this.revision === undefined) {
             return this.readStore(undefined, 0);
         }
@@ -190,33 +186,28 @@
         if (await this.fetchFromPeer(this.revision)) {
             return rank === 0 ? coalescingDelayMs : 0;
         }
+        const nowMs = clock.getMonotonicMs();
+        const proof = { ageMs: nowMs - this.proof.getProvedMs(), blockedMs: this.proof.getBlockedMs(nowMs) };
         if (rank === 0) {
-            return this.readStore(this.revision, Math.max(minWatchMs, getSilenceMs() - silenceReserveMs));
+            return this.readStore(this.revision, this.policy.computeWatchMs(proof));
         }
-        const nowMs = clock.getMonotonicMs();
-        const ageMs = this.contact.getAgeMs(nowMs);
+        const contactAgeMs = this.contact.getAgeMs(nowMs);
         const behindMs = nowMs - this.progress.getBehindSinceMs();
-        const waitMs = Math.min(this.computeMaxContactAge(rank) - ageMs, maxBehindMs - behindMs, roleCheckMs);
-        if (waitMs > 0) {
-            return waitMs;
+        const delayMs = this.policy.computeDelayMs({ rank, contactAgeMs, behindMs, proof });
+        if (delayMs > 0) {
+            return Math.min(delayMs, roleCheckMs);
         }
         this.options.logger.write(LogLevel.Info, "platform_read_directly", {
             rank,
-            contactAgeMs: Math.round(Math.min(ageMs, Number.MAX_SAFE_INTEGER)),
+            contactAgeMs: Math.round(Math.min(contactAgeMs, Number.MAX_SAFE_INTEGER)),
             behindMs: Math.round(Math.max(0, behindMs)),
+            proofAgeMs: Math.round(Math.min(proof.ageMs, Number.MAX_SAFE_INTEGER)),
         });
-        return this.readStore(this.revision, pollMs);
-    }
-
-    /** Milliseconds since the last known contact after which this daemon reads the store itself. */
-    private computeMaxContactAge(rank: number): number {
-        const { getApplyMs, random } = this.options;
-        const share = rank === 1 ? standbyContactShare : contactShare + contactJitter * random.getFloat();
-        return getApplyMs() * share;
+        return this.readStore(this.revision, this.policy.getPollMs());
     }
 
     /** True when another daemon sent newer changes, which are in force now. */
-    private async fetchFromPeer(revision: number): Promise<boolean> {
+    private async fetchFromPeer(revision: StoreRevision): Promise<boolean> {
         const { metrics, peers, store } = this.options;
         const peer = this.progress.takeNewer(revision);
         if (peer === undefined) {
@@ -224,7 +215,7 @@
         }
         const changes = await peers.fetchChanges(peer.address, revision);
         metrics.addCount("platform.peer_reads", { failed: `${changes.isErr()}` });
-        if (changes.isErr() || changes.value.revision <= revision) {
+        if (changes.isErr() || compareRevisions(changes.value.revision, revision) <= 0) {
             return false;
         }
         const { complete, items, recoveryMs } = changes.value;
@@ -235,7 +226,7 @@
     }
 
     /** Reads all values, or the changes after a revision, and returns the delay before the next step. */
-    private async readStore(afterRevision: number | undefined, waitMs: number): Promise<number> {
+    private async readStore(afterRevision: StoreRevision | undefined, waitMs: number): Promise<number> {
         const result = await this.reader.read(afterRevision, waitMs);
         if (this.closed) {
             return 0;
@@ -244,11 +235,15 @@
             this.revision = result.error.mustReadAll ? undefined : this.revision;
             return result.error.delayMs;
         }
-        const page = result.value;
+        const { heldMs, page } = result.value;
         const isFirst = !this.hasRead;
         this.hasRead = true;
         this.progress.recordOwn(page.revision, true);
+        if (!isFirst && page.revision.era > this.era) {
+            this.applier.upstreams.recordPlatformRecovery(this.options.clock.getMonotonicMs());
+        }
         this.apply(page, afterRevision);
+        this.proof.recordAnswer(heldMs);
         if (page.changes.length === 0) {
             return 0;
         }
@@ -260,16 +255,28 @@
     }
 
     /** `afterRevision` is undefined for a page with all values. */
-    private apply(page: StorePage, afterRevision: number | undefined): void {
+    private apply(page: StorePage, afterRevision: StoreRevision | undefined): void {
+        this.recordEra(page.revision.era);
         this.revision = page.revision;
         this.progress.recordOwn(page.revision, false);
         this.history.record(afterRevision, page, this.options.clock.getMonotonicMs());
         this.applier.apply(page, afterRevision === undefined);
+        this.proof.recordApplied(this.applier.isConfigurationCurrent());
         if (this.options.configs.getActive() !== undefined) {
             this.resolveReady();
         }
     }
 
+    private recordEra(era: number): void {
+        const { clock, logger, metrics } = this.options;
+        if (era > this.era) {
+            logger.write(LogLevel.Warn, "platform_restored", { era, before: this.era });
+            metrics.addCount("platform.era_changes");
+            this.proof.recordLoss(clock.getMonotonicMs());
+        }
+        this.era = era;
+    }
+
     /** Keeps following the store after an error that no call reports; returns the delay before the next step. */
     private recordUnexpectedError(error: unknown): number {
         this.options.logger.write(LogLevel.Error, "platform_follow_failed", { detail: String(error) });
--- a/src/wiring/build_entry.ts
+++ b/src/wiring/build_entry.ts
@@ -4,6 +4,10 @@
 import { SaturationTable } from "../admit/saturation_table.ts";
 import { AnswerFilter } from "../answer/answer_filter.ts";
 import { CallerHandler } from "../answer/caller_handler.ts";
+import { AuthenticateFilter } from "../authenticate/authenticate_filter.ts";
+import { KeyAuthenticator } from "../authenticate/key_authenticator.ts";
+import type { RevocationBounds } from "../authenticate/revocation_bounds.ts";
+import { RevocationGuard } from "../authenticate/revocation_guard.ts";
 import { Pipeline } from "../core/pipeline.ts";
 import type { DaemonAdapters } from "../daemon_adapters.ts";
 import { ConnectRevoker } from "../edge/control/connect_revoker.ts";
@@ -18,6 +22,7 @@
 import { QuantileHedgingPolicy } from "../forward/quantile_hedging_policy.ts";
 import { TokenRetryBudget } from "../forward/token_retry_budget.ts";
 import { OwnerUpstreamIndex } from "../membership/owner_upstream_index.ts";
+import { CombinedMetrics } from "../metrics/combined_metrics.ts";
 import { KeyIssuer } from "../operations/key_issuer.ts";
 import { KeyRequestFilter } from "../operations/key_request_filter.ts";
 import { KeyedOutcomeFilter } from "../operations/keyed_outcome_filter.ts";
@@ -44,6 +49,12 @@
 /** Peers whose attempt counts are known; none without beacons, which carry the counts. */
 const noPeerIds: ReadonlySet<string> = new Set();
 
+/** Bounds of deployments whose configuration arrives by gossip and holds no keys. */
+const noRevocationBounds: RevocationBounds = { isStrict: false, maxAgeMs: Infinity, applyMs: Infinity };
+
+/** A preview counts nothing. */
+const noMetrics = new CombinedMetrics([]);
+
 /** Builds the entry side of a daemon: from a caller's request to its answer. */
 export function buildEntry(
     settings: EntrySettings,
@@ -110,8 +121,19 @@
         budget,
         leaving: membership,
     });
+    const guard = new RevocationGuard({
+        proof: control.proof,
+        getBounds: () => adapters?.getRevocationBounds() ?? noRevocationBounds,
+    });
+    const authenticator = new KeyAuthenticator({
+        config: store,
+        runs: owner.runs,
+        guard,
+    });
+    const authentication = { clock, authenticator, getRetryAfterMs: () => guard.getRetryAfterMs() };
     const admitFilter = new AdmitFilter({ clock, config: store, inFlight, saturation, serviceTimes });
     const forward = Pipeline.start(new RouteFilter({ config: store, clock, random }))
+        .pipe(new AuthenticateFilter({ ...authentication, metrics }))
         .pipe(admitFilter)
         .pipe(new InFlightFilter({ clock, inFlight, saturation, serviceTimes, inner: attempt }));
     const serve = Pipeline.start(new KeyedOutcomeFilter(forward)).pipe(new AnswerFilter(codec));
@@ -129,6 +151,10 @@
         clock,
         route: new RouteFilter({ config: store, clock, random }),
         stages: [
+            new FilterPreviewStage(
+                "authenticate",
+                new AuthenticateFilter({ ...authentication, metrics: noMetrics }),
+            ),
             new FilterPreviewStage("admit", admitFilter),
             new SelectionPreviewStage({ selector: attemptSelector, hedging }),
         ],
