--- a/src/wiring/build_entry.ts
+++ b/src/wiring/build_entry.ts
@@ -24,11 +24,15 @@
 import { QuantileHedgingPolicy } from "../forward/quantile_hedging_policy.ts";
 import { TokenRetryBudget } from "../forward/token_retry_budget.ts";
 import { OwnerUpstreamIndex } from "../membership/owner_upstream_index.ts";
+import { CombinedMetrics } from "../metrics/combined_metrics.ts";
 import { KeyIssuer } from "../operations/key_issuer.ts";
 import { KeyRequestFilter } from "../operations/key_request_filter.ts";
 import { KeyedOutcomeFilter } from "../operations/keyed_outcome_filter.ts";
 import { KeyedSelector } from "../operations/keyed_selector.ts";
 import { KnownOwnerTable } from "../operations/known_owner_table.ts";
+import { FilterPreviewStage } from "../preview/filter_preview_stage.ts";
+import { RequestPreview } from "../preview/request_preview.ts";
+import { SelectionPreviewStage } from "../preview/selection_preview_stage.ts";
 import { ServiceTimes } from "../queue/service_times.ts";
 import { HeaderCallerCodec } from "../receive/header_caller_codec.ts";
 import { ReceiveFilter } from "../receive/receive_filter.ts";
@@ -50,6 +54,9 @@
 /** Bounds of deployments whose configuration arrives by gossip and holds no keys. */
 const noRevocationBounds: RevocationBounds = { isStrict: false, maxAgeMs: Infinity, applyMs: Infinity };
 
+/** A preview counts nothing. */
+const noMetrics = new CombinedMetrics([]);
+
 /** Builds the entry side of a daemon: from a caller's request to its answer. */
 export function buildEntry(
     settings: EntrySettings,
@@ -94,18 +101,17 @@
     const inFlight = new InFlightTable();
     const saturation = new SaturationTable(clock, membership);
     const serviceTimes = new ServiceTimes();
-    const loads = new ServiceLoadMeter({
-        membership,
-        findLoad: id => (adapters === undefined ? selector : lossSelector).findLoad(id),
-    });
+    const attemptSelector = adapters === undefined ? selector : lossSelector;
+    const loads = new ServiceLoadMeter({ membership, findLoad: id => attemptSelector.findLoad(id) });
+    const hedging = hedgePercent === 0
+        ? new NoHedgingPolicy()
+        : new QuantileHedgingPolicy({ percent: hedgePercent, budget, loads });
     const attempt = new AttemptFilter({
         ...base,
-        hedging: hedgePercent === 0
-            ? new NoHedgingPolicy()
-            : new QuantileHedgingPolicy({ percent: hedgePercent, budget, loads }),
+        hedging,
         observer: new AttemptLog(base),
         repeatedRuns: owner.repeatedRuns,
-        selector: adapters === undefined ? selector : lossSelector,
+        selector: attemptSelector,
         keyedSelector: new KeyedSelector({
             upstreams: new OwnerUpstreamIndex(() => membership.getList().list),
             owners,
@@ -126,12 +132,12 @@
         runs: owner.runs,
         guard,
     });
-    const authenticate = Pipeline.start(
-        new AuthenticateFilter({ ...base, authenticator, getRetryAfterMs: () => guard.getRetryAfterMs() }),
-    );
+    const authentication = { clock, authenticator, getRetryAfterMs: () => guard.getRetryAfterMs() };
+    const admitFilter = new AdmitFilter({ clock, config: store, inFlight, saturation, serviceTimes });
+    const authenticate = Pipeline.start(new AuthenticateFilter({ ...authentication, metrics }));
     const admitted =
         (control.usageCap === undefined ? authenticate : authenticate.pipe(control.usageCap.filter))
-            .pipe(new AdmitFilter({ clock, config: store, inFlight, saturation, serviceTimes }))
+            .pipe(admitFilter)
             .pipe(new InFlightFilter({ clock, inFlight, saturation, serviceTimes, inner: attempt }));
     const forward = Pipeline.start(new RouteFilter({ config: store, clock, random })).pipe(
         new ReturnTimeFilter({
@@ -152,5 +158,17 @@
         metrics,
         callFailures: owner.callFailures,
     });
-    return { codec, handler, remote, selector };
+    const preview = new RequestPreview({
+        clock,
+        route: new RouteFilter({ config: store, clock, random }),
+        stages: [
+            new FilterPreviewStage(
+                "authenticate",
+                new AuthenticateFilter({ ...authentication, metrics: noMetrics }),
+            ),
+            new FilterPreviewStage("admit", admitFilter),
+            new SelectionPreviewStage({ selector: attemptSelector, hedging }),
+        ],
+    });
+    return { codec, handler, preview, remote, selector };
 }
