Check that a fleet without renewed proofs is noticed

Cause: the property of removed keys has two sides, and the mutants showed only that late requests are noticed. Change: a third mutant neither takes claims of others nor reads the store for a proof; refusals in touch must show it.

--- a/proof/control/revocation.test.ts
+++ b/proof/control/revocation.test.ts
@@ -20,9 +20,14 @@
 
 type Mutation = Pick<ConstructorParameters<typeof RevocationFleet>[0], "mutate" | "mutateBeacon">;
 
-const mutations: readonly { readonly name: string; readonly mutation: Mutation; }[] = [
+const mutations: readonly {
+    readonly name: string;
+    readonly finding: "late" | "refused";
+    readonly mutation: Mutation;
+}[] = [
     {
         name: "a proof of another daemon that counts from its arrival",
+        finding: "late",
         mutation: {
             mutateBeacon: ({ follower, process }, { claim }) => {
                 if (claim !== undefined) {
@@ -34,6 +39,7 @@
     },
     {
         name: "a proof of another daemon about a version that is not in force here",
+        finding: "late",
         mutation: {
             mutate: ({ follower }) => {
                 const recordClaim = follower.proof.recordClaim.bind(follower.proof);
@@ -41,9 +47,19 @@
             },
         },
     },
+    {
+        name: "a daemon that neither takes the proofs of others nor reads the store for one",
+        finding: "refused",
+        mutation: {
+            mutate: ({ follower }) => {
+                follower.proof.recordClaim = () => undefined;
+                follower.proof.getBlockedMs = () => Infinity;
+            },
+        },
+    },
 ];
 
-for (const { name, mutation } of mutations) {
+for (const { name, finding, mutation } of mutations) {
     test(`the check notices ${name}`, async () => {
         for (
             const [runSeed, schedule] of fc.sample(fc.tuple(fc.nat(1_000_000), faults), {
@@ -51,9 +67,9 @@
                 numRuns: 200,
             })
         ) {
-            const { late } = await new RevocationFleet({ seed: runSeed, faults: schedule, ...mutation })
+            const result = await new RevocationFleet({ seed: runSeed, faults: schedule, ...mutation })
                 .run();
-            if (late.length > 0) {
+            if (result[finding].length > 0) {
                 return;
             }
         }
