Ignore claims about versions that were already replaced here

Cause: a daemon that starts from an older copy of the store may claim, once operators had time to write again, that a version is the newest that another daemon has already seen replaced; the claim renewed the proof there. Change: ConfigProof keeps since when its version is in force, and takes a claim about an earlier one only for a moment before that.

--- a/src/published/store_era.test.ts
+++ b/src/published/store_era.test.ts
@@ -85,6 +85,18 @@
     assert.ok(follower.proof.getProvedMs() > 5_000);
 });
 
+// A daemon that started from the older copy claims so once operators had time to write again.
+test("a claim about a version that was replaced here before the moment of the claim proves nothing", async () => {
+    const { follower, store, time } = await createRestored([], [buildConfiguration(3, 2)]);
+    store.send(buildEraPage(1, 53, buildConfiguration(5, 53)));
+    await time.run(500);
+    const provedMs = follower.proof.getProvedMs();
+    follower.proof.recordClaim({ version: 4, provedMs: time.getMonotonicMs() });
+    assert.equal(follower.proof.getProvedMs(), provedMs);
+    follower.proof.recordClaim({ version: 4, provedMs: 1_050 });
+    assert.equal(follower.proof.getProvedMs(), 1_050);
+});
+
 // Its newest version may be one that the store has lost, and that this daemon never read.
 test("a daemon that starts in a later era proves nothing until operators had time to write again", async () => {
     const { follower, store, time } = createFollowerSetup();
--- a/src/published/store_follower.ts
+++ b/src/published/store_follower.ts
@@ -261,7 +261,7 @@
         this.progress.recordOwn(page.revision, false);
         this.history.record(afterRevision, page, this.options.clock.getMonotonicMs());
         this.applier.apply(page, afterRevision === undefined);
-        this.proof.recordApplied(this.applier.isConfigurationCurrent());
+        this.proof.recordApplied(this.applier.isConfigurationCurrent(), this.options.clock.getMonotonicMs());
         if (this.options.configs.getActive() !== undefined) {
             this.resolveReady();
         }
