--- a/src/authenticate/authenticate_filter.test.ts
+++ b/src/authenticate/authenticate_filter.test.ts
@@ -7,6 +7,7 @@
 import type { RoutedRequest } from "../route/routed_request.ts";
 import { AuthenticateFilter } from "./authenticate_filter.ts";
 import { KeyAuthenticator } from "./key_authenticator.ts";
+import { RevocationGuard } from "./revocation_guard.ts";
 import { RunTable } from "./run_table.ts";
 
 const organisation: Organisation = {
@@ -29,14 +30,18 @@
     const organisations = new Map([[organisation.name, organisation]]);
     const configuration = { team: "", services: new Map(), ...hasKeys ? { organisations } : {} };
     const clock = new VirtualTime();
+    const guard = new RevocationGuard({
+        proof: { getProvedMs: () => clock.getMonotonicMs() - proofAgeMs },
+        getBounds: () => ({ isStrict, maxAgeMs: 5_000, applyMs: 2_500 }),
+    });
     const authenticator = new KeyAuthenticator({
         config: { getActive: () => ({ version: 1, digest: "", source: "", configuration }) },
         runs,
-        proof: { getProvedMs: () => clock.getMonotonicMs() - proofAgeMs },
-        getBounds: () => ({ isStrict, maxAgeMs: 5_000, applyMs: 2_500 }),
+        guard,
     });
     const filter = new AuthenticateFilter({
         authenticator,
+        getRetryAfterMs: () => guard.getRetryAfterMs(),
         clock,
         metrics: { addCount: () => undefined, recordTime: () => undefined, setGauge: () => undefined },
     });
--- a/src/edge/beacon_udp/udp_beacon_transport.ts
+++ b/src/edge/beacon_udp/udp_beacon_transport.ts
@@ -18,10 +18,9 @@
 import { encodeBeacon } from "./encode_beacon.ts";
 
 const decodeBeacon = fromThrowable((bytes: Uint8Array): Beacon => {
-    const { counts, daemonId, incarnation, kind, reports, revision, storeAgeMs, suspects } = fromBinary(
-        BeaconSchema,
-        bytes,
-    );
+    const message = fromBinary(BeaconSchema, bytes);
+    const { counts, daemonId, incarnation, kind, reports, revision, storeAgeMs, suspects } = message;
+    const { allowanceAsk, allowanceGrant, configVersion, probeNumber, proofAgeMs, storeEra } = message;
     return {
         kind: decodeKind(kind),
         daemonId,
@@ -31,8 +30,16 @@
         ),
         counts,
         suspects,
-        revision: Number(revision),
+        revision: { era: storeEra, revision: Number(revision) },
         storeAgeMs,
+        claim: proofAgeMs === undefined ? undefined : { version: Number(configVersion), ageMs: proofAgeMs },
+        probeNumber: probeNumber === 0n ? undefined : Number(probeNumber),
+        ...(allowanceAsk === undefined
+            ? {}
+            : { allowanceAsk: { ...allowanceAsk, id: Number(allowanceAsk.id) } }),
+        ...(allowanceGrant === undefined
+            ? {}
+            : { allowanceGrant: { ...allowanceGrant, id: Number(allowanceGrant.id) } }),
     };
 });
 
--- a/src/select/expected_loss_selector.ts
+++ b/src/select/expected_loss_selector.ts
@@ -40,6 +40,8 @@
 import { computeFaultLoss } from "./compute_fault_loss.ts";
 import { computeWaitLoss } from "./compute_wait_loss.ts";
 import { isTrialDue } from "./is_trial_due.ts";
+import { isTrialRequest } from "./is_trial_request.ts";
+import type { ObservedLoad } from "./observed_load.ts";
 import type { SelectedRequest } from "./selected_request.ts";
 import type { SelectionContext } from "./selection_context.ts";
 import type { UpstreamSelector } from "./upstream_selector.ts";
@@ -145,7 +147,7 @@
             : (selected.deadlineMs - nowMs) * defaultOverdueShare;
         view.load.addRequest(formatKey(selected), nowMs + overdueAfterMs);
         view.recordAttempt(nowMs);
-        if (isTrial(selected)) {
+        if (isTrialRequest(selected)) {
             view.trials.recordStart(nowMs);
         }
     }
@@ -159,7 +161,7 @@
         const nowMs = this.options.clock.getMonotonicMs();
         const view = this.views.get(upstream.id);
         view.load.removeRequest(formatKey(selected));
-        if (isTrial(selected)) {
+        if (isTrialRequest(selected)) {
             view.trials.recordEnd(reply.code === Code.UpstreamSuspected);
         }
         if (reply.upstream !== undefined) {
@@ -285,13 +287,12 @@
                     randomNumber: random.getFloat(),
                 }));
     }
+
+    findLoad(upstreamId: string): ObservedLoad | undefined {
+        return this.views.find(upstreamId)?.load;
+    }
 }
 
 function formatKey(selected: SelectedRequest): string {
     return `${selected.requestId}/${selected.attempt}`;
 }
-
-/** True for a request to an upstream that was suspected when others could be selected. */
-function isTrial({ basis, faultLimit = 1, redirectable }: SelectedRequest): boolean {
-    return redirectable === true && basis !== undefined && basis.faultProbability > faultLimit;
-}
--- a/src/select/upstream_view_table.ts
+++ b/src/select/upstream_view_table.ts
@@ -8,6 +8,10 @@
     readonly serviceLoads = new ServiceLoadTable();
     private readonly views = new Map<string, UpstreamView>();
 
+    find(upstreamId: string): UpstreamView | undefined {
+        return this.views.get(upstreamId);
+    }
+
     /** `slots` are those of the instance list, when they are known. */
     get(upstreamId: string, slots?: number): UpstreamView {
         let view = this.views.get(upstreamId);
