--- a/src/forward/attempt_sequence.ts
+++ b/src/forward/attempt_sequence.ts
@@ -199,16 +199,14 @@
         const started = this.start(releaseCharge);
         if (started.isErr()) {
             releaseCharge();
-            return undefined;
         }
-        return started.value;
+        return started.unwrapOr(undefined);
     }
 
     /** Records the end of an attempt and returns its reply with the outcome of the whole request. */
     private async recordEnd({ reply, running }: EndedAttempt): Promise<OwnerReply> {
         this.running.delete(running);
-        const { idempotent } = this.request.route;
-        const isLostAtHop = !idempotent && reply.outcome === Outcome.Unknown &&
+        const isLostAtHop = !this.request.route.idempotent && reply.outcome === Outcome.Unknown &&
             hopFailureCodes.has(reply.code);
         const checkedReply = isLostAtHop
             ? await this.options.revokeAfterHopFailure(running.selected, reply)
--- a/src/select/expected_loss_selector.ts
+++ b/src/select/expected_loss_selector.ts
@@ -39,8 +39,8 @@
 import { BaselineTable } from "./baseline_table.ts";
 import { computeFaultLoss } from "./compute_fault_loss.ts";
 import { computeWaitLoss } from "./compute_wait_loss.ts";
-import { isTrial } from "./is_trial.ts";
 import { isTrialDue } from "./is_trial_due.ts";
+import { isTrialRequest } from "./is_trial_request.ts";
 import type { ObservedLoad } from "./observed_load.ts";
 import type { SelectedRequest } from "./selected_request.ts";
 import type { SelectionContext } from "./selection_context.ts";
@@ -116,12 +116,8 @@
             nowMs,
         });
         const view = this.views.get(upstream.id);
-        const basis = {
-            ...view.buildBasis(background, nowMs),
-            candidates: candidates.length,
-            learns: canExplore,
-            loss,
-        };
+        const selection = { candidates: candidates.length, learns: canExplore, loss };
+        const basis = { ...view.buildBasis(background, nowMs), ...selection };
         const remote = upstream.failureDomain !== failureDomain;
         // A request without a better upstream accepts the known fault probability and a small increase of it.
         const faultLimit = isLastResort
@@ -149,7 +145,7 @@
             : (selected.deadlineMs - nowMs) * defaultOverdueShare;
         view.load.addRequest(formatKey(selected), nowMs + overdueAfterMs);
         view.recordAttempt(nowMs);
-        if (isTrial(selected)) {
+        if (isTrialRequest(selected)) {
             view.trials.recordStart(nowMs);
         }
     }
@@ -163,7 +159,7 @@
         const nowMs = this.options.clock.getMonotonicMs();
         const view = this.views.get(upstream.id);
         view.load.removeRequest(formatKey(selected));
-        if (isTrial(selected)) {
+        if (isTrialRequest(selected)) {
             view.trials.recordEnd(reply.code === Code.UpstreamSuspected);
         }
         if (reply.upstream !== undefined) {
@@ -294,7 +290,7 @@
     }
 
     findLoad(upstreamId: string): ObservedLoad | undefined {
-        return this.views.findLoad(upstreamId);
+        return this.views.find(upstreamId)?.load;
     }
 }
 
--- a/src/select/upstream_view_table.ts
+++ b/src/select/upstream_view_table.ts
@@ -1,6 +1,5 @@
 import type { Upstream } from "../core/upstream.ts";
 import type { BackgroundLoad } from "./background_load.ts";
-import type { ObservedLoad } from "./observed_load.ts";
 import { ServiceLoadTable } from "./service_load_table.ts";
 import { UpstreamView } from "./upstream_view.ts";
 
@@ -9,6 +8,10 @@
     readonly serviceLoads = new ServiceLoadTable();
     private readonly views = new Map<string, UpstreamView>();
 
+    find(upstreamId: string): UpstreamView | undefined {
+        return this.views.get(upstreamId);
+    }
+
     /** `slots` are those of the instance list, when they are known. */
     get(upstreamId: string, slots?: number): UpstreamView {
         let view = this.views.get(upstreamId);
@@ -19,10 +22,6 @@
         return view;
     }
 
-    findLoad(upstreamId: string): ObservedLoad | undefined {
-        return this.views.get(upstreamId)?.load;
-    }
-
     measureBackground(service: string, members: readonly Upstream[], nowMs: number): BackgroundLoad {
         return this.serviceLoads.measure(service, members.map(({ id, slots }) => this.get(id, slots)), nowMs);
     }
