--- /dev/null
+++ b/proof/process_limits/create_upstream_handler.ts
@@ -0,0 +1,28 @@
+import type { RequestListener } from "node:http";
+
+/** Length of the answers below `/long`. */
+const longAnswerBytes = 6 * 1_048_576;
+const longAnswer = Buffer.alloc(longAnswerBytes, "a");
+const shortAnswer = Buffer.from("ok");
+
+/** Serves an upstream that reads each request to its end and answers with its length or with a long answer. */
+export function createUpstreamHandler(id: string): RequestListener {
+    return (request, response) => {
+        let bodyBytes = 0;
+        request.on("data", (chunk: Buffer) => {
+            bodyBytes += chunk.length;
+        });
+        request.once("end", () => {
+            const body = request.url === "/long" ? longAnswer : shortAnswer;
+            response.writeHead(200, {
+                "x-request-id": request.headers["x-request-id"],
+                "x-upstream-instance": id,
+                "x-upstream-signature": `sig.${id}.${request.headers["x-request-id"]?.toString()}`,
+                "x-upstream-load": "0,0,64",
+                "x-body-bytes": bodyBytes,
+                "content-length": body.length,
+            });
+            response.end(body);
+        });
+    };
+}
