Bound what a daemon holds for its peers by one account of memory

Cause: nothing bounded the bodies that an entry daemon holds together. Each was collected in blocks, joined, encoded again into a frame of a link, and decoded there from a buffer that doubles; answers waited for slow callers without a bound.

Change: BoundedMemoryAccount, sized from the memory of the instance, with a part that only transfers up to 512 KB use. MemoryGuard closes, while any transfer waits, the one that progressed least for its size (ProgressTable, which has no clock). Answers are written in pieces and stay charged until their caller has them. `MaxBodyBytes` of the configuration bounds what is read.

--- a/src/build_daemon.test.ts
+++ b/src/build_daemon.test.ts
@@ -23,6 +23,8 @@
     logLevel: LogLevel.Error,
     maxRequestBytes: 1_000,
     answerMemoryBytes: 65_536,
+    memoryBytes: 536_870_912,
+    maxCallerConnections: 100,
     gossipIntervalMs: 60_000,
     watchMs: 1_000,
     startWaitMs: 0,
--- a/src/build_daemon.ts
+++ b/src/build_daemon.ts
@@ -10,6 +10,7 @@
  *
  * @module
  */
+import { defaultCallerLimits } from "./config/default_caller_limits.ts";
 import type { Daemon } from "./daemon.ts";
 import type { DaemonAdapters } from "./daemon_adapters.ts";
 import { DaemonServers } from "./edge/daemon_servers.ts";
@@ -41,6 +42,8 @@
         callerCodec: entry.codec,
         identity: base.identity,
         logger: base.logger,
+        memory: base.memory,
+        getCallerLimits: () => control.store.getActive()?.configuration.callerLimits ?? defaultCallerLimits,
         lifecycle: owner.lifecycle,
         caller: entry.handler,
         owner: owner.remotePipeline,
--- a/src/config/configuration.ts
+++ b/src/config/configuration.ts
@@ -1,3 +1,4 @@
+import type { CallerLimits } from "./caller_limits.ts";
 import type { Organisation } from "./organisation.ts";
 import type { PrefixRoute } from "./prefix_route.ts";
 import type { ServiceConfig } from "./service_config.ts";
@@ -9,6 +10,8 @@
     readonly services: ReadonlyMap<string, ServiceConfig>;
     /** Routes in addition to those of the services; configurations in YAML have none. */
     readonly prefixRoutes?: readonly PrefixRoute[];
+    /** Limits of callers; those of the daemon when absent. */
+    readonly callerLimits?: CallerLimits;
     /** Organisations by name; absent when requests need no key. */
     readonly organisations?: ReadonlyMap<string, Organisation> | undefined;
 }
--- /dev/null
+++ b/src/edge/caller_http/caller_body.ts
@@ -0,0 +1,123 @@
+import { err, ok, type Result } from "neverthrow";
+import type { IncomingMessage } from "node:http";
+import { Code } from "../../core/code.ts";
+import { createFailure } from "../../core/create_failure.ts";
+import type { Failure } from "../../core/failure.ts";
+import type { MemoryCharge } from "../../memory/memory_charge.ts";
+import type { MemoryGuard } from "../../memory/memory_guard.ts";
+import { MemoryHolder } from "../../memory/memory_holder.ts";
+import type { MemoryUser } from "../../memory/memory_user.ts";
+
+interface Options {
+    readonly request: IncomingMessage;
+    readonly memory: MemoryGuard;
+    readonly maxBytes: number;
+    /** Aborted when the connection has closed. */
+    readonly signal: AbortSignal;
+}
+
+/** First capacity of a body of unknown length, and the step by which it is charged. */
+const stepBytes = 65_536;
+/** Factor by which the capacity of a body of unknown length grows. */
+const growthFactor = 4;
+
+/** Milliseconds until a caller may repeat a request that was refused because memory is short. */
+const retryAfterMs = 1_000;
+
+/**
+ * The body of one request. Its bytes are charged before they are allocated, and stay charged until `release`. While
+ * there is no room the body is not read; its caller then waits for the window of the connection.
+ */
+export class CallerBody implements MemoryUser {
+    private charge: MemoryCharge | undefined;
+    private buffer = Buffer.alloc(0);
+    private length = 0;
+
+    constructor(private readonly options: Options) {}
+
+    /** Fails with RequestTooLarge or MemoryShort; rejects when the connection closes early. */
+    async read(): Promise<Result<Uint8Array, Failure>> {
+        const { maxBytes, memory, request, signal } = this.options;
+        const declared = request.headers["content-length"];
+        const declaredBytes = declared === undefined ? undefined : Number.parseInt(declared, 10);
+        request.pause();
+        if (declaredBytes !== undefined && declaredBytes > maxBytes) {
+            return err(createFailure(Code.RequestTooLarge));
+        }
+        const hasBody = declaredBytes !== 0
+            && (declaredBytes !== undefined || request.headers["transfer-encoding"] !== undefined);
+        const firstBytes = hasBody ? declaredBytes ?? Math.min(stepBytes, maxBytes) : 0;
+        this.charge = await memory.waitForCharge(MemoryHolder.RequestBody, firstBytes, signal);
+        if (this.charge === undefined) {
+            return this.refuse();
+        }
+        // The pages of a buffer become resident when they are written.
+        this.buffer = Buffer.allocUnsafeSlow(firstBytes);
+        memory.register(this);
+        try {
+            return await this.readChunks(this.charge);
+        }
+        finally {
+            memory.release(this);
+        }
+    }
+
+    getHeldBytes(): number {
+        return this.charge?.getBytes() ?? 0;
+    }
+
+    getProgressBytes(): number {
+        return this.length;
+    }
+
+    /** Must be called when the exchange has ended. */
+    release(): void {
+        this.options.memory.release(this);
+        this.charge?.close();
+        this.buffer = Buffer.alloc(0);
+    }
+
+    /** Closes the connection before the body is complete; the request is not executed. */
+    close(): void {
+        this.release();
+        this.options.request.destroy();
+    }
+
+    private async readChunks(charge: MemoryCharge): Promise<Result<Uint8Array, Failure>> {
+        const { maxBytes, memory, request, signal } = this.options;
+        for await (const value of request.iterator({ destroyOnReturn: false })) {
+            const chunk = value as Buffer;
+            const length = this.length + chunk.length;
+            if (length > maxBytes) {
+                return err(createFailure(Code.RequestTooLarge));
+            }
+            if (length > charge.getBytes()) {
+                const missingBytes = Math.max(length, Math.min(charge.getBytes() + stepBytes, maxBytes))
+                    - charge.getBytes();
+                if (!(await memory.waitForBytes(charge, missingBytes, signal))) {
+                    return this.refuse();
+                }
+                this.setCapacity(length);
+            }
+            chunk.copy(this.buffer, this.length);
+            this.length = length;
+        }
+        return ok(this.buffer.subarray(0, this.length));
+    }
+
+    private setCapacity(length: number): void {
+        if (length > this.buffer.length) {
+            const capacity = Math.min(
+                Math.max(length, this.buffer.length * growthFactor),
+                this.options.maxBytes,
+            );
+            const grown = Buffer.allocUnsafeSlow(capacity);
+            this.buffer.copy(grown, 0, 0, this.length);
+            this.buffer = grown;
+        }
+    }
+
+    private refuse(): Result<never, Failure> {
+        return err(createFailure(Code.MemoryShort, { retryAfterMs }));
+    }
+}
--- a/src/edge/caller_http/caller_flood.test.ts
+++ b/src/edge/caller_http/caller_flood.test.ts
@@ -2,6 +2,7 @@
 import { connect } from "node:net";
 import { after, test } from "node:test";
 import { setTimeout as wait } from "node:timers/promises";
+import { createTestMemoryGuard } from "../../../proof/fakes/create_test_memory_guard.ts";
 import { HeaderCallerCodec } from "../../receive/header_caller_codec.ts";
 import { HttpListener } from "../http/http_listener.ts";
 import { createCallerApp } from "./create_caller_app.ts";
@@ -25,7 +26,8 @@
         codec: new HeaderCallerCodec(),
         handle: async () => ({ status: 200, headers: [], body: Buffer.from("own") }),
         inFlightMiddleware: (_, next) => next(),
-        maxRequestBytes,
+        getMaxRequestBytes: () => maxRequestBytes,
+        memory: createTestMemoryGuard(),
     }).callback();
     const listener = (await HttpListener.open(
         "127.0.0.1:0",
--- a/src/edge/caller_http/create_caller_app.test.ts
+++ b/src/edge/caller_http/create_caller_app.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { request } from "node:http";
 import { test } from "node:test";
+import { createTestMemoryGuard } from "../../../proof/fakes/create_test_memory_guard.ts";
 import type { Answer } from "../../core/answer.ts";
 import { HeaderCallerCodec } from "../../receive/header_caller_codec.ts";
 import type { IncomingRequest } from "../../receive/incoming_request.ts";
@@ -14,7 +15,8 @@
         codec: new HeaderCallerCodec(),
         handle,
         inFlightMiddleware: (_, next) => next(),
-        maxRequestBytes: MAX_REQUEST_BYTES,
+        getMaxRequestBytes: () => MAX_REQUEST_BYTES,
+        memory: createTestMemoryGuard(),
     })
         .callback();
     const listener = await HttpListener.open(
--- a/src/edge/caller_http/create_caller_app.ts
+++ b/src/edge/caller_http/create_caller_app.ts
@@ -4,15 +4,16 @@
  * @module
  */
 import Koa from "koa";
+import type { Readable } from "node:stream";
 import type { Answer } from "../../core/answer.ts";
-import { Code } from "../../core/code.ts";
-import { createFailure } from "../../core/create_failure.ts";
+import type { MemoryGuard } from "../../memory/memory_guard.ts";
 import type { CallerCodec } from "../../receive/caller_codec.ts";
 import type { IncomingRequest } from "../../receive/incoming_request.ts";
 import { createBufferView } from "../http/create_buffer_view.ts";
 import { formatEndToEndHeaders } from "../http/format_end_to_end_headers.ts";
-import { readBody } from "../http/read_body.ts";
 import { ServerExchange } from "../http/server_exchange.ts";
+import { AnswerTransfer } from "./answer_transfer.ts";
+import { CallerBody } from "./caller_body.ts";
 
 interface CallerAppOptions {
     readonly codec: CallerCodec;
@@ -20,7 +21,8 @@
     /** Registers each request as in flight, before it is handled. */
     readonly inFlightMiddleware: Koa.Middleware;
     /** Largest request body of any route, in bytes. */
-    readonly maxRequestBytes: number;
+    readonly getMaxRequestBytes: () => number;
+    readonly memory: MemoryGuard;
 }
 
 /** Builds the koa application that passes each request to the entry pipeline. */
@@ -28,14 +30,22 @@
     const app = new Koa();
     app.use(options.inFlightMiddleware);
     app.use(async context => {
-        const signal = ServerExchange.get(context.res).getSignal();
-        const declaredLength = context.get("content-length") || undefined;
-        const body = await readBody(context.req, options.maxRequestBytes, declaredLength);
+        const exchange = ServerExchange.get(context.res);
+        const signal = exchange.getSignal();
+        const { codec, memory } = options;
+        const callerBody = new CallerBody({
+            request: context.req,
+            memory,
+            maxBytes: options.getMaxRequestBytes(),
+            signal,
+        });
+        exchange.addEndListener(() => callerBody.release());
+        const body = await callerBody.read();
         if (signal.aborted) {
             return;
         }
         const answer = body.isErr()
-            ? options.codec.encodeProblem(createFailure(Code.RequestTooLarge), "")
+            ? codec.encodeProblem(body.error, "")
             : await options.handle({
                 method: context.method,
                 host: context.get("host"),
@@ -49,7 +59,11 @@
         if (signal.aborted) {
             return;
         }
-        sendAnswer(context, answer);
+        const transfer = AnswerTransfer.open(context.res, answer.body, memory);
+        if (transfer !== undefined) {
+            exchange.addEndListener(() => transfer.release());
+        }
+        sendAnswer(context, answer, transfer?.getStream() ?? createBufferView(answer.body));
         if (body.isErr()) {
             // Otherwise Node.js would read and discard the rest of the body before the next request.
             context.set("connection", "close");
@@ -60,14 +74,15 @@
     return app;
 }
 
-function sendAnswer(context: Koa.Context, answer: Answer): void {
+function sendAnswer(context: Koa.Context, answer: Answer, body: Buffer | Readable): void {
     context.status = answer.status;
     for (const header of answer.headers) {
         context.append(header.name, header.value);
     }
-    context.body = createBufferView(answer.body);
+    context.body = body;
+    context.length = answer.body.length;
     const contentType = answer.headers.find(header => header.name === "content-type");
-    // koa adds a default content type to a buffer.
+    // koa adds a default content type to a buffer or stream.
     if (contentType === undefined) {
         context.remove("content-type");
     }
--- a/src/edge/caller_http/pipelined_requests.test.ts
+++ b/src/edge/caller_http/pipelined_requests.test.ts
@@ -2,6 +2,7 @@
 import { once } from "node:events";
 import { connect, type Socket } from "node:net";
 import { after, test } from "node:test";
+import { createTestMemoryGuard } from "../../../proof/fakes/create_test_memory_guard.ts";
 import type { Answer } from "../../core/answer.ts";
 import { Code } from "../../core/code.ts";
 import { createFailure } from "../../core/create_failure.ts";
@@ -23,7 +24,8 @@
     const codec = new HeaderCallerCodec();
     const handle = createCallerApp({
         codec,
-        maxRequestBytes: 1_000,
+        getMaxRequestBytes: () => 1_000,
+        memory: createTestMemoryGuard(),
         inFlightMiddleware: createInFlightMiddleware({
             createRefusal: () => codec.encodeProblem(createFailure(Code.OwnerLeaving), ""),
             createDrainTimeoutAnswer: () => codec.encodeProblem(createFailure(Code.DrainTimeout), ""),
--- a/src/edge/daemon_servers.ts
+++ b/src/edge/daemon_servers.ts
@@ -7,6 +7,7 @@
 import type Koa from "koa";
 import { err, ok, type Result } from "neverthrow";
 import type { CallerHandler } from "../answer/caller_handler.ts";
+import type { CallerLimits } from "../config/caller_limits.ts";
 import { Code } from "../core/code.ts";
 import { createFailure } from "../core/create_failure.ts";
 import type { Failure } from "../core/failure.ts";
@@ -21,6 +22,7 @@
 import type { DrainableListener } from "../lifecycle/drainable_listener.ts";
 import type { Lifecycle } from "../lifecycle/lifecycle.ts";
 import { RequestSource } from "../lifecycle/request_source.ts";
+import type { MemoryGuard } from "../memory/memory_guard.ts";
 import type { OwnerIdentity } from "../operations/owner_identity.ts";
 import type { Revoker } from "../operations/revoker.ts";
 import type { StoreChangesSource } from "../published/store_changes_source.ts";
@@ -43,6 +45,8 @@
     readonly identity: OwnerIdentity;
     readonly logger: Logger;
     readonly lifecycle: Lifecycle;
+    readonly memory: MemoryGuard;
+    readonly getCallerLimits: () => CallerLimits;
     readonly caller: CallerHandler;
     readonly owner: Filter<IncomingDispatch, OwnerReply>;
     readonly revoker: Revoker;
@@ -70,7 +74,7 @@
 
     /** Opens the interfaces for administration and for other daemons. Fails with PortUnavailable. */
     async openInternal(): Promise<Result<void, Failure>> {
-        const { settings, owner, identity, lifecycle } = this.options;
+        const { settings, owner, identity, lifecycle, memory } = this.options;
         const opened = await this.openOperatorPorts();
         if (opened.isErr()) {
             return opened;
@@ -79,6 +83,7 @@
             identity,
             owner,
             registerRequest: () => lifecycle.registerRequest(RequestSource.Daemon),
+            memory,
         });
         const peerListener = await HttpListener.open(
             settings.peerAddress,
@@ -94,12 +99,13 @@
 
     /** Opens the interface for callers. Fails with PortUnavailable. */
     async openCallers(): Promise<Result<void, Failure>> {
-        const { caller, callerCodec, settings } = this.options;
+        const { caller, callerCodec, getCallerLimits, memory, settings } = this.options;
         const app = createCallerApp({
             codec: callerCodec,
             inFlightMiddleware: this.buildInFlightMiddleware(() => this.refuseCaller()),
             handle: incoming => caller.handle(incoming),
-            maxRequestBytes: settings.maxRequestBytes,
+            getMaxRequestBytes: () => Math.min(settings.maxRequestBytes, getCallerLimits().maxBodyBytes),
+            memory,
         }).callback();
         const listener = await HttpListener.open(settings.callerAddress, (request, response) => {
             void app(request, response);
--- a/src/edge/peer_link/link_flood.test.ts
+++ b/src/edge/peer_link/link_flood.test.ts
@@ -2,6 +2,7 @@
 import { once } from "node:events";
 import { connect } from "node:net";
 import { after, test } from "node:test";
+import { createTestMemoryGuard } from "../../../proof/fakes/create_test_memory_guard.ts";
 import { VirtualTime } from "../../../proof/fakes/virtual_time.ts";
 import { buildOwnerRequest } from "../../../proof/operations/build_owner_request.ts";
 import { FloodingServer } from "../../../standin/flooding_server.ts";
@@ -39,6 +40,7 @@
             maxMs: 2_000,
         });
         const forwarder = new LinkForwarder({
+            memory: createTestMemoryGuard(),
             clock: new VirtualTime(),
             sendRevoke: () => Promise.resolve(RevokeState.NoReply),
         });
@@ -64,6 +66,7 @@
         const listener = (await HttpListener.open("127.0.0.1:0", (_, response) => response.end()))
             ._unsafeUnwrap();
         const links = new LinkListener({
+            memory: createTestMemoryGuard(),
             identity: { ownerId: "d1", incarnation: "i1" },
             owner: { apply: () => assert.fail("no attempt was sent") },
             registerRequest: () => undefined,
--- a/src/edge/peer_link/link_forwarder.test.ts
+++ b/src/edge/peer_link/link_forwarder.test.ts
@@ -5,6 +5,7 @@
 import { Buffer } from "node:buffer";
 import { createServer, type Socket } from "node:net";
 import { after, test } from "node:test";
+import { createTestMemoryGuard } from "../../../proof/fakes/create_test_memory_guard.ts";
 import { VirtualTime } from "../../../proof/fakes/virtual_time.ts";
 import { buildOwnerRequest } from "../../../proof/operations/build_owner_request.ts";
 import { Code } from "../../core/code.ts";
@@ -47,6 +48,7 @@
 
 function createForwarder() {
     const forwarder = new LinkForwarder({
+        memory: createTestMemoryGuard(),
         clock: new VirtualTime(),
         sendRevoke: () => Promise.resolve(RevokeState.NoReply),
     });
@@ -87,6 +89,7 @@
     let inFlightCount = 0;
     let closed = false;
     const links = new LinkListener({
+        memory: createTestMemoryGuard(),
         identity,
         owner: { apply: async dispatch => ok(await handle(dispatch)) },
         registerRequest: () => {
--- a/src/edge/peer_link/link_forwarder.ts
+++ b/src/edge/peer_link/link_forwarder.ts
@@ -12,6 +12,7 @@
 import type { OwnerReply } from "../../forward/owner_reply.ts";
 import type { RevokeState } from "../../forward/revoke_state.ts";
 import type { LinkReply } from "../../gen/zinniaglade/v1/control_pb.ts";
+import type { MemoryGuard } from "../../memory/memory_guard.ts";
 import type { RevokeTarget } from "../../operations/revoke_target.ts";
 import type { SelectedRequest } from "../../select/selected_request.ts";
 import { decodeReply } from "./decode_reply.ts";
@@ -24,6 +25,7 @@
 interface Options {
     readonly clock: Clock;
     readonly sendRevoke: SendRevoke;
+    readonly memory: MemoryGuard;
 }
 
 /**
@@ -109,7 +111,7 @@
         if (openLink !== undefined && !openLink.isClosed()) {
             return openLink;
         }
-        const link: PeerLink = new PeerLink(address, () => {
+        const link: PeerLink = new PeerLink(address, this.options.memory, () => {
             if (this.links.get(address) === link) {
                 this.links.delete(address);
             }
--- a/src/edge/peer_link/link_listener.ts
+++ b/src/edge/peer_link/link_listener.ts
@@ -15,13 +15,17 @@
 import type { LinkDispatch, LinkFrame } from "../../gen/zinniaglade/v1/control_pb.ts";
 import type { DrainableListener } from "../../lifecycle/drainable_listener.ts";
 import type { InFlightRequest } from "../../lifecycle/in_flight_request.ts";
+import type { MemoryGuard } from "../../memory/memory_guard.ts";
+import { MemoryHolder } from "../../memory/memory_holder.ts";
 import type { OwnerIdentity } from "../../operations/owner_identity.ts";
 import type { IncomingDispatch } from "../../queue/incoming_dispatch.ts";
 import { decodeDispatch } from "./decode_dispatch.ts";
 import { encodeFrame } from "./encode_frame.ts";
 import { encodeReply } from "./encode_reply.ts";
 import { FrameSocket } from "./frame_socket.ts";
+import { IncomingBodies } from "./incoming_bodies.ts";
 import { linkProtocol } from "./link_protocol.ts";
+import { maxWholeBodyBytes } from "./max_whole_body_bytes.ts";
 
 interface Options {
     readonly identity: OwnerIdentity;
@@ -29,6 +33,14 @@
     readonly owner: Filter<IncomingDispatch, OwnerReply>;
     /** Undefined when the daemon has closed. */
     readonly registerRequest: () => InFlightRequest | undefined;
+    readonly memory: MemoryGuard;
+}
+
+/** State of one link. */
+interface LinkState {
+    readonly socket: FrameSocket;
+    readonly runningAttempts: Map<number, AbortController>;
+    readonly incomingBodies: IncomingBodies;
 }
 
 /** Milliseconds for a peer to close its side of a link; a round trip between regions takes up to 40 ms. */
@@ -71,55 +83,96 @@
 
     private open(socket: Socket): void {
         const runningAttempts = new Map<number, AbortController>();
+        const incomingBodies = new IncomingBodies(this.options.memory);
         const link: FrameSocket = new FrameSocket(socket, {
-            handleFrame: frame => this.handleFrame(link, runningAttempts, frame),
+            handleFrame: frame => this.handleFrame({ socket: link, runningAttempts, incomingBodies }, frame),
             handleClose: () => {
                 this.links.delete(link);
+                incomingBodies.close();
                 runningAttempts.forEach(controller => controller.abort());
             },
         });
         this.links.add(link);
     }
 
-    private handleFrame(
-        link: FrameSocket,
-        runningAttempts: Map<number, AbortController>,
-        { content, id }: LinkFrame,
-    ): void {
+    private handleFrame(link: LinkState, { content, id }: LinkFrame): void {
         if (content.case === "cancel") {
-            runningAttempts.get(id)?.abort();
+            link.incomingBodies.cancel(id);
+            link.socket.cancelBody(id);
+            link.runningAttempts.get(id)?.abort();
         }
         else if (content.case === "dispatch") {
-            void this.runAttempt(link, runningAttempts, id, content.value);
+            this.handleDispatch(link, id, content.value);
+        }
+        else if (content.case === "piece" && !link.incomingBodies.add(id, content.value.bytes)) {
+            link.socket.cancel();
         }
     }
 
-    private async runAttempt(
-        link: FrameSocket,
-        runningAttempts: Map<number, AbortController>,
-        id: number,
-        { body, head }: LinkDispatch,
-    ): Promise<void> {
+    private handleDispatch(link: LinkState, id: number, { body, followingBytes, head }: LinkDispatch): void {
         if (head === undefined) {
             // The frame is not one of this version; the entry daemon sees that the link was closed.
-            link.cancel();
+            link.socket.cancel();
             return;
         }
         const controller = new AbortController();
-        const dispatch = decodeDispatch(head, body, controller.signal);
-        const inFlightRequest = this.options.registerRequest();
+        if (followingBytes === 0) {
+            void this.runAttempt(link, id, decodeDispatch(head, body, controller.signal), controller);
+            return;
+        }
+        const refuse = (): void => {
+            const dispatch = decodeDispatch(head, body, controller.signal);
+            this.sendReply(
+                link.socket,
+                id,
+                this.buildFailureReply(dispatch, createFailure(Code.MemoryShort)),
+            );
+        };
+        const opened = link.incomingBodies.open(id, followingBytes, {
+            handleWhole: whole =>
+                void this.runAttempt(link, id, decodeDispatch(head, whole, controller.signal), controller),
+            handleDropped: refuse,
+        });
+        if (opened) {
+            this.sendAccepted(link.socket, id);
+        }
+        else {
+            refuse();
+        }
+    }
+
+    private async runAttempt(
+        link: LinkState,
+        id: number,
+        dispatch: IncomingDispatch,
+        controller: AbortController,
+    ): Promise<void> {
+        const { memory, registerRequest } = this.options;
+        const inFlightRequest = registerRequest();
         if (inFlightRequest === undefined) {
-            this.sendReply(link, id, this.buildFailureReply(dispatch, createFailure(Code.OwnerLeaving)));
+            this.sendReply(
+                link.socket,
+                id,
+                this.buildFailureReply(dispatch, createFailure(Code.OwnerLeaving)),
+            );
             return;
         }
-        encodeFrame({ id, content: { case: "accepted", value: {} } }).map(frame => link.send(frame));
-        runningAttempts.set(id, controller);
+        const charge = memory.addCharge(MemoryHolder.RequestBody, dispatch.body.length);
+        if (dispatch.body.length <= maxWholeBodyBytes) {
+            this.sendAccepted(link.socket, id);
+        }
+        link.runningAttempts.set(id, controller);
         const reply = await this.applyOwner(dispatch);
-        runningAttempts.delete(id);
-        this.sendReply(link, id, reply);
+        link.runningAttempts.delete(id);
+        charge.close();
+        this.sendReply(link.socket, id, reply);
         inFlightRequest.close(!controller.signal.aborted);
     }
 
+    private sendAccepted(link: FrameSocket, id: number): void {
+        encodeFrame({ id, content: { case: "accepted", value: {} } }).map(frame => link.send(frame));
+    }
+
     /** An error of the pipeline leaves open whether the attempt ran. */
     private async applyOwner(dispatch: IncomingDispatch): Promise<OwnerReply> {
         try {
@@ -144,12 +197,23 @@
                 }),
             )
         );
-        frame.map(bytes => link.send(bytes));
+        const body = reply.answer?.body;
+        frame.map(bytes => {
+            link.send(bytes);
+            if (body !== undefined && body.length > maxWholeBodyBytes) {
+                const charge = this.options.memory.addCharge(MemoryHolder.LinkFrame, body.length);
+                link.sendBody({ id, bytes: body, handleEnd: () => charge.close() });
+            }
+        });
     }
 
     private encodeReplyFrame(id: number, reply: OwnerReply): Result<Uint8Array, Failure> {
         const body = reply.answer?.body ?? new Uint8Array();
-        return encodeFrame({ id, content: { case: "reply", value: { head: encodeReply(reply), body } } });
+        const head = encodeReply(reply);
+        const value = body.length > maxWholeBodyBytes
+            ? { head, followingBytes: body.length }
+            : { head, body };
+        return encodeFrame({ id, content: { case: "reply", value } });
     }
 
     private buildFailureReply(dispatch: IncomingDispatch, failure: Failure): OwnerReply {
--- a/src/edge/peer_link/peer_link.ts
+++ b/src/edge/peer_link/peer_link.ts
@@ -10,10 +10,13 @@
 import { createFailure } from "../../core/create_failure.ts";
 import type { Failure } from "../../core/failure.ts";
 import type { DispatchHead, LinkFrame, LinkReply } from "../../gen/zinniaglade/v1/control_pb.ts";
+import type { MemoryGuard } from "../../memory/memory_guard.ts";
 import { splitAddress } from "../http/split_address.ts";
 import { encodeFrame } from "./encode_frame.ts";
 import { FrameSocket } from "./frame_socket.ts";
+import { IncomingBodies } from "./incoming_bodies.ts";
 import { linkProtocol } from "./link_protocol.ts";
+import { maxWholeBodyBytes } from "./max_whole_body_bytes.ts";
 
 /** Handlers of what the owner sends about one attempt. */
 interface AttemptHandlers {
@@ -32,7 +35,9 @@
 /** Queues attempts until its connection is open. */
 export class PeerLink {
     private readonly pendingAttempts = new Map<number, AttemptHandlers>();
-    private readonly pendingFrames: Uint8Array[] = [];
+    /** Sends what was queued until the connection is open. */
+    private readonly pendingSends: ((socket: FrameSocket) => void)[] = [];
+    private readonly incomingBodies: IncomingBodies;
     private frameSocket: FrameSocket | undefined;
     private lastId = 0;
     private closed = false;
@@ -40,7 +45,8 @@
     private detail = "the connection was closed";
     private readonly abortConnect: () => void;
 
-    constructor(address: string, private readonly handleClose: () => void) {
+    constructor(address: string, memory: MemoryGuard, private readonly handleClose: () => void) {
+        this.incomingBodies = new IncomingBodies(memory);
         const upgradeRequest = request({
             ...splitAddress(address),
             path: "/v1/link",
@@ -79,11 +85,18 @@
      */
     sendDispatch(head: DispatchHead, body: Uint8Array, handlers: AttemptHandlers): Result<number, Failure> {
         const id = this.lastId + 1;
-        const frame = encodeFrame({ id, content: { case: "dispatch", value: { head, body } } });
-        return frame.andThen(bytes => {
+        const isSplit = body.length > maxWholeBodyBytes;
+        const value = isSplit ? { head, followingBytes: body.length } : { head, body };
+        return encodeFrame({ id, content: { case: "dispatch", value } }).andThen(frame => {
             this.lastId = id;
             this.pendingAttempts.set(id, handlers);
-            this.sendFrame(bytes);
+            this.send(socket => {
+                socket.send(frame);
+                // The charge of the caller's body covers these bytes.
+                if (isSplit && this.pendingAttempts.has(id)) {
+                    socket.sendBody({ id, bytes: body, handleEnd: () => undefined });
+                }
+            });
             return ok(id);
         });
     }
@@ -91,7 +104,11 @@
     /** Cancels an attempt, also at its owner. */
     cancel(id: number): void {
         if (this.pendingAttempts.delete(id)) {
-            encodeFrame({ id, content: { case: "cancel", value: {} } }).map(frame => this.sendFrame(frame));
+            this.incomingBodies.cancel(id);
+            this.frameSocket?.cancelBody(id);
+            encodeFrame({ id, content: { case: "cancel", value: {} } }).map(frame =>
+                this.send(socket => socket.send(frame))
+            );
             this.closeIfIdle();
         }
     }
@@ -117,12 +134,12 @@
         }
     }
 
-    private sendFrame(frame: Uint8Array): void {
+    private send(run: (socket: FrameSocket) => void): void {
         if (this.frameSocket === undefined) {
-            this.pendingFrames.push(frame);
+            this.pendingSends.push(run);
         }
         else {
-            this.frameSocket.send(frame);
+            run(this.frameSocket);
         }
     }
 
@@ -135,7 +152,7 @@
             handleClose: () => this.handleEnd(),
         });
         this.frameSocket = frameSocket;
-        this.pendingFrames.splice(0).forEach(frame => frameSocket.send(frame));
+        this.pendingSends.splice(0).forEach(run => run(frameSocket));
     }
 
     private handleFrame({ content, id }: LinkFrame): void {
@@ -144,10 +161,32 @@
         if (content.case === "accepted") {
             attempt?.handleAccepted();
         }
-        else if (content.case === "reply") {
+        else if (content.case === "reply" && attempt !== undefined) {
+            this.handleReply(id, attempt, content.value);
+        }
+        else if (content.case === "piece" && !this.incomingBodies.add(id, content.value.bytes)) {
+            this.frameSocket?.cancel();
+        }
+    }
+
+    private handleReply(id: number, attempt: AttemptHandlers, reply: LinkReply): void {
+        const closeAttempt = (run: () => void): void => {
             this.pendingAttempts.delete(id);
-            attempt?.handleReply(content.value);
+            run();
             this.closeIfIdle();
+        };
+        if (reply.followingBytes === 0) {
+            closeAttempt(() => attempt.handleReply(reply));
+            return;
+        }
+        const failure = createFailure(Code.AnswerTooLarge, { detail: "there is no memory for the answer" });
+        const handleDropped = () => closeAttempt(() => attempt.handleFailure(failure));
+        const opened = this.incomingBodies.open(id, reply.followingBytes, {
+            handleWhole: body => closeAttempt(() => attempt.handleReply({ ...reply, body })),
+            handleDropped,
+        });
+        if (!opened) {
+            handleDropped();
         }
     }
 
@@ -160,6 +199,7 @@
         const failure = createFailure(code, { detail: this.detail });
         const pendingAttempts = [...this.pendingAttempts.values()];
         this.pendingAttempts.clear();
+        this.incomingBodies.close();
         this.handleClose();
         pendingAttempts.forEach(attempt => attempt.handleFailure(failure));
     }
--- a/src/forward/not_sent_codes.ts
+++ b/src/forward/not_sent_codes.ts
@@ -9,6 +9,7 @@
     Code.NotOwner,
     Code.UnknownRouteAtOwner,
     Code.OwnerOverloaded,
+    Code.MemoryShort,
     Code.OrganisationOverShare,
     Code.RetryElsewhere,
     Code.UpstreamSuspected,
--- a/src/forward/transient_codes.ts
+++ b/src/forward/transient_codes.ts
@@ -9,6 +9,7 @@
     Code.NotOwner,
     Code.UnknownRouteAtOwner,
     Code.OwnerOverloaded,
+    Code.MemoryShort,
     Code.RetryElsewhere,
     Code.OwnerRestarted,
     Code.UpstreamRefused,
--- /dev/null
+++ b/src/memory/bounded_memory_account.ts
@@ -0,0 +1,86 @@
+/**
+ * Account of the bytes that a daemon holds, with a fixed capacity. A part of it is reserved for small charges, so
+ * that a crowd with large bodies cannot keep ordinary requests out.
+ *
+ * @example
+ * ```ts
+ * const account = new BoundedMemoryAccount({ capacityBytes, reservedBytes, smallBytes });
+ * const charge = account.openCharge(MemoryHolder.RequestBody, 1_000_000);
+ * charge?.close();
+ * ```
+ *
+ * @module
+ */
+import type { MemoryAccount } from "./memory_account.ts";
+import type { MemoryCharge } from "./memory_charge.ts";
+import type { MemoryHolder } from "./memory_holder.ts";
+
+interface Options {
+    readonly capacityBytes: number;
+    /** Part of the capacity that only small charges use. */
+    readonly reservedBytes: number;
+    /** Most bytes of a small charge. */
+    readonly smallBytes: number;
+}
+
+export class BoundedMemoryAccount implements MemoryAccount {
+    private readonly bytesByHolder = new Map<MemoryHolder, number>();
+    private bytes = 0;
+    private handleRelease: () => void = () => undefined;
+
+    constructor(private readonly options: Options) {}
+
+    openCharge(holder: MemoryHolder, bytes: number): MemoryCharge | undefined {
+        return this.hasRoom(bytes, bytes) ? this.addCharge(holder, bytes) : undefined;
+    }
+
+    addCharge(holder: MemoryHolder, bytes: number): MemoryCharge {
+        this.addBytes(holder, bytes);
+        let chargedBytes = bytes;
+        let closed = false;
+        return {
+            add: added => {
+                if (closed || !this.hasRoom(added, chargedBytes + added)) {
+                    return false;
+                }
+                this.addBytes(holder, added);
+                chargedBytes += added;
+                return true;
+            },
+            getBytes: () => closed ? 0 : chargedBytes,
+            close: () => {
+                if (!closed) {
+                    closed = true;
+                    this.addBytes(holder, -chargedBytes);
+                    this.handleRelease();
+                }
+            },
+        };
+    }
+
+    getChargedBytes(holder?: MemoryHolder): number {
+        return holder === undefined ? this.bytes : this.bytesByHolder.get(holder) ?? 0;
+    }
+
+    /** True while charges of bytes that existed already exceed the capacity. */
+    isExceeded(): boolean {
+        return this.bytes > this.options.capacityBytes;
+    }
+
+    /** Calls `listener` after each release. */
+    setReleaseListener(listener: () => void): void {
+        this.handleRelease = listener;
+    }
+
+    /** `totalBytes` are those of the charge with the added ones. */
+    private hasRoom(addedBytes: number, totalBytes: number): boolean {
+        const { capacityBytes, reservedBytes, smallBytes } = this.options;
+        const limitBytes = totalBytes <= smallBytes ? capacityBytes : capacityBytes - reservedBytes;
+        return this.bytes + addedBytes <= limitBytes;
+    }
+
+    private addBytes(holder: MemoryHolder, bytes: number): void {
+        this.bytes += bytes;
+        this.bytesByHolder.set(holder, this.getChargedBytes(holder) + bytes);
+    }
+}
--- /dev/null
+++ b/src/memory/compute_memory_limits.ts
@@ -0,0 +1,24 @@
+interface MemoryLimits {
+    /** Bytes that all transfers of the daemon together may hold. */
+    readonly capacityBytes: number;
+    /** Part of the capacity that only small transfers use. */
+    readonly reservedBytes: number;
+    /** Most bytes of a small transfer. */
+    readonly smallBytes: number;
+}
+
+const bytesPerMb = 1_048_576;
+/** Resident bytes of a daemon under load without large transfers: heap, code and buffers that are not collected. */
+const baseBytes = 130 * bytesPerMb;
+/** Share of the rest for transfers; collection of their buffers lags behind. */
+const transferShare = 0.8;
+const leastCapacityBytes = 16 * bytesPerMb;
+const reservedShare = 1 / 8;
+/** Uploads of ordinary callers have 60 KB on average and 360 KB at most. */
+const smallBytes = 524_288;
+
+/** Divides the memory of the instance. */
+export function computeMemoryLimits(memoryBytes: number): MemoryLimits {
+    const capacityBytes = Math.max(leastCapacityBytes, Math.floor((memoryBytes - baseBytes) * transferShare));
+    return { capacityBytes, reservedBytes: Math.floor(capacityBytes * reservedShare), smallBytes };
+}
--- a/src/memory/memory_account.ts
+++ b/src/memory/memory_account.ts
@@ -5,6 +5,8 @@
 export interface MemoryAccount {
     /** Charges bytes before they are allocated. Undefined when the account has no room for this holder. */
     openCharge(holder: MemoryHolder, bytes: number): MemoryCharge | undefined;
-    /** Bytes that are charged now. */
-    getChargedBytes(): number;
+    /** Charges bytes that exist already, also beyond the capacity. */
+    addCharge(holder: MemoryHolder, bytes: number): MemoryCharge;
+    /** Bytes that are charged now, by one holder or by all. */
+    getChargedBytes(holder?: MemoryHolder): number;
 }
--- /dev/null
+++ b/src/memory/memory_guard.ts
@@ -0,0 +1,158 @@
+/**
+ * Lets transfers wait for room in the memory account. While any waits, or the account is exceeded, it closes in each
+ * round the transfer that the progress table selects, and refuses those that have waited too many rounds.
+ *
+ * @example
+ * ```ts
+ * const guard = new MemoryGuard({ account, progress, timers, logger, metrics });
+ * const charge = await guard.waitForCharge(MemoryHolder.RequestBody, bytes, signal);
+ * ```
+ *
+ * @module
+ */
+import { LogLevel } from "../core/log_level.ts";
+import type { Logger } from "../core/logger.ts";
+import type { Metrics } from "../core/metrics.ts";
+import type { Timers } from "../core/timers.ts";
+import type { BoundedMemoryAccount } from "./bounded_memory_account.ts";
+import type { MemoryCharge } from "./memory_charge.ts";
+import type { MemoryHolder } from "./memory_holder.ts";
+import type { MemoryUser } from "./memory_user.ts";
+import type { ProgressTable } from "./progress_table.ts";
+
+interface Options {
+    readonly account: BoundedMemoryAccount;
+    readonly progress: ProgressTable;
+    readonly timers: Timers;
+    readonly logger: Logger;
+    readonly metrics: Metrics;
+}
+
+interface Waiter {
+    /** Charges the bytes; false when there is still no room. */
+    readonly run: () => boolean;
+    readonly close: (charged: boolean) => void;
+    rounds: number;
+}
+
+/** Milliseconds of a round; a client on the instance sends about 300 KB in that time at 10 Mbit/s. */
+const roundMs = 250;
+/** Rounds after which a transfer that waits is refused, so that its caller still has time to try elsewhere. */
+const maxRounds = 4;
+
+export class MemoryGuard {
+    private readonly waiters = new Set<Waiter>();
+    private isRunning = false;
+
+    constructor(private readonly options: Options) {
+        options.account.setReleaseListener(() => this.runWaiters());
+    }
+
+    /** Undefined when no room was found in time or the signal was aborted. */
+    async waitForCharge(
+        holder: MemoryHolder,
+        bytes: number,
+        signal: AbortSignal,
+    ): Promise<MemoryCharge | undefined> {
+        let charge: MemoryCharge | undefined;
+        await this.waitForRoom(() => {
+            charge = this.options.account.openCharge(holder, bytes);
+            return charge !== undefined;
+        }, signal);
+        return charge;
+    }
+
+    /** Charges further bytes; false when no room was found in time or the signal was aborted. */
+    waitForBytes(charge: MemoryCharge, bytes: number, signal: AbortSignal): Promise<boolean> {
+        return this.waitForRoom(() => charge.add(bytes), signal);
+    }
+
+    /** Undefined when there is no room now. */
+    openCharge(holder: MemoryHolder, bytes: number): MemoryCharge | undefined {
+        return this.options.account.openCharge(holder, bytes);
+    }
+
+    /** Makes a transfer one that is closed when it does not progress while memory is short. */
+    register(user: MemoryUser): void {
+        this.options.progress.register(user);
+    }
+
+    release(user: MemoryUser): void {
+        this.options.progress.release(user);
+    }
+
+    /** Charges bytes that exist already; transfers without progress are closed while the account is exceeded. */
+    addCharge(holder: MemoryHolder, bytes: number): MemoryCharge {
+        const charge = this.options.account.addCharge(holder, bytes);
+        this.startRounds();
+        return charge;
+    }
+
+    private waitForRoom(run: () => boolean, signal: AbortSignal): Promise<boolean> {
+        if (signal.aborted) {
+            return Promise.resolve(false);
+        }
+        if (run()) {
+            return Promise.resolve(true);
+        }
+        return new Promise(resolve => {
+            const cancel = (): void => this.closeWaiter(waiter, false);
+            const waiter: Waiter = {
+                run,
+                rounds: 0,
+                close: charged => {
+                    signal.removeEventListener("abort", cancel);
+                    resolve(charged);
+                },
+            };
+            this.waiters.add(waiter);
+            signal.addEventListener("abort", cancel, { once: true });
+            this.startRounds();
+        });
+    }
+
+    private closeWaiter(waiter: Waiter, charged: boolean): void {
+        this.waiters.delete(waiter);
+        waiter.close(charged);
+    }
+
+    /** Runs smaller transfers that fit before larger ones that wait. */
+    private runWaiters(): void {
+        for (const waiter of this.waiters) {
+            if (waiter.run()) {
+                this.closeWaiter(waiter, true);
+            }
+        }
+    }
+
+    private startRounds(): void {
+        if (!this.isRunning && (this.waiters.size > 0 || this.options.account.isExceeded())) {
+            this.isRunning = true;
+            this.options.timers.start(roundMs, () => this.runRound());
+        }
+    }
+
+    private runRound(): void {
+        const { account, logger, metrics, progress } = this.options;
+        const victim = progress.selectVictim();
+        if (victim !== undefined) {
+            metrics.addCount("memory.closed");
+            logger.write(LogLevel.Warn, "transfer_closed", {
+                cause: "memory",
+                heldBytes: victim.getHeldBytes(),
+                progressBytes: victim.getProgressBytes(),
+                chargedBytes: account.getChargedBytes(),
+            });
+            victim.close();
+        }
+        for (const waiter of this.waiters) {
+            waiter.rounds += 1;
+            if (waiter.rounds >= maxRounds) {
+                metrics.addCount("memory.refused");
+                this.closeWaiter(waiter, false);
+            }
+        }
+        this.isRunning = false;
+        this.startRounds();
+    }
+}
--- a/src/settings/read_serve_settings.ts
+++ b/src/settings/read_serve_settings.ts
@@ -29,6 +29,8 @@
             logLevel: getText("log-level") as LogLevel,
             maxRequestBytes: getNumber("max-request-bytes"),
             answerMemoryBytes: getNumber("answer-memory-bytes"),
+            memoryBytes: getNumber("memory-bytes"),
+            maxCallerConnections: getNumber("max-caller-connections"),
             gossipIntervalMs: getNumber("gossip-interval-ms"),
             watchMs: getNumber("watch-ms"),
             startWaitMs: getNumber("start-wait-ms"),
--- a/src/settings/serve_settings.ts
+++ b/src/settings/serve_settings.ts
@@ -21,6 +21,10 @@
     readonly maxRequestBytes: number;
     /** Most bytes of all answers of upstreams that are being read. */
     readonly answerMemoryBytes: number;
+    /** Memory of the process. */
+    readonly memoryBytes: number;
+    /** Most connections of callers. */
+    readonly maxCallerConnections: number;
     readonly gossipIntervalMs: number;
     readonly watchMs: number;
     readonly startWaitMs: number;
--- a/src/settings/serve_specs.ts
+++ b/src/settings/serve_specs.ts
@@ -68,6 +68,20 @@
         [65_536, 1_073_741_824],
         "all answers of upstreams that are being read; the process takes up to eight times as much",
     ),
+    buildInteger(
+        "memory-bytes",
+        "bytes",
+        536_870_912,
+        [134_217_728, 68_719_476_736],
+        "memory of the process; bounds the bodies and answers that it holds",
+    ),
+    buildInteger(
+        "max-caller-connections",
+        "",
+        4_096,
+        [1, 1_000_000],
+        "connections of callers; beyond it, unused and idle ones are closed",
+    ),
     buildInteger(
         "gossip-interval-ms",
         "ms",
--- a/src/wiring/build_base.ts
+++ b/src/wiring/build_base.ts
@@ -8,6 +8,7 @@
 import { SystemTimers } from "../edge/system/system_timers.ts";
 import { UnexpectedErrorLog } from "../edge/system/unexpected_error_log.ts";
 import { HealthScoreTable } from "../health/health_score_table.ts";
+import { createMemoryGuard } from "../memory/create_memory_guard.ts";
 import { CombinedMetrics } from "../metrics/combined_metrics.ts";
 import { IoActivity } from "../metrics/io_activity.ts";
 import { IoActivityCounter } from "../metrics/io_activity_counter.ts";
@@ -44,6 +45,7 @@
     const registry = metricsListenAddress === undefined ? undefined : new RegistryMetrics(daemonId);
     const metrics = new CombinedMetrics([...statsd ? [statsd] : [], ...registry ? [registry] : []]);
     const unexpectedErrors = new UnexpectedErrorLog({ process, logger, metrics });
+    const memory = createMemoryGuard(settings.memoryBytes, { timers, logger, metrics });
     const scoreTable = new HealthScoreTable();
     return {
         clock,
@@ -56,6 +58,7 @@
         statsd,
         registry,
         metrics,
+        memory,
         scoreTable,
         activity,
         unexpectedErrors,
--- a/src/wiring/build_entry.ts
+++ b/src/wiring/build_entry.ts
@@ -52,6 +52,7 @@
     const connectRevoker = new ConnectRevoker(control.transports);
     const remote = new LinkForwarder({
         clock,
+        memory: base.memory,
         sendRevoke: (address, target) => connectRevoker.revoke(address, target),
     });
     const local = new LocalForwarder({ owner: owner.localPipeline, revoker: owner.revoker });
