--- a/proof/fakes/create_test_memory_guard.ts
+++ b/proof/fakes/create_test_memory_guard.ts
@@ -1,3 +1,4 @@
+import type { Timers } from "../../src/core/timers.ts";
 import { createMemoryGuard } from "../../src/memory/create_memory_guard.ts";
 import type { MemoryGuard } from "../../src/memory/memory_guard.ts";
 import { VirtualTime } from "./virtual_time.ts";
@@ -5,10 +6,10 @@
 const ampleBytes = 1_073_741_824;
 
 /** Guard of a process with ample memory, for tests that are not about it. */
-export function createTestMemoryGuard(memoryBytes = ampleBytes): MemoryGuard {
-    return createMemoryGuard(memoryBytes, {
+export function createTestMemoryGuard(timers: Timers = new VirtualTime()): MemoryGuard {
+    return createMemoryGuard(ampleBytes, {
         collector: { recordDropped: () => undefined, recordReleased: () => undefined },
-        timers: new VirtualTime(),
+        timers,
         logger: { write: () => undefined },
         metrics: { addCount: () => undefined, setGauge: () => undefined, recordTime: () => undefined },
     });
--- /dev/null
+++ b/src/memory/memory_guard.test.ts
@@ -0,0 +1,80 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { VirtualTime } from "../../proof/fakes/virtual_time.ts";
+import { BoundedMemoryAccount } from "./bounded_memory_account.ts";
+import { MemoryGuard } from "./memory_guard.ts";
+import { MemoryHolder } from "./memory_holder.ts";
+import { ProgressTable } from "./progress_table.ts";
+
+class Setup {
+    readonly time = new VirtualTime();
+    readonly account = new BoundedMemoryAccount({ capacityBytes: 100, reservedBytes: 0, smallBytes: 0 });
+    readonly closed: string[] = [];
+    readonly guard = new MemoryGuard({
+        account: this.account,
+        progress: new ProgressTable(),
+        collector: { recordDropped: () => undefined, recordReleased: () => undefined },
+        timers: this.time,
+        logger: { write: () => undefined },
+        metrics: { addCount: () => undefined, setGauge: () => undefined, recordTime: () => undefined },
+    });
+
+    /** Opens a transfer whose progress is read from `getProgressBytes`. */
+    addTransfer(name: string, bytes: number, getProgressBytes: () => number): void {
+        const charge = this.guard.openCharge(MemoryHolder.RequestBody, bytes)!;
+        const user = {
+            getHeldBytes: () => charge.getBytes(),
+            getProgressBytes,
+            close: () => {
+                this.closed.push(name);
+                this.guard.release(user);
+                charge.close();
+            },
+        };
+        this.guard.register(user);
+    }
+
+    waitForCharge(bytes: number, signal = new AbortController().signal) {
+        return this.guard.waitForCharge(MemoryHolder.RequestBody, bytes, signal);
+    }
+}
+
+test("a stalled transfer is closed for one that waits, and one that progresses is not", async () => {
+    const setup = new Setup();
+    setup.addTransfer("moving", 50, () => setup.time.getMonotonicMs());
+    setup.addTransfer("stalled", 40, () => 7);
+    const waiting = setup.waitForCharge(40);
+    await setup.time.run(1_000);
+    assert.notEqual(await waiting, undefined);
+    assert.deepEqual(setup.closed, ["stalled"]);
+});
+
+test("a transfer for which no room comes free is refused, so that its caller can try elsewhere in time", async () => {
+    const setup = new Setup();
+    setup.addTransfer("moving", 90, () => setup.time.getMonotonicMs());
+    const waiting = setup.waitForCharge(20);
+    await setup.time.run(1_250);
+    assert.equal(await waiting, undefined);
+    assert.deepEqual([setup.closed, setup.account.getChargedBytes()], [[], 90]);
+});
+
+test("a wait that its caller aborts leaves no charge, also when room comes free later", async () => {
+    const setup = new Setup();
+    const charge = await setup.waitForCharge(90);
+    const controller = new AbortController();
+    const waiting = setup.waitForCharge(20, controller.signal);
+    controller.abort();
+    assert.equal(await waiting, undefined);
+    charge?.close();
+    assert.equal(setup.account.getChargedBytes(), 0);
+    assert.equal(await setup.waitForCharge(1, AbortSignal.abort()), undefined);
+});
+
+test("while answers exceed the account, those that their callers do not read are closed although nothing waits", async () => {
+    const setup = new Setup();
+    setup.addTransfer("unread", 60, () => 0);
+    const charge = setup.guard.addCharge(MemoryHolder.CallerAnswer, 60);
+    await setup.time.run(1_000);
+    assert.deepEqual(setup.closed, ["unread"]);
+    charge.close();
+});
--- a/src/memory/memory_guard.ts
+++ b/src/memory/memory_guard.ts
@@ -77,6 +77,15 @@
         return this.options.account.openCharge(holder, bytes);
     }
 
+    /** Bytes that are charged now, by one holder or by all. */
+    getChargedBytes(holder?: MemoryHolder): number {
+        return this.options.account.getChargedBytes(holder);
+    }
+
+    countWaiting(): number {
+        return this.waiters.size;
+    }
+
     /** Makes a transfer one that is closed when it does not progress while memory is short. */
     register(user: MemoryUser): void {
         this.options.progress.register(user);
