Document the account of memory and report its charges

MemoryHolder loses StorePage, which nothing charges: a page of the store is bounded by its client alone.

--- a/src/memory/memory_guard.ts
+++ b/src/memory/memory_guard.ts
@@ -17,7 +17,7 @@
 import type { BoundedMemoryAccount } from "./bounded_memory_account.ts";
 import type { BufferCollector } from "./buffer_collector.ts";
 import type { MemoryCharge } from "./memory_charge.ts";
-import type { MemoryHolder } from "./memory_holder.ts";
+import { MemoryHolder } from "./memory_holder.ts";
 import type { MemoryUser } from "./memory_user.ts";
 import type { ProgressTable } from "./progress_table.ts";
 
@@ -82,6 +82,12 @@
         return this.options.account.getChargedBytes(holder);
     }
 
+    reportCharges(): void {
+        for (const holder of Object.values(MemoryHolder)) {
+            this.options.metrics.setGauge("memory.charged", this.getChargedBytes(holder), { holder });
+        }
+    }
+
     countWaiting(): number {
         return this.waiters.size;
     }
--- a/src/memory/memory_holder.ts
+++ b/src/memory/memory_holder.ts
@@ -6,10 +6,8 @@
     UpstreamAnswer: "upstream-answer",
     /** Answers that wait for callers that read slowly. */
     CallerAnswer: "caller-answer",
-    /** Frames in the queues of links between daemons. */
+    /** Bodies that arrive over links between daemons, and answers in the queues of links. */
     LinkFrame: "link-frame",
-    /** Pages of the platform's store. */
-    StorePage: "store-page",
 } as const;
 
 export type MemoryHolder = (typeof MemoryHolder)[keyof typeof MemoryHolder];
--- a/src/metrics/event_loop_monitor.test.ts
+++ b/src/metrics/event_loop_monitor.test.ts
@@ -26,6 +26,7 @@
         delays: this.meter,
         usage: { getUsage: () => this.usage },
         activity: this.activity,
+        memory: { reportCharges: () => undefined },
         countInFlight: () => 7,
     });
 
--- a/src/metrics/event_loop_monitor.ts
+++ b/src/metrics/event_loop_monitor.ts
@@ -5,7 +5,7 @@
  * @example
  * ```ts
  * const monitor = new EventLoopMonitor({ clock, timers, logger, metrics, delays, usage, activity,
- *     countInFlight });
+ *     memory, countInFlight });
  * monitor.start();
  * monitor.close();
  * ```
@@ -40,6 +40,7 @@
     readonly delays: EventLoopDelayReader;
     readonly usage: ProcessUsageReader;
     readonly activity: IoActivityCounter;
+    readonly memory: { reportCharges(): void; };
     /** Number of requests whose answer is not complete. */
     readonly countInFlight: () => number;
 }
@@ -88,6 +89,7 @@
         metrics.setGauge("loop.delay_mean", meanMs);
         metrics.setGauge("loop.utilization", utilization);
         metrics.setGauge("processor.share", processorMs / wallMs);
+        this.options.memory.reportCharges();
         if (largestMs < delayLogThresholdMs && utilization < utilizationLogThreshold) {
             return;
         }
