Test bodies in pieces over a link

Pieces of several attempts arrive whole, an owner without memory refuses at the head as not executed, an answer without memory is not reported as refused, and a cancelled body leaves no charge and does not run.

--- /dev/null
+++ b/src/edge/peer_link/link_pieces.test.ts
@@ -0,0 +1,103 @@
+import { ok } from "neverthrow";
+import assert from "node:assert/strict";
+import { after, test } from "node:test";
+import { createTestMemoryGuard } from "../../../proof/fakes/create_test_memory_guard.ts";
+import { VirtualTime } from "../../../proof/fakes/virtual_time.ts";
+import { buildOwnerRequest } from "../../../proof/operations/build_owner_request.ts";
+import { waitUntil } from "../../../standin/wait_until.ts";
+import { Code } from "../../core/code.ts";
+import { Outcome } from "../../core/outcome.ts";
+import { buildOwnerReply } from "../../forward/build_owner_reply.ts";
+import { RevokeState } from "../../forward/revoke_state.ts";
+import { MemoryHolder } from "../../memory/memory_holder.ts";
+import { HttpListener } from "../http/http_listener.ts";
+import { LinkForwarder } from "./link_forwarder.ts";
+import { LinkListener } from "./link_listener.ts";
+
+const identity = { ownerId: "owner", incarnation: "1" };
+const limitMs = 5_000;
+const closers: (() => unknown)[] = [];
+
+after(() => Promise.all(closers.map(close => close())));
+
+/** Opens an owner that answers each attempt with its own body, and a forwarder to it. */
+async function openLink() {
+    const entryMemory = createTestMemoryGuard();
+    const ownerMemory = createTestMemoryGuard();
+    let runs = 0;
+    const links = new LinkListener({
+        identity,
+        memory: ownerMemory,
+        registerRequest: () => ({ close: () => undefined }),
+        owner: {
+            apply: async dispatch => {
+                runs += 1;
+                const answer = { status: 200, headers: [], body: dispatch.body };
+                return ok(buildOwnerReply(identity, dispatch, { code: Code.Ok, answer }));
+            },
+        },
+    });
+    const listener = (await HttpListener.open("127.0.0.1:0", (_, response) => response.end()))
+        ._unsafeUnwrap();
+    listener.setUpgradeHandler((...upgrade) => links.handleUpgrade(...upgrade));
+    const forwarder = new LinkForwarder({
+        memory: entryMemory,
+        clock: new VirtualTime(),
+        sendRevoke: () => Promise.resolve(RevokeState.NoReply),
+    });
+    closers.push(() => forwarder.close(), () => links.close(), () => listener.close());
+    const send = (body: Uint8Array, signal = new AbortController().signal) => {
+        const location = { failureDomain: "z", region: "r", leaving: false };
+        const owner = { ownerId: "owner", ownerAddress: `127.0.0.1:${listener.getPort()}` };
+        const upstream = { id: "u1", service: "payments", ...location, ...owner };
+        const routing = { host: "", path: "/payments", budgetMs: undefined, configVersion: 1, upstream };
+        return forwarder.forward({ ...buildOwnerRequest({ body }), ...routing }, signal);
+    };
+    const isReleased = () => entryMemory.getChargedBytes() + ownerMemory.getChargedBytes() === 0;
+    return { entryMemory, ownerMemory, send, isReleased, countRuns: () => runs };
+}
+
+test("a body and an answer in pieces arrive whole beside others, and their charges are released", async () => {
+    const { isReleased, send } = await openLink();
+    const bodies = [5_000_000, 65_536, 65_537, 300_000].map((length, index) =>
+        Buffer.alloc(length, `${index}`)
+    );
+    const replies = await Promise.all(bodies.map(body => send(body)));
+    for (const [index, reply] of replies.entries()) {
+        assert.ok(
+            bodies[index]!.equals(reply.answer?.body ?? Buffer.alloc(0)),
+            `body ${index}, code ${reply.code}`,
+        );
+    }
+    await waitUntil("the charges are released", limitMs, isReleased);
+});
+
+test("an owner without memory refuses a body at its head as not executed, and serves short ones", async () => {
+    const { countRuns, ownerMemory, send } = await openLink();
+    ownerMemory.addCharge(MemoryHolder.CallerAnswer, 1e12);
+    const refused = await send(Buffer.alloc(5_000_000));
+    assert.deepEqual([refused.code, refused.outcome, countRuns()], [
+        Code.MemoryShort,
+        Outcome.NotExecuted,
+        0,
+    ]);
+    assert.equal((await send(Buffer.from("short"))).code, Code.Ok);
+});
+
+test("an answer for which the entry daemon has no memory is not reported as refused, because it ran", async () => {
+    const { countRuns, entryMemory, send } = await openLink();
+    entryMemory.addCharge(MemoryHolder.CallerAnswer, 1e12);
+    const reply = await send(Buffer.alloc(500_000));
+    assert.deepEqual([reply.code, reply.outcome, countRuns()], [Code.AnswerTooLarge, Outcome.Unknown, 1]);
+});
+
+test("an attempt that is cancelled while its body is sent leaves no charge and does not run", async () => {
+    const { countRuns, isReleased, ownerMemory, send } = await openLink();
+    const controller = new AbortController();
+    const sent = send(Buffer.alloc(60_000_000), controller.signal);
+    await waitUntil("the body is being received", limitMs, () => ownerMemory.getChargedBytes() > 0);
+    controller.abort();
+    await sent;
+    await waitUntil("the charges are released", limitMs, isReleased);
+    assert.equal(countRuns(), 0);
+});
