Take requests without a body without a charge and a read

Cause: each request waited for a charge and iterated over its body, also without one, which most requests are.

Change: such a request goes on at once. The cost for a request was not measured.

--- a/src/edge/caller_http/caller_body.ts
+++ b/src/edge/caller_http/caller_body.ts
@@ -45,9 +45,13 @@
         if (declaredBytes !== undefined && declaredBytes > maxBytes) {
             return err(createFailure(Code.RequestTooLarge));
         }
-        const hasBody = declaredBytes !== 0
-            && (declaredBytes !== undefined || request.headers["transfer-encoding"] !== undefined);
-        const firstBytes = hasBody ? declaredBytes ?? findCapacity(1, maxBytes) : 0;
+        const hasBody = declaredBytes !== undefined || request.headers["transfer-encoding"] !== undefined;
+        if (!hasBody || declaredBytes === 0) {
+            // Most requests have no body, and need neither a charge nor a read.
+            request.resume();
+            return ok(this.buffer);
+        }
+        const firstBytes = declaredBytes ?? findCapacity(1, maxBytes);
         this.charge = await memory.waitForCharge(MemoryHolder.RequestBody, firstBytes, signal);
         if (this.charge === undefined) {
             return this.refuse();
