--- a/src/forward/hedge_cancellation.test.ts
+++ b/src/forward/hedge_cancellation.test.ts
@@ -3,6 +3,7 @@
 import { once } from "node:events";
 import { createServer } from "node:http";
 import { test, type TestContext } from "node:test";
+import { createTestMemoryGuard } from "../../proof/fakes/create_test_memory_guard.ts";
 import { buildOwnerRequest } from "../../proof/operations/build_owner_request.ts";
 import { buildService } from "../../proof/operations/build_service.ts";
 import { Code } from "../core/code.ts";
@@ -50,6 +51,7 @@
     });
     const identity = { ownerId: upstreamId, incarnation: "1" };
     const links = new LinkListener({
+        memory: createTestMemoryGuard(),
         identity,
         owner: {
             apply: async dispatch => {
@@ -87,7 +89,11 @@
         ownerAddress: `127.0.0.1:${owners[index]!.port}`,
         leaving: false,
     }));
-    const forwarder = new LinkForwarder({ clock, sendRevoke: () => Promise.resolve(RevokeState.NoReply) });
+    const forwarder = new LinkForwarder({
+        memory: createTestMemoryGuard(),
+        clock,
+        sendRevoke: () => Promise.resolve(RevokeState.NoReply),
+    });
     context.after(() => void forwarder.close());
     const metrics = { addCount: () => undefined, setGauge: () => undefined, recordTime: () => undefined };
     const exchanger = new AttemptExchanger({ forwarder, clock, timers, metrics });
--- a/src/odd_status.test.ts
+++ b/src/odd_status.test.ts
@@ -71,6 +71,8 @@
         logLevel: LogLevel.Error,
         maxRequestBytes: 1_000,
         answerMemoryBytes: 65_536,
+        memoryBytes: 268_435_456,
+        maxCallerConnections: 100,
         gossipIntervalMs: 60_000,
         watchMs: 100,
         startWaitMs: 5_000,
--- a/src/settings/read_serve_settings.ts
+++ b/src/settings/read_serve_settings.ts
@@ -30,6 +30,8 @@
             maxRequestBytes: getNumber("max-request-bytes"),
             answerMemoryBytes: getNumber("answer-memory-bytes"),
             hedgePercent: getNumber("hedge-percent"),
+            memoryBytes: getNumber("memory-bytes"),
+            maxCallerConnections: getNumber("max-caller-connections"),
             gossipIntervalMs: getNumber("gossip-interval-ms"),
             watchMs: getNumber("watch-ms"),
             startWaitMs: getNumber("start-wait-ms"),
--- a/src/settings/serve_settings.ts
+++ b/src/settings/serve_settings.ts
@@ -23,6 +23,10 @@
     readonly answerMemoryBytes: number;
     /** Percent of the repeatable requests of each service that may be hedged; none when absent. */
     readonly hedgePercent?: number;
+    /** Memory of the process. */
+    readonly memoryBytes: number;
+    /** Most connections of callers. */
+    readonly maxCallerConnections: number;
     readonly gossipIntervalMs: number;
     readonly watchMs: number;
     readonly startWaitMs: number;
--- a/src/settings/serve_specs.ts
+++ b/src/settings/serve_specs.ts
@@ -75,6 +75,20 @@
         [0, 100],
         "repeatable requests of each service that may be sent to a second upstream when they are late; 0 is off",
     ),
+    buildInteger(
+        "memory-bytes",
+        "bytes",
+        536_870_912,
+        [134_217_728, 68_719_476_736],
+        "memory of the process; bounds the bodies and answers that it holds",
+    ),
+    buildInteger(
+        "max-caller-connections",
+        "",
+        4_096,
+        [1, 1_000_000],
+        "connections of callers; beyond it, unused and idle ones are closed",
+    ),
     buildInteger(
         "gossip-interval-ms",
         "ms",
