Show the usage cap in the preview of a request

Cause: the preview was built before the caps and skipped them. Change: a stage by UsageCap.decide, which counts nothing.

--- a/src/preview/request_preview.test.ts
+++ b/src/preview/request_preview.test.ts
@@ -2,6 +2,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { VirtualTime } from "../../proof/fakes/virtual_time.ts";
+import { buildOwnerRequest } from "../../proof/operations/build_owner_request.ts";
 import { buildService } from "../../proof/operations/build_service.ts";
 import { AuthenticateFilter } from "../authenticate/authenticate_filter.ts";
 import { AuthenticationKind } from "../authenticate/authentication_kind.ts";
@@ -16,6 +17,7 @@
 import type { PreviewStage } from "./preview_stage.ts";
 import { RequestPreview } from "./request_preview.ts";
 import { SelectionPreviewStage } from "./selection_preview_stage.ts";
+import { UsageCapPreviewStage } from "./usage_cap_preview_stage.ts";
 
 const query = { method: "GET", host: "", target: "/payments", credential: "secret-key" };
 
@@ -120,3 +122,23 @@
     assert.match(formatTrace(trace), /refused with code \d+; may return after 750 ms/);
     assert.ok(!`${formatTrace(trace)}${JSON.stringify(trace)}`.includes("secret-key"));
 });
+
+test("a preview tells what is left of a usage cap, and an organisation without a limit has no number", () => {
+    const organisation = { name: "choir", keys: [], requestsPerSecond: 10, burst: 5, priority: 0 };
+    const request = {
+        ...buildOwnerRequest(),
+        host: "",
+        path: "/",
+        budgetMs: undefined,
+        configVersion: 1,
+        organisationConfig: organisation,
+    };
+    const decide = (remaining: number, isCall = false) =>
+        new UsageCapPreviewStage({
+            decide: () => ({ isAllowed: remaining >= 1, remaining, retryAfterMs: 80.5 }),
+        }).decide({ ...request, isCall }, 0).steps[0]!;
+    assert.equal(decide(7.5).values["remaining"], 7);
+    assert.equal(decide(Infinity).values["remaining"], undefined);
+    assert.equal(decide(0).values["retryAfterMs"], 81);
+    assert.equal(decide(0, true).decision, "not counted");
+});
--- a/src/wiring/build_entry.ts
+++ b/src/wiring/build_entry.ts
@@ -33,6 +33,7 @@
 import { FilterPreviewStage } from "../preview/filter_preview_stage.ts";
 import { RequestPreview } from "../preview/request_preview.ts";
 import { SelectionPreviewStage } from "../preview/selection_preview_stage.ts";
+import { UsageCapPreviewStage } from "../preview/usage_cap_preview_stage.ts";
 import { ServiceTimes } from "../queue/service_times.ts";
 import { HeaderCallerCodec } from "../receive/header_caller_codec.ts";
 import { ReceiveFilter } from "../receive/receive_filter.ts";
@@ -167,6 +168,7 @@
                 "authenticate",
                 new AuthenticateFilter({ ...authentication, metrics: noMetrics }),
             ),
+            ...control.usageCap === undefined ? [] : [new UsageCapPreviewStage(control.usageCap.cap)],
             new FilterPreviewStage("admit", admitFilter),
             new SelectionPreviewStage({ selector: attemptSelector, hedging }),
         ],
