--- a/src/edge/caller_http/answer_transfer.ts
+++ b/src/edge/caller_http/answer_transfer.ts
@@ -6,6 +6,12 @@
 import type { MemoryUser } from "../../memory/memory_user.ts";
 import { createBufferView } from "../http/create_buffer_view.ts";
 
+interface Options {
+    readonly memory: MemoryGuard;
+    /** True while other requests of the connection are being handled. */
+    readonly hasOtherRequests: () => boolean;
+}
+
 /** Answers up to this size are written at once. */
 const pieceBytes = 65_536;
 
@@ -16,18 +22,18 @@
     private constructor(
         private readonly response: ServerResponse,
         private readonly body: Uint8Array,
-        private readonly memory: MemoryGuard,
+        private readonly options: Options,
         private readonly charge: MemoryCharge,
     ) {}
 
     /** Undefined for a short answer. */
-    static open(response: ServerResponse, body: Uint8Array, memory: MemoryGuard): AnswerTransfer | undefined {
+    static open(response: ServerResponse, body: Uint8Array, options: Options): AnswerTransfer | undefined {
         if (body.length <= pieceBytes) {
             return undefined;
         }
-        const charge = memory.addCharge(MemoryHolder.CallerAnswer, body.length);
-        const transfer = new AnswerTransfer(response, body, memory, charge);
-        memory.register(transfer);
+        const charge = options.memory.addCharge(MemoryHolder.CallerAnswer, body.length);
+        const transfer = new AnswerTransfer(response, body, options, charge);
+        options.memory.register(transfer);
         return transfer;
     }
 
@@ -35,8 +41,9 @@
         return Readable.from(this.createPieces(), { objectMode: false });
     }
 
+    /** 0 while other requests of the connection run, because closing it would lose their answers. */
     getHeldBytes(): number {
-        return this.charge.getBytes();
+        return this.options.hasOtherRequests() ? 0 : this.charge.getBytes();
     }
 
     getProgressBytes(): number {
@@ -44,7 +51,7 @@
     }
 
     release(): void {
-        this.memory.release(this);
+        this.options.memory.release(this);
         this.charge.close();
     }
 
--- a/src/edge/caller_http/caller_body.ts
+++ b/src/edge/caller_http/caller_body.ts
@@ -14,6 +14,8 @@
     readonly maxBytes: number;
     /** Aborted when the connection has closed. */
     readonly signal: AbortSignal;
+    /** True while other requests of the connection are being handled. */
+    readonly hasOtherRequests: () => boolean;
 }
 
 /**
@@ -33,6 +35,7 @@
     private charge: MemoryCharge | undefined;
     private buffer = Buffer.alloc(0);
     private length = 0;
+    private isReleased = false;
 
     constructor(private readonly options: Options) {}
 
@@ -53,7 +56,11 @@
         }
         const firstBytes = declaredBytes ?? findCapacity(1, maxBytes);
         this.charge = await memory.waitForCharge(MemoryHolder.RequestBody, firstBytes, signal);
-        if (this.charge === undefined) {
+        if (this.isReleased) {
+            // The exchange has ended while the body waited, so nobody else returns the charge.
+            this.charge?.close();
+        }
+        if (this.charge === undefined || this.isReleased) {
             return this.refuse();
         }
         // The pages of a buffer become resident when they are written.
@@ -67,8 +74,9 @@
         }
     }
 
+    /** 0 while other requests of the connection run, because closing it would lose their answers. */
     getHeldBytes(): number {
-        return this.charge?.getBytes() ?? 0;
+        return this.options.hasOtherRequests() ? 0 : this.charge?.getBytes() ?? 0;
     }
 
     getProgressBytes(): number {
@@ -77,6 +85,7 @@
 
     /** Must be called when the exchange has ended. */
     release(): void {
+        this.isReleased = true;
         this.options.memory.release(this);
         this.charge?.close();
         this.buffer = Buffer.alloc(0);
@@ -98,9 +107,12 @@
             }
             if (length > this.buffer.length) {
                 const capacity = findCapacity(length, maxBytes);
+                // A body that this daemon does not read cannot progress.
+                memory.release(this);
                 if (!(await memory.waitForBytes(charge, capacity - this.buffer.length, signal))) {
                     return this.refuse();
                 }
+                memory.register(this);
                 this.setCapacity(capacity);
             }
             chunk.copy(this.buffer, this.length);
--- a/src/edge/caller_http/create_caller_app.ts
+++ b/src/edge/caller_http/create_caller_app.ts
@@ -11,6 +11,7 @@
 import type { IncomingRequest } from "../../receive/incoming_request.ts";
 import { createBufferView } from "../http/create_buffer_view.ts";
 import { formatEndToEndHeaders } from "../http/format_end_to_end_headers.ts";
+import { ServerConnection } from "../http/server_connection.ts";
 import { ServerExchange } from "../http/server_exchange.ts";
 import { AnswerTransfer } from "./answer_transfer.ts";
 import { CallerBody } from "./caller_body.ts";
@@ -33,11 +34,14 @@
         const exchange = ServerExchange.get(context.res);
         const signal = exchange.getSignal();
         const { codec, memory } = options;
+        const connection = ServerConnection.get(context.req.socket);
+        const hasOtherRequests = (): boolean => connection.countRunning() > 1;
         const callerBody = new CallerBody({
             request: context.req,
             memory,
             maxBytes: options.getMaxRequestBytes(),
             signal,
+            hasOtherRequests,
         });
         exchange.addEndListener(() => callerBody.release());
         const body = await callerBody.read();
@@ -59,12 +63,15 @@
         if (signal.aborted) {
             return;
         }
-        const transfer = AnswerTransfer.open(context.res, answer.body, memory);
+        const transfer = AnswerTransfer.open(context.res, answer.body, { memory, hasOtherRequests });
         if (transfer !== undefined) {
             exchange.addEndListener(() => transfer.release());
         }
         sendAnswer(context, answer, transfer?.getStream() ?? createBufferView(answer.body));
-        if (body.isErr()) {
+        if (body.isErr() && context.req.complete) {
+            exchange.closeConnection();
+        }
+        else if (body.isErr()) {
             // Otherwise Node.js would read and discard the rest of the body before the next request.
             context.set("connection", "close");
         }
--- a/src/edge/http/connection_read_limiter.ts
+++ b/src/edge/http/connection_read_limiter.ts
@@ -124,8 +124,14 @@
         if (socket.bytesRead === state.startBytes && state.startBytes > 0) {
             return false;
         }
+        const hasBegun = socket.bytesRead > state.startBytes;
+        if (hasBegun && state.partStartBytes === state.startBytes) {
+            // The time for a head counts from its first byte.
+            state.partStartBytes = socket.bytesRead;
+            state.checks = 0;
+        }
         state.checks += 1;
-        const limitMs = socket.bytesRead > state.startBytes ? headerTimeoutMs : idleTimeoutMs;
+        const limitMs = hasBegun ? headerTimeoutMs : idleTimeoutMs;
         return state.checks * checkIntervalMs > limitMs;
     }
 
--- a/src/edge/http/http_listener.ts
+++ b/src/edge/http/http_listener.ts
@@ -62,6 +62,9 @@
                 socket.once("close", () => this.connections.delete(connection));
             }
         });
+        server.on("request", ({ socket }, response) => {
+            response.once("close", () => this.recordUse(ServerConnection.get(socket)));
+        });
         this.closePromise = new Promise(resolve => {
             server.once("close", resolve);
         });
@@ -103,6 +106,13 @@
         });
     }
 
+    /** Keeps the connections in the order of their last use, in which surplus ones are closed. */
+    private recordUse(connection: ServerConnection): void {
+        if (this.connections.delete(connection)) {
+            this.connections.add(connection);
+        }
+    }
+
     /** Passes connections that switch their protocol to `handle`. */
     setUpgradeHandler(handle: (message: IncomingMessage, socket: Socket, head: Buffer) => void): void {
         this.server.on("upgrade", (message, socket, head) => {
--- a/src/edge/http/server_connection.ts
+++ b/src/edge/http/server_connection.ts
@@ -89,6 +89,11 @@
         this.socket.destroy();
     }
 
+    /** Requests that are being handled, answered ones behind an unanswered one included. */
+    countRunning(): number {
+        return this.running.size;
+    }
+
     /** Closes the connection if it has been used and all its requests are answered. */
     closeIdle(): void {
         if (this.latestResponse !== undefined && this.running.size === 0 && this.socket.writable) {
--- a/src/edge/peer_link/incoming_bodies.ts
+++ b/src/edge/peer_link/incoming_bodies.ts
@@ -9,6 +9,11 @@
     readonly handleDropped: () => void;
 }
 
+interface OpenOptions extends Handlers {
+    /** False for the answer to a request that has run; it is not closed when memory is short. */
+    readonly canClose?: boolean;
+}
+
 interface IncomingBody extends MemoryUser {
     readonly buffer: Buffer;
     readonly charge: MemoryCharge;
@@ -23,7 +28,7 @@
     constructor(private readonly memory: MemoryGuard) {}
 
     /** False when there is no memory for the body; its pieces are then discarded. */
-    open(id: number, length: number, handlers: Handlers): boolean {
+    open(id: number, length: number, { canClose = true, ...handlers }: OpenOptions): boolean {
         const charge = this.memory.openCharge(MemoryHolder.LinkFrame, length);
         if (charge === undefined) {
             return false;
@@ -41,7 +46,9 @@
             },
         };
         this.bodies.set(id, body);
-        this.memory.register(body);
+        if (canClose) {
+            this.memory.register(body);
+        }
         return true;
     }
 
--- a/src/edge/peer_link/peer_link.ts
+++ b/src/edge/peer_link/peer_link.ts
@@ -172,6 +172,8 @@
     private handleReply(id: number, attempt: AttemptHandlers, reply: LinkReply): void {
         const closeAttempt = (run: () => void): void => {
             this.pendingAttempts.delete(id);
+            // The charge of a body ends with its attempt, which an owner can refuse before it has received the body.
+            this.frameSocket?.cancelBody(id);
             run();
             this.closeIfIdle();
         };
@@ -184,6 +186,7 @@
         const opened = this.incomingBodies.open(id, reply.followingBytes, {
             handleWhole: body => closeAttempt(() => attempt.handleReply({ ...reply, body })),
             handleDropped,
+            canClose: false,
         });
         if (!opened) {
             handleDropped();
--- a/src/edge/system/v8_buffer_collector.ts
+++ b/src/edge/system/v8_buffer_collector.ts
@@ -8,6 +8,8 @@
 const maxDroppedBytes = 8_388_608;
 /** Bytes of ended transfers after which all is collected, which takes milliseconds with the heap of a daemon. */
 const maxReleasedBytes = 16_777_216;
+/** Ended transfers below this size are left to the usual collections: they are most requests and hold little. */
+const minReleasedBytes = 131_072;
 
 /** Collects garbage after a number of bytes, once the current event has been handled. */
 export class V8BufferCollector implements BufferCollector {
@@ -27,7 +29,7 @@
     }
 
     recordReleased(bytes: number): void {
-        this.releasedBytes += bytes;
+        this.releasedBytes += bytes < minReleasedBytes ? 0 : bytes;
         this.startCollection();
     }
 
--- a/src/edge/upstream_http/undici_upstream_client.ts
+++ b/src/edge/upstream_http/undici_upstream_client.ts
@@ -10,6 +10,7 @@
 import type { UpstreamCodec } from "../../dispatch/upstream_codec.ts";
 import type { UpstreamResult } from "../../dispatch/upstream_result.ts";
 import { UpstreamResultKind } from "../../dispatch/upstream_result_kind.ts";
+import type { MemoryCharge } from "../../memory/memory_charge.ts";
 import type { MemoryGuard } from "../../memory/memory_guard.ts";
 import { MemoryHolder } from "../../memory/memory_holder.ts";
 import type { OwnedUpstreamReader } from "../../queue/owned_upstream_reader.ts";
@@ -35,6 +36,9 @@
 /** Largest body of a request or an answer, in bytes. */
 const maxBodyBytes = 67_108_864;
 
+/** Answers up to this size are read although memory is short; a link carries them in one frame. */
+const shortAnswerBytes = 65_536;
+
 /** Results after which the connection is closed, because bytes of the answer may still arrive on it. */
 const closingKinds: ReadonlySet<UpstreamResultKind> = new Set<UpstreamResultKind>([
     UpstreamResultKind.AnswerTooLarge,
@@ -80,7 +84,7 @@
                 body: request.body.length === 0 ? undefined : request.body,
                 signal: deadline.getSignal(),
             });
-            const result = await this.readAnswer(request, response);
+            const result = await this.readAnswer(request, response, deadline.getSignal());
             if (closingKinds.has(result.kind)) {
                 this.removeConnection(connection);
             }
@@ -105,6 +109,7 @@
     private async readAnswer(
         request: OwnerRequest,
         response: Dispatcher.ResponseData,
+        signal: AbortSignal,
     ): Promise<UpstreamResult> {
         const { body: stream, headers, statusCode: status } = response;
         if (!isValidStatus(status)) {
@@ -123,10 +128,7 @@
         const declaredLength = request.method === "HEAD" ? undefined : headers["content-length"];
         const maxBytes = Math.min(request.route.maxAnswerBytes, this.answerMemoryBytes);
         const declaredBytes = Number(declaredLength ?? 0);
-        const charge = this.options.memory?.openCharge(
-            MemoryHolder.UpstreamAnswer,
-            declaredBytes <= maxBytes ? declaredBytes : 0,
-        );
+        const charge = await this.openCharge(declaredBytes <= maxBytes ? declaredBytes : 0, signal);
         if (this.options.memory !== undefined && charge === undefined) {
             closeBody(stream);
             return createResult(UpstreamResultKind.AnswerTooLarge, "there is no memory for the answer");
@@ -146,6 +148,17 @@
         return this.options.codec.decode(request, answer);
     }
 
+    /**
+     * Charges a short answer whatever the account holds: the request has run, and all answers together have a bound of
+     * their own. A longer one waits for room and is not read meanwhile.
+     */
+    private async openCharge(bytes: number, signal: AbortSignal): Promise<MemoryCharge | undefined> {
+        const { memory } = this.options;
+        return bytes <= shortAnswerBytes
+            ? memory?.addCharge(MemoryHolder.UpstreamAnswer, bytes)
+            : memory?.waitForCharge(MemoryHolder.UpstreamAnswer, bytes, signal);
+    }
+
     /** Fails with a detail when the address is malformed. */
     private takeConnection(address: string): Result<UpstreamConnection, string> {
         const idleConnection = this.idleConnections.get(address)?.pop();
--- a/src/memory/memory_guard.ts
+++ b/src/memory/memory_guard.ts
@@ -159,7 +159,9 @@
 
     private runRound(): void {
         const { account, logger, metrics, progress } = this.options;
-        const victim = progress.selectVictim();
+        const slowest = progress.selectVictim();
+        // Room may have been found since the round began.
+        const victim = this.waiters.size > 0 || account.isExceeded() ? slowest : undefined;
         if (victim !== undefined) {
             metrics.addCount("memory.closed");
             logger.write(LogLevel.Warn, "transfer_closed", {
