Keep a running attempt when its hedge is refused

Cause: a refusal that is not retried, such as that of an evicted hedge (2019), ended the request, cancelled the attempt that was running and told the caller that nothing had run.

Change: a refusal of one attempt does not end another that runs, and its outcome is unknown meanwhile.

--- a/src/forward/attempt_filter.ts
+++ b/src/forward/attempt_filter.ts
@@ -60,11 +60,14 @@
 
     async apply(request: RoutedRequest): Promise<Result<OwnerReply, Failure>> {
         const { budget, clock, hedging } = this.options;
-        budget.add(request.service.name, request.service.limits.retryPercent);
         hedging.add(request, clock.getMonotonicMs());
-        const { idempotencyKey, parentRequestId, route } = request;
+        const { idempotencyKey, parentRequestId, route, service } = request;
         if (parentRequestId !== undefined && this.options.repeatedRuns?.has(parentRequestId) === true) {
-            budget.addRepeat(request.service.name);
+            // A repeat allows no further repeats.
+            budget.addRepeat(service.name);
+        }
+        else {
+            budget.add(service.name, service.limits.retryPercent);
         }
         if (route.idempotent || idempotencyKey === undefined) {
             return this.runUnkeyed({ ...request, idempotencyKey: undefined });
--- a/src/forward/attempt_sequence.ts
+++ b/src/forward/attempt_sequence.ts
@@ -105,6 +105,10 @@
                 continue;
             }
             const reply = await this.recordEnd(ended);
+            // A refusal of one attempt does not end the other one.
+            if (ended.reply.outcome === Outcome.NotExecuted && this.running.size > 0) {
+                continue;
+            }
             const reason = this.decideStop(reply, ended.running);
             if (reason !== undefined) {
                 this.trigger.close();
@@ -226,10 +230,11 @@
         if (notSentCodes.has(checkedReply.code)) {
             running.releaseCharge?.();
         }
-        // An earlier attempt of an idempotent request may have run.
-        const result = this.mayHaveRun && checkedReply.outcome === Outcome.NotExecuted
-            ? { ...checkedReply, outcome: Outcome.Unknown }
-            : checkedReply;
+        // Another attempt of an idempotent request may have run, or may be running.
+        const result =
+            (this.mayHaveRun || this.running.size > 0) && checkedReply.outcome === Outcome.NotExecuted
+                ? { ...checkedReply, outcome: Outcome.Unknown }
+                : checkedReply;
         this.mayHaveRun ||= checkedReply.outcome !== Outcome.NotExecuted;
         return result;
     }
--- a/src/forward/fleet_retry_budget.ts
+++ b/src/forward/fleet_retry_budget.ts
@@ -249,7 +249,8 @@
             }
         }
         const atGroupRate = groupRepeats.get(nowMs) * unreportedShares / Math.max(1, this.reportedAtMs.size);
-        return Math.max(atGroupRate, ownRepeats.get(nowMs) * unreportedShares);
+        // A returned repeat is subtracted later than it was counted, which can make a short window negative.
+        return Math.max(0, atGroupRate, ownRepeats.get(nowMs) * unreportedShares);
     }
 
     private getCounters(service: string): ServiceCounters {
--- a/src/operations/repeated_run_filter.ts
+++ b/src/operations/repeated_run_filter.ts
@@ -30,8 +30,11 @@
             return inner.apply(request);
         }
         runs.add(request.requestId);
-        const result = await inner.apply(request);
-        runs.remove(request.requestId);
-        return result;
+        try {
+            return await inner.apply(request);
+        }
+        finally {
+            runs.remove(request.requestId);
+        }
     }
 }
--- a/src/queue/slot_reserve.ts
+++ b/src/queue/slot_reserve.ts
@@ -30,6 +30,8 @@
     readonly costMs: number;
     /** Longest wait in milliseconds with which it meets its target. */
     readonly longestWaitMs: number;
+    /** Monotonic milliseconds of the arrival. */
+    readonly atMs: number;
 }
 
 interface SlotUse {
@@ -40,6 +42,8 @@
     readonly nowMs: number;
 }
 
+/** Milliseconds after which an arrival says nothing about the next one of its priority. */
+const latestLifeMs = 2_000;
 /** Load of more urgent requests, in slots, from which on the last free slot may be reserved for them. */
 const reservedSlotLoad = 0.2;
 
@@ -55,7 +59,7 @@
     /** Records the arrival of a request. Routes without a target cannot wait. */
     record({ priority, targetMs }: RouteConfig, { costMs, neededMs }: Arrival, nowMs: number): void {
         this.load.record(priority, costMs, nowMs);
-        this.latestByPriority.set(priority, { costMs, longestWaitMs: targetMs - neededMs });
+        this.latestByPriority.set(priority, { costMs, longestWaitMs: targetMs - neededMs, atMs: nowMs });
     }
 
     /** True when a request of the priority must leave the only free slot to more urgent ones. */
@@ -68,14 +72,15 @@
         }
         const costMs = this.latestByPriority.get(priority)?.costMs ?? Infinity;
         const nextFreeMs = 1 / (running.computeEndRate(nowMs) + 1 / costMs);
-        return this.getLongestWaitMs(priority) < nextFreeMs;
+        return this.getLongestWaitMs(priority, nowMs) < nextFreeMs;
     }
 
     /** Longest wait in milliseconds that all more urgent priorities can bear. */
-    private getLongestWaitMs(priority: number): number {
+    private getLongestWaitMs(priority: number, nowMs: number): number {
         let waitMs = Infinity;
-        for (const [other, { longestWaitMs }] of this.latestByPriority) {
-            waitMs = other < priority ? Math.min(waitMs, longestWaitMs) : waitMs;
+        for (const [other, { atMs, longestWaitMs }] of this.latestByPriority) {
+            const isRecent = nowMs - atMs <= latestLifeMs;
+            waitMs = other < priority && isRecent ? Math.min(waitMs, longestWaitMs) : waitMs;
         }
         return waitMs;
     }
--- a/src/select/expected_loss_selector.ts
+++ b/src/select/expected_loss_selector.ts
@@ -159,7 +159,7 @@
         const nowMs = this.options.clock.getMonotonicMs();
         const view = this.views.get(upstream.id);
         view.load.removeRequest(formatKey(selected));
-        if (isTrialRequest(selected)) {
+        if (isTrialRequest(selected) && reply.upstream !== undefined) {
             view.trials.recordEnd(reply.code === Code.UpstreamSuspected);
         }
         if (reply.upstream !== undefined) {
--- a/src/settle/settle_filter.ts
+++ b/src/settle/settle_filter.ts
@@ -41,8 +41,10 @@
             return ok(buildOwnerReply(identity, request, { ...refusal!, waitMs, upstream }));
         }
         const { shed, ...attemptResult } = decideAttemptResult(request.route, result);
-        const isSent = result.kind !== UpstreamResultKind.NotSent;
-        request.permit.close(isSent ? serviceMs : undefined, shed);
+        // The time until a cancellation is no service time.
+        const isMeasured = result.kind !== UpstreamResultKind.NotSent
+            && result.kind !== UpstreamResultKind.Cancelled;
+        request.permit.close(isMeasured ? serviceMs : undefined, shed);
         const answer = shed ? undefined : result.answer;
         const upstream = states.build(request.upstreamId);
         return ok(
