Lend allowances to daemons whose upstream has left the list

Cause: the list names daemons by the entries of their upstreams, so a daemon whose upstream was cut off from the store got no answer from lenders and refused its callers far below their cap.

An ask for an organisation that the lender does not know yet is answered instead of ignored; waiting requests are counted when they are allowed at the end of a round; a place that moves while a starting daemon learns the list is lent one window later. A request counts as a run from its dispatch on, not from its arrival in the queue. A configuration that conflicts with the one in force renews no proof, and a store in a new era is not polled while its answers prove nothing.

--- a/src/authenticate/record_run_filter.ts
+++ b/src/authenticate/record_run_filter.ts
@@ -3,7 +3,7 @@
  *
  * @example
  * ```ts
- * const owner = new RecordRunFilter({ runs: new RunTable(), inner: queueAndDispatch });
+ * const owner = new RecordRunFilter({ runs: new RunTable(), inner: dispatchFilter });
  * ```
  *
  * @module
@@ -11,20 +11,19 @@
 import type { Result } from "neverthrow";
 import type { Failure } from "../core/failure.ts";
 import type { Filter } from "../core/filter.ts";
-import type { OwnerReply } from "../forward/owner_reply.ts";
 import type { OwnerRequest } from "../queue/owner_request.ts";
 import type { RunTable } from "./run_table.ts";
 
-interface Options {
+interface Options<Request, Output> {
     readonly runs: RunTable;
-    readonly inner: Filter<OwnerRequest, OwnerReply>;
+    readonly inner: Filter<Request, Output>;
 }
 
-/** Passes each request to the inner filter. */
-export class RecordRunFilter implements Filter<OwnerRequest, OwnerReply> {
-    constructor(private readonly options: Options) {}
+/** Passes each request to the inner filter, which dispatches it: a queued request makes no calls. */
+export class RecordRunFilter<Request extends OwnerRequest, Output> implements Filter<Request, Output> {
+    constructor(private readonly options: Options<Request, Output>) {}
 
-    async apply(request: OwnerRequest): Promise<Result<OwnerReply, Failure>> {
+    async apply(request: Request): Promise<Result<Output, Failure>> {
         const { inner, runs } = this.options;
         runs.add(request.requestId, request.organisation);
         try {
--- a/src/published/store_change_applier.ts
+++ b/src/published/store_change_applier.ts
@@ -107,6 +107,8 @@
             logger.write(LogLevel.Info, "config_older_in_store", { version, activeVersion, revision, era });
             return;
         }
-        configs.update({ version, digest: computeDigest(source), source, configuration }, "platform");
+        const candidate = { version, digest: computeDigest(source), source, configuration };
+        // Another text under the version in force is not in force, and may lack keys that this one has.
+        this.isCurrent = configs.update(candidate, "platform").isOk();
     }
 }
--- a/src/published/store_read_policy.ts
+++ b/src/published/store_read_policy.ts
@@ -90,7 +90,8 @@
         if (leftMs >= minWatchMs) {
             return Math.ceil(Math.min(watchMs, leftMs));
         }
-        return ageMs > leftMs ? pollMs : Math.ceil(Math.max(minProofWatchMs, leftMs));
+        // While answers prove nothing, a poll would only be repeated.
+        return ageMs > leftMs && blockedMs <= 0 ? pollMs : Math.ceil(Math.max(minProofWatchMs, leftMs));
     }
 
     /** Milliseconds to wait before this daemon reads the store itself; not positive when it must read at once. */
--- a/src/usage_cap/allowance_exchange.ts
+++ b/src/usage_cap/allowance_exchange.ts
@@ -48,6 +48,9 @@
 
 type WaitOptions = Parameters<AllowanceSource["take"]>[1];
 
+/** Milliseconds after which a lender that did not know an organisation is asked again. */
+const unknownOrganisationMs = 500;
+
 interface Waiter {
     readonly organisation: Organisation;
     readonly untilMs: number;
@@ -115,7 +118,7 @@
         const { name } = organisation;
         const round = this.rounds.get(name) ?? { waiters: [], askId: undefined, timer: undefined };
         if (round.waiters.length >= maxWaiters) {
-            return Promise.resolve(this.options.cap.decide(organisation, nowMs));
+            return Promise.resolve(this.options.cap.take(organisation, nowMs));
         }
         this.rounds.set(name, round);
         return new Promise(resolve => {
@@ -131,8 +134,14 @@
         const { clock, findDaemon, findOrganisation, lender, transport } = this.options;
         const borrower = findDaemon(daemonId);
         const known = findOrganisation(organisation);
-        if (borrower === undefined || known === undefined) {
+        if (borrower === undefined) {
+            this.options.metrics.addCount("usage_cap.unknown_asks");
+            return;
+        }
+        if (known === undefined) {
+            // The configuration with the organisation is on its way; silence would hold the other ones up.
             this.options.metrics.addCount("usage_cap.unknown_asks");
+            transport.sendGrant(borrower, { amount: 0, emptyMs: unknownOrganisationMs, id });
             return;
         }
         transport.sendGrant(borrower, { ...lender.take(known, amount, clock.getMonotonicMs()), id });
@@ -236,7 +245,7 @@
         round.timer?.close();
         this.rounds.delete(name);
         for (const { organisation, resolve } of round.waiters.splice(0)) {
-            resolve(this.options.cap.decide(organisation, nowMs));
+            resolve(this.options.cap.take(organisation, nowMs));
         }
     }
 
--- a/src/usage_cap/lender_directory.ts
+++ b/src/usage_cap/lender_directory.ts
@@ -83,6 +83,8 @@
         if (!hasSameIds) {
             if (nowMs - this.options.startedAtMs < learnMs) {
                 this.lists.length = 0;
+                // A place that moves now was another daemon's until now.
+                this.historyStartMs = nowMs;
             }
             this.lists.push({ ids, sinceMs: nowMs });
             this.removeOldLists(nowMs);
--- a/src/wiring/build_owner.ts
+++ b/src/wiring/build_owner.ts
@@ -117,18 +117,18 @@
         checks: [new LeavingCheck(control.membership), ...suspectedFilter ? [suspectedFilter] : []],
     });
     const queuePipeline = suspectedFilter === undefined ? queue : Pipeline.start(suspectedFilter).pipe(queue);
-    const inner = Pipeline.start(queuePipeline).pipe(dispatch).pipe(
+    const runs = new RunTable();
+    const inner = Pipeline.start(queuePipeline).pipe(new RecordRunFilter({ runs, inner: dispatch })).pipe(
         new SettleFilter({ identity, observer, states }),
     );
     const repeatedRuns = new RepeatedRunTable();
-    const runs = new RunTable();
     const deduplicationFilter = new DeduplicationFilter({
         identity,
         attempts,
         operations,
         states,
         daemonState: lifecycle,
-        inner: new RecordRunFilter({ runs, inner: new RepeatedRunFilter({ runs: repeatedRuns, inner }) }),
+        inner: new RepeatedRunFilter({ runs: repeatedRuns, inner }),
     });
     const { beacons } = control;
     const logFilter = new OwnerLogFilter({ ...base, inner: deduplicationFilter });
--- a/src/wiring/build_usage_cap.ts
+++ b/src/wiring/build_usage_cap.ts
@@ -9,6 +9,7 @@
 import { AllowanceExchange } from "../usage_cap/allowance_exchange.ts";
 import { AllowanceLender } from "../usage_cap/allowance_lender.ts";
 import { FleetUsageCap } from "../usage_cap/fleet_usage_cap.ts";
+import { KnownDaemonTable } from "../usage_cap/known_daemon_table.ts";
 import { LenderDirectory } from "../usage_cap/lender_directory.ts";
 import { lenderTiming } from "../usage_cap/lender_timing.ts";
 import { UsageCapFilter } from "../usage_cap/usage_cap_filter.ts";
@@ -62,6 +63,7 @@
         suspects: [],
         ...content,
     });
+    const knownDaemons = new KnownDaemonTable({ getDaemons });
     const exchange = new AllowanceExchange({
         ...base,
         cap,
@@ -73,13 +75,14 @@
                 transport.send(address, buildBeacon({ allowanceGrant })),
         },
         findOrganisation: name => configs.getActive()?.configuration.organisations?.get(name),
-        findDaemon: id => getDaemons().get(id),
+        findDaemon: id => knownDaemons.find(id, base.clock.getMonotonicMs()),
     });
     return {
         cap,
         filter: new UsageCapFilter({ ...base, cap, allowances: exchange }),
         start: () => exchange.start(),
         handleBeacon: ({ allowanceAsk, allowanceGrant, daemonId: senderId }) => {
+            knownDaemons.update(base.clock.getMonotonicMs());
             if (allowanceAsk !== undefined) {
                 exchange.handleAsk(senderId, allowanceAsk);
             }
