Answer that a key is unknown where revocation is not strict

Cause: without the strict bound, daemons neither exchange nor renew proofs of the configuration, so every unknown key was answered with 503 in place of 401 and its caller returned in vain.

--- a/src/authenticate/authenticate_filter.test.ts
+++ b/src/authenticate/authenticate_filter.test.ts
@@ -111,4 +111,5 @@
     assert.equal(lagging.apply({ credential: "new" })._unsafeUnwrapErr().code, Code.CredentialUnproved);
     const lenient = openFilter({ isStrict: false, proofAgeMs: 60_000 });
     assert.ok(lenient.apply({ credential: "k1" }).isOk());
+    assert.equal(lenient.apply({ credential: "new" })._unsafeUnwrapErr().code, Code.UnknownCredential);
 });
--- a/src/authenticate/revocation_guard.ts
+++ b/src/authenticate/revocation_guard.ts
@@ -40,7 +40,9 @@
         if (isKnownKey) {
             return AuthenticationKind.Accepted;
         }
-        const isFresh = this.getAgeMs(nowMs) <= this.options.getBounds().applyMs;
+        const { applyMs, isStrict } = this.options.getBounds();
+        // Without a strict bound, daemons neither exchange nor renew proofs.
+        const isFresh = !isStrict || this.getAgeMs(nowMs) <= applyMs;
         return isFresh ? AuthenticationKind.UnknownKey : AuthenticationKind.Unproved;
     }
 
