Read an answer whole after it has waited for memory

Callers saw 504 for every request of a service, for good, after a crowd had sent uploads that stop a byte short and had read long answers slowly.

Cause: the listener that counts the bytes of an answer makes its stream flow. While the answer waited for room in the account of memory its bytes were read and dropped; the reader then listened to a stream that had ended, so the send never settled and its slot was never released. Neither the time limit nor the end of the connection settled it.

Change: the body of an answer is paused until its reader resumes it. Parsed bytes that wait to be read count as allowed bytes of the connection. A reader of a stream that was destroyed rejects, and a time limit that passes during the wait is reported as such.

--- a/src/edge/http/read_body.ts
+++ b/src/edge/http/read_body.ts
@@ -3,7 +3,7 @@
 import { BodyBuffer } from "./body_buffer.ts";
 
 /**
- * Reads a body of at most `maxBytes` bytes. Fails with `too-large` and pauses the stream when the body is
+ * Reads a body of at most `maxBytes` bytes, from a stream that may be paused. Fails with `too-large` and pauses the stream when the body is
  * longer. Rejects when the stream ends early or the length of the body differs from the declared one.
  */
 export function readBody(
@@ -17,6 +17,11 @@
         return Promise.resolve(err("too-large"));
     }
     return new Promise((resolve, reject) => {
+        if (stream.destroyed) {
+            // None of the events below would follow.
+            reject(new Error("the body was truncated"));
+            return;
+        }
         const body = new BodyBuffer(maxBytes, declaredBytes);
         const handleClose = (): void => reject(new Error("the body was truncated"));
         const handleChunk = (chunk: Buffer): void => {
@@ -38,5 +43,6 @@
             "close",
             handleClose,
         );
+        stream.resume();
     });
 }
--- a/src/edge/upstream_http/answer_read_limiter.ts
+++ b/src/edge/upstream_http/answer_read_limiter.ts
@@ -8,6 +8,7 @@
  * @module
  */
 import type { Socket } from "node:net";
+import type { Readable } from "node:stream";
 import { maxInterimResponses } from "../http/max_interim_responses.ts";
 import type { AnswerMemoryLimiter } from "./answer_memory_limiter.ts";
 import type { PendingAnswer } from "./pending_answer.ts";
@@ -39,6 +40,7 @@
     /** Bytes that were parsed on the socket before the current request. */
     private startBytes = 0;
     private allowedBytes = 0;
+    private body: Readable | undefined;
     private interimResponses = 0;
 
     constructor(private readonly memoryLimiter: AnswerMemoryLimiter) {}
@@ -57,9 +59,15 @@
         this.startBytes = this.socket === undefined ? 0 : countParsedBytes(this.socket);
         this.allowedBytes = maxHeadBytes;
         this.interimResponses = 0;
+        this.body = undefined;
         this.memoryLimiter.register(this);
     }
 
+    /** Sets the body whose bytes are added when they are read. */
+    setBody(body: Readable): void {
+        this.body = body;
+    }
+
     addInterimResponse(): void {
         this.interimResponses += 1;
         if (this.interimResponses > maxInterimResponses) {
@@ -88,10 +96,17 @@
         if (!this.isAnswerPending && socket.readableLength > 0) {
             socket.destroy(new Error("the upstream sent data while no request was pending"));
         }
-        else if (this.isAnswerPending && countParsedBytes(socket) - this.startBytes > this.allowedBytes) {
+        else if (
+            this.isAnswerPending && countParsedBytes(socket) - this.startBytes > this.computeAllowedBytes()
+        ) {
             socket.destroy(new Error("the upstream sent more bytes than its answer may take"));
         }
     }
+
+    /** Includes bytes of the body that were parsed and wait to be read. */
+    private computeAllowedBytes(): number {
+        return this.allowedBytes + (this.body?.readableLength ?? 0) * (1 + maxFramingRatio);
+    }
 }
 
 function countParsedBytes(socket: Socket): number {
--- a/src/edge/upstream_http/undici_upstream_client.ts
+++ b/src/edge/upstream_http/undici_upstream_client.ts
@@ -131,6 +131,7 @@
         const charge = await this.openCharge(declaredBytes <= maxBytes ? declaredBytes : 0, signal);
         if (this.options.memory !== undefined && charge === undefined) {
             closeBody(stream);
+            signal.throwIfAborted();
             return createResult(UpstreamResultKind.AnswerTooLarge, "there is no memory for the answer");
         }
         const body = await readBody(stream, maxBytes, declaredLength?.toString()).finally(() =>
--- a/src/edge/upstream_http/upstream_connection.ts
+++ b/src/edge/upstream_http/upstream_connection.ts
@@ -38,14 +38,20 @@
         });
     }
 
-    /** Sends a request; call `release` when the body has been read. */
+    /** Sends a request; its body is paused. Call `release` when the body has been read. */
     async send(options: Dispatcher.RequestOptions): Promise<Dispatcher.ResponseData> {
         this.readLimiter.open();
         const response = await this.client.request({
             ...options,
             onInfo: () => this.readLimiter.addInterimResponse(),
         });
-        response.body.on("data", (chunk: Uint8Array) => this.readLimiter.addBodyBytes(chunk.length));
+        const { body } = response;
+        // A body may have to wait for memory; the listener below would otherwise start to read and drop it.
+        body.pause();
+        body.on("data", (chunk: Uint8Array) => this.readLimiter.addBodyBytes(chunk.length));
+        // The connection can break before anybody reads the body.
+        body.on("error", () => undefined);
+        this.readLimiter.setBody(body);
         return response;
     }
 
