Do not retain an answer for as long as its connection is idle

A process was over its memory after clients had read long answers to the end and kept their connections open.

Cause: a connection refers to its latest response, and a response to the body that it has sent. Each idle connection of a caller so retained its last long answer, which no account counts any more.

Change: the reference ends with the last unanswered request; a flag tells that the connection was used.

--- a/src/edge/http/server_connection.ts
+++ b/src/edge/http/server_connection.ts
@@ -13,7 +13,9 @@
 export class ServerConnection {
     private static readonly bySocket = new WeakMap<Socket, ServerConnection>();
     private readonly running = new Set<ServerExchange>();
+    /** Undefined between requests: a response retains the answer that it has sent. */
     private latestResponse: ServerResponse | undefined;
+    private hasBeenUsed = false;
     /** True when the connection closes after the requests that are being handled. */
     private closing = false;
 
@@ -42,6 +44,7 @@
             return false;
         }
         this.latestResponse = response;
+        this.hasBeenUsed = true;
         const exchange = new ServerExchange(response, () => {
             this.closing ||= this.latestResponse === response;
             return this.latestResponse === response;
@@ -49,6 +52,9 @@
         this.running.add(exchange);
         exchange.addEndListener(() => {
             this.running.delete(exchange);
+            if (this.running.size === 0) {
+                this.latestResponse = undefined;
+            }
             if (this.closing) {
                 this.closeIdle();
             }
@@ -68,10 +74,10 @@
     }
 
     getPhase(): ConnectionPhase {
-        if (this.latestResponse === undefined) {
+        if (!this.hasBeenUsed) {
             return ConnectionPhase.Unused;
         }
-        if (this.running.size === 0) {
+        if (this.latestResponse === undefined) {
             return ConnectionPhase.Idle;
         }
         if (this.running.size > 1) {
@@ -96,7 +102,7 @@
 
     /** Closes the connection if it has been used and all its requests are answered. */
     closeIdle(): void {
-        if (this.latestResponse !== undefined && this.running.size === 0 && this.socket.writable) {
+        if (this.hasBeenUsed && this.running.size === 0 && this.socket.writable) {
             this.close();
         }
     }
