Do not retain an answer for as long as the connection to its upstream is idle

Cause: since the limiter of a connection refers to the body of its answer, whose listeners refer to the buffer that they filled. Each idle connection to an upstream so retained its last answer, up to the number of slots.

Change: the reference ends with the answer.

Evidence: the new test in answer_memory.test.ts fails without the change and passes with it.

--- a/src/edge/upstream_http/answer_memory.test.ts
+++ b/src/edge/upstream_http/answer_memory.test.ts
@@ -2,6 +2,8 @@
 import { createServer, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import { after, test } from "node:test";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
 import { createTestMemoryGuard } from "../../../proof/fakes/create_test_memory_guard.ts";
 import { VirtualTime } from "../../../proof/fakes/virtual_time.ts";
 import { buildOwnerRequest } from "../../../proof/operations/build_owner_request.ts";
@@ -34,19 +36,25 @@
     });
     closers.push(() => client.close(), () => server.close(), () => server.closeAllConnections());
     const taken = memory.addCharge(MemoryHolder.CallerAnswer, 1e12);
-    const send = async (timeoutMs = limitMs) => {
+    const send = async (timeoutMs = limitMs, handleBody: (body: Uint8Array) => void = () => undefined) => {
         const result = await client.send(
             buildOwnerRequest({ route: { ...route, maxAnswerBytes: 67_108_864 } }),
             timeoutMs,
             new AbortController().signal,
         );
+        if (result.answer !== undefined) {
+            handleBody(result.answer.body);
+        }
         return { kind: result.kind, bodyBytes: result.answer?.body.length };
     };
     return {
         memory,
         time,
         send,
-        makeRoom: () => taken.close(),
+        makeRoom: () => {
+            taken.close();
+            return time.run(1);
+        },
         waitForWaiter: () => waitUntil("a wait for memory", limitMs, () => memory.countWaiting() === 1),
     };
 }
@@ -76,7 +84,7 @@
     await waitUntil("the upstream has sent its answer", limitMs, () => sentBytes > 0);
     // The client has received what fits into its buffers.
     await new Promise(resolve => setTimeout(resolve, 100));
-    makeRoom();
+    await makeRoom();
     assert.deepEqual(await waitForEnd(sent), { kind: Answered, bodyBytes: answerBytes });
     assert.equal(memory.getChargedBytes(), 0);
 });
@@ -87,7 +95,7 @@
     await waitForWaiter();
     await time.run(1_000);
     assert.equal((await waitForEnd(sent)).kind, AnswerTooLarge);
-    makeRoom();
+    await makeRoom();
     assert.equal((await waitForEnd(send())).kind, Answered);
 });
 
@@ -99,7 +107,7 @@
     const sent = send();
     await waitForWaiter();
     await new Promise(resolve => setTimeout(resolve, 200));
-    makeRoom();
+    await makeRoom();
     assert.equal((await waitForEnd(sent)).kind, Cut);
     assert.equal(memory.getChargedBytes(), 0);
 });
@@ -109,3 +117,17 @@
     assert.equal((await waitForEnd(send(300))).kind, TimedOut);
     assert.equal(memory.countWaiting(), 0);
 });
+
+test("an answer that was delivered is not retained by the idle connection to its upstream, so that slots hold no memory", async () => {
+    const { makeRoom, send } = await openUpstream(sendWhole);
+    await makeRoom();
+    const buffers: WeakRef<ArrayBufferLike>[] = [];
+    await send(limitMs, body => buffers.push(new WeakRef(body.buffer)));
+    setFlagsFromString("--expose-gc");
+    const collect = runInNewContext("gc") as () => void;
+    for (let turn = 0; turn < 5; turn += 1) {
+        await new Promise(resolve => setImmediate(resolve));
+        collect();
+    }
+    assert.deepEqual(buffers.map(buffer => buffer.deref()?.byteLength), [undefined]);
+});
--- a/src/edge/upstream_http/answer_read_limiter.ts
+++ b/src/edge/upstream_http/answer_read_limiter.ts
@@ -89,6 +89,7 @@
     /** Allows no further bytes, because the answer is complete or aborted. */
     close(): void {
         this.isAnswerPending = false;
+        this.body = undefined;
         this.memoryLimiter.release(this);
     }
 
