Run transfers that wait for memory after the current event

Cause: when an answer has been read, its charge is returned and opened again for its way to the caller, in one event. A transfer that waited got the room in between, so that the account held more than its capacity; the part that is reserved for small transfers was then gone.

Change: a release starts the waiters after the current event.

Evidence: the new test in memory_guard.test.ts fails without the change and passes with it. The test of a body whose exchange has ended lets the event pass before it reads the account, which must be empty as before.

--- a/src/edge/caller_http/caller_body.test.ts
+++ b/src/edge/caller_http/caller_body.test.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage } from "node:http";
 import { test } from "node:test";
 import { createTestMemoryGuard } from "../../../proof/fakes/create_test_memory_guard.ts";
+import { VirtualTime } from "../../../proof/fakes/virtual_time.ts";
 import { MemoryHolder } from "../../memory/memory_holder.ts";
 import { CallerBody } from "./caller_body.ts";
 
@@ -11,7 +12,8 @@
 }
 
 test("room that is found for a body after its exchange has ended is returned, so that the account does not shrink", async () => {
-    const memory = createTestMemoryGuard();
+    const time = new VirtualTime();
+    const memory = createTestMemoryGuard(time);
     const filler = memory.addCharge(MemoryHolder.RequestBody, 10_000_000_000);
     const { signal } = new AbortController();
     const body = new CallerBody({
@@ -26,6 +28,7 @@
     // The end of an earlier pipelined request returns its charge before this exchange ends.
     filler.close();
     body.release();
+    await time.run(1);
     assert.ok((await read).isErr());
     assert.equal(memory.getChargedBytes(), 0);
 });
--- a/src/memory/memory_guard.test.ts
+++ b/src/memory/memory_guard.test.ts
@@ -78,3 +78,16 @@
     assert.deepEqual(setup.closed, ["unread"]);
     charge.close();
 });
+
+test("an answer that is passed on keeps its room, so that a transfer that waits does not exceed the account", async () => {
+    const { account, guard, time } = new Setup();
+    const read = guard.openCharge(MemoryHolder.UpstreamAnswer, 80);
+    const waiting = guard.waitForCharge(MemoryHolder.UpstreamAnswer, 80, new AbortController().signal);
+    read?.close();
+    const sent = guard.addCharge(MemoryHolder.CallerAnswer, 80);
+    await time.run(1);
+    assert.equal(account.isExceeded(), false);
+    sent.close();
+    await time.run(1);
+    assert.notEqual(await waiting, undefined);
+});
--- a/src/memory/memory_guard.ts
+++ b/src/memory/memory_guard.ts
@@ -45,11 +45,12 @@
 export class MemoryGuard {
     private readonly waiters = new Set<Waiter>();
     private isRunning = false;
+    private hasStartedWaiters = false;
 
     constructor(private readonly options: Options) {
         options.account.setReleaseListener(bytes => {
             options.collector.recordReleased(bytes);
-            this.runWaiters();
+            this.startWaiters();
         });
     }
 
@@ -141,6 +142,20 @@
         waiter.close(charged);
     }
 
+    /**
+     * Runs the waiters after the current event. The bytes of an answer that is passed on are released and charged again
+     * in one event; a waiter that ran in between would exceed the account.
+     */
+    private startWaiters(): void {
+        if (this.waiters.size > 0 && !this.hasStartedWaiters) {
+            this.hasStartedWaiters = true;
+            this.options.timers.start(0, () => {
+                this.hasStartedWaiters = false;
+                this.runWaiters();
+            });
+        }
+    }
+
     /** Runs smaller transfers that fit before larger ones that wait. */
     private runWaiters(): void {
         for (const waiter of this.waiters) {
