Charge answers without a declared length as they grow

A process was over its memory after 40 clients had read long answers that their upstream sends in chunks.

Cause: only declared lengths were charged before an answer was read. An answer without one was charged when it was complete, for its way to the caller, where charges may exceed the account; nothing held back the next one. The blocks in which it was collected were joined at its end, so that it stood twice in memory.

BodyBuffer collects in one buffer of those capacities.

Two new tests in answer_memory.test.ts.

--- a/src/edge/caller_http/caller_body.ts
+++ b/src/edge/caller_http/caller_body.ts
@@ -7,6 +7,7 @@
 import type { MemoryGuard } from "../../memory/memory_guard.ts";
 import { MemoryHolder } from "../../memory/memory_holder.ts";
 import type { MemoryUser } from "../../memory/memory_user.ts";
+import { findBodyCapacity } from "../http/find_body_capacity.ts";
 
 interface Options {
     readonly request: IncomingMessage;
@@ -18,12 +19,6 @@
     readonly hasOtherRequests: () => boolean;
 }
 
-/**
- * Capacities of a body of unknown length, the last one being the limit. A larger body is copied at most twice, and
- * the pages of its buffer that are not written do not become resident.
- */
-const unknownLengthSteps: readonly number[] = [65_536, 524_288];
-
 /** Milliseconds until a caller may repeat a request that was refused because memory is short. */
 const retryAfterMs = 1_000;
 
@@ -54,7 +49,7 @@
             request.resume();
             return ok(this.buffer);
         }
-        const firstBytes = declaredBytes ?? findCapacity(1, maxBytes);
+        const firstBytes = declaredBytes ?? findBodyCapacity(1, maxBytes);
         this.charge = await memory.waitForCharge(MemoryHolder.RequestBody, firstBytes, signal);
         if (this.isReleased) {
             // The exchange has ended while the body waited, so nobody else returns the charge.
@@ -106,7 +101,7 @@
                 return err(createFailure(Code.RequestTooLarge));
             }
             if (length > this.buffer.length) {
-                const capacity = findCapacity(length, maxBytes);
+                const capacity = findBodyCapacity(length, maxBytes);
                 // A body that this daemon does not read cannot progress.
                 memory.release(this);
                 if (!(await memory.waitForBytes(charge, capacity - this.buffer.length, signal))) {
@@ -133,7 +128,3 @@
         return err(createFailure(Code.MemoryShort, { retryAfterMs }));
     }
 }
-
-function findCapacity(length: number, maxBytes: number): number {
-    return Math.min(maxBytes, unknownLengthSteps.find(bytes => bytes >= length) ?? maxBytes);
-}
--- a/src/edge/http/body_buffer.ts
+++ b/src/edge/http/body_buffer.ts
@@ -1,41 +1,34 @@
-/** Largest block in bytes; smaller ones grow with the body, so that a short body takes little more than itself. */
-const maxBlockBytes = 1_048_576;
+import { findBodyCapacity } from "./find_body_capacity.ts";
 
 /**
- * Collects a body in blocks, which are joined when it is complete. A list of chunks would take many times their
- * size when a peer sends a few bytes per chunk, because each chunk is an object that retains the whole read buffer
- * that it is a slice of; one buffer that grows would be copied each time and leave its smaller copies behind.
+ * Collects a body in one buffer. A list of chunks would take many times their size when a peer sends a few bytes per
+ * chunk, because each chunk is an object that retains the whole read buffer that it is a slice of; blocks that are
+ * joined at the end would hold the body twice.
  */
 export class BodyBuffer {
-    private readonly fullBlocks: Buffer[] = [];
-    private block: Buffer = Buffer.alloc(0);
-    /** Bytes of the last block that are filled. */
-    private filled = 0;
+    private buffer: Buffer = Buffer.alloc(0);
     private length = 0;
 
-    /** `maxBytes` bounds the capacity that is allocated in advance; all of `declaredBytes` is, when it is known. */
+    /** `declaredBytes` is the capacity when it is known; that of a longer body grows up to `maxBytes`. */
     constructor(private readonly maxBytes: number, private readonly declaredBytes = 0) {}
 
     add(chunk: Buffer): void {
-        const start = this.length;
-        this.length += chunk.length;
-        if (start === 0 && chunk.length < this.declaredBytes) {
-            this.block = Buffer.allocUnsafeSlow(this.declaredBytes);
-            this.filled = chunk.copy(this.block);
-            return;
-        }
-        if (start === 0) {
+        const length = this.length + chunk.length;
+        if (this.length === 0 && chunk.length >= this.declaredBytes) {
             // Most bodies have one chunk, which needs no copy. A second one finds no spare capacity.
-            this.block = chunk;
-            this.filled = chunk.length;
-            return;
+            this.buffer = chunk;
         }
-        const copied = chunk.copy(this.block, this.filled);
-        this.filled += copied;
-        if (copied < chunk.length) {
-            this.addBlock(start + copied, chunk.length - copied);
-            this.filled = chunk.copy(this.block, 0, copied);
+        else {
+            if (length > this.buffer.length) {
+                const grown = Buffer.allocUnsafeSlow(
+                    Math.max(this.declaredBytes, findBodyCapacity(length, this.maxBytes)),
+                );
+                this.buffer.copy(grown, 0, 0, this.length);
+                this.buffer = grown;
+            }
+            chunk.copy(this.buffer, this.length);
         }
+        this.length = length;
     }
 
     getLength(): number {
@@ -43,13 +36,6 @@
     }
 
     getBytes(): Uint8Array {
-        const last = this.block.subarray(0, this.filled);
-        return this.fullBlocks.length === 0 ? last : Buffer.concat([...this.fullBlocks, last], this.length);
-    }
-
-    private addBlock(length: number, neededBytes: number): void {
-        this.fullBlocks.push(this.block);
-        const spareBytes = Math.min(length, maxBlockBytes, this.maxBytes - length);
-        this.block = Buffer.allocUnsafe(Math.max(neededBytes, spareBytes));
+        return this.buffer.subarray(0, this.length);
     }
 }
--- a/src/edge/http/read_body.test.ts
+++ b/src/edge/http/read_body.test.ts
@@ -9,7 +9,10 @@
     await fc.assert(fc.asyncProperty(chunks, async values => {
         const buffers = values.map(value => Buffer.from(value));
         const expected = Buffer.concat(buffers);
-        const body = await readBody(Readable.from(buffers), expected.length, `${expected.length}`);
+        const body = await readBody(Readable.from(buffers), {
+            maxBytes: expected.length,
+            declaredLength: `${expected.length}`,
+        });
         assert.deepEqual(Buffer.from(body._unsafeUnwrap()), expected);
     }));
 });
@@ -25,7 +28,7 @@
         }
         usedBytes = process.memoryUsage().heapUsed - startBytes;
     })());
-    assert.equal((await readBody(stream, count, undefined))._unsafeUnwrap().length, count);
+    assert.equal((await readBody(stream, { maxBytes: count }))._unsafeUnwrap().length, count);
     // 64 bytes per byte of the body: less than the Buffer object of each chunk would take.
     assert.ok(usedBytes <= 64 * count, `${usedBytes} bytes are in use`);
 });
@@ -33,15 +36,18 @@
 test("reading stops at the size limit, whether the length was declared or not", async () => {
     for (const declaredLength of [undefined, "11"]) {
         const stream = Readable.from([Buffer.alloc(6), Buffer.alloc(5)]);
-        assert.equal((await readBody(stream, 10, declaredLength))._unsafeUnwrapErr(), "too-large");
+        assert.equal(
+            (await readBody(stream, { maxBytes: 10, declaredLength }))._unsafeUnwrapErr(),
+            "too-large",
+        );
         assert.ok(stream.isPaused());
     }
 });
 
 test("a body that is truncated or shorter than declared is not accepted as complete", async () => {
-    await assert.rejects(readBody(Readable.from([Buffer.alloc(6)]), 10, "7"));
+    await assert.rejects(readBody(Readable.from([Buffer.alloc(6)]), { maxBytes: 10, declaredLength: "7" }));
     const stream = new Readable({ read: () => undefined });
     stream.push(Buffer.alloc(6));
     setImmediate(() => stream.destroy());
-    await assert.rejects(readBody(stream, 10, undefined));
+    await assert.rejects(readBody(stream, { maxBytes: 10 }));
 });
--- a/src/edge/upstream_http/answer_memory.test.ts
+++ b/src/edge/upstream_http/answer_memory.test.ts
@@ -63,6 +63,10 @@
     response.writeHead(200, { "content-length": answerBytes }).end(Buffer.alloc(answerBytes));
 }
 
+function sendChunked(response: ServerResponse): void {
+    response.writeHead(200).end(Buffer.alloc(answerBytes));
+}
+
 /** Rejects when a send does not end, in place of a hang of the whole test. */
 function waitForEnd<Value>(sent: Promise<Value>): Promise<Value> {
     return Promise.race([
@@ -89,16 +93,33 @@
     assert.equal(memory.getChargedBytes(), 0);
 });
 
-test("an answer for which no room comes free ends as not delivered, and the next one is read", async () => {
-    const { makeRoom, send, time, waitForWaiter } = await openUpstream(sendWhole);
+test("an answer without a declared length waits for room as it grows, so that many do not exceed the account", async () => {
+    const { makeRoom, memory, send, waitForWaiter } = await openUpstream(sendChunked);
     const sent = send();
     await waitForWaiter();
-    await time.run(1_000);
-    assert.equal((await waitForEnd(sent)).kind, AnswerTooLarge);
     await makeRoom();
-    assert.equal((await waitForEnd(send())).kind, Answered);
+    assert.deepEqual(await waitForEnd(sent), { kind: Answered, bodyBytes: answerBytes });
+    assert.equal(memory.getChargedBytes(), 0);
 });
 
+for (
+    const { name, answer } of [{ name: "declares its length", answer: sendWhole }, {
+        name: "does not declare its length",
+        answer: sendChunked,
+    }]
+) {
+    test(`an answer that ${name} and finds no room ends as not delivered, and the next one is read`, async () => {
+        const { makeRoom, memory, send, time, waitForWaiter } = await openUpstream(answer);
+        const sent = send();
+        await waitForWaiter();
+        await time.run(1_000);
+        assert.equal((await waitForEnd(sent)).kind, AnswerTooLarge);
+        await makeRoom();
+        assert.equal((await waitForEnd(send())).kind, Answered);
+        assert.equal(memory.getChargedBytes(), 0);
+    });
+}
+
 test("an upstream that breaks off while its answer waits for memory ends the send when there is room", async () => {
     const { makeRoom, memory, send, waitForWaiter } = await openUpstream(response => {
         response.writeHead(200, { "content-length": answerBytes }).write("part");
--- a/src/edge/upstream_http/undici_upstream_client.ts
+++ b/src/edge/upstream_http/undici_upstream_client.ts
@@ -10,9 +10,7 @@
 import type { UpstreamCodec } from "../../dispatch/upstream_codec.ts";
 import type { UpstreamResult } from "../../dispatch/upstream_result.ts";
 import { UpstreamResultKind } from "../../dispatch/upstream_result_kind.ts";
-import type { MemoryCharge } from "../../memory/memory_charge.ts";
 import type { MemoryGuard } from "../../memory/memory_guard.ts";
-import { MemoryHolder } from "../../memory/memory_holder.ts";
 import type { OwnedUpstreamReader } from "../../queue/owned_upstream_reader.ts";
 import type { OwnerRequest } from "../../queue/owner_request.ts";
 import { closeBody } from "../http/close_body.ts";
@@ -21,6 +19,7 @@
 import { isConnectError } from "../http/is_connect_error.ts";
 import { readBody } from "../http/read_body.ts";
 import { RequestDeadline } from "../http/request_deadline.ts";
+import { AnswerCharge } from "./answer_charge.ts";
 import { AnswerMemoryLimiter } from "./answer_memory_limiter.ts";
 import { UpstreamConnection } from "./upstream_connection.ts";
 
@@ -36,9 +35,6 @@
 /** Largest body of a request or an answer, in bytes. */
 const maxBodyBytes = 67_108_864;
 
-/** Answers up to this size are read although memory is short; a link carries them in one frame. */
-const shortAnswerBytes = 65_536;
-
 /** Results after which the connection is closed, because bytes of the answer may still arrive on it. */
 const closingKinds: ReadonlySet<UpstreamResultKind> = new Set<UpstreamResultKind>([
     UpstreamResultKind.AnswerTooLarge,
@@ -128,38 +124,37 @@
         const declaredLength = request.method === "HEAD" ? undefined : headers["content-length"];
         const maxBytes = Math.min(request.route.maxAnswerBytes, this.answerMemoryBytes);
         const declaredBytes = Number(declaredLength ?? 0);
-        const charge = await this.openCharge(declaredBytes <= maxBytes ? declaredBytes : 0, signal);
-        if (this.options.memory !== undefined && charge === undefined) {
+        const { memory } = this.options;
+        const charge = memory &&
+            await AnswerCharge.open(
+                { memory, maxBytes, signal },
+                declaredBytes <= maxBytes ? declaredBytes : 0,
+            );
+        if (memory !== undefined && charge === undefined) {
             closeBody(stream);
             signal.throwIfAborted();
             return createResult(UpstreamResultKind.AnswerTooLarge, "there is no memory for the answer");
         }
-        const body = await readBody(stream, maxBytes, declaredLength?.toString()).finally(() =>
-            charge?.close()
-        );
-        this.options.memory?.recordDropped(body.isOk() ? body.value.length : 0);
+        const body = await readBody(stream, {
+            maxBytes,
+            declaredLength: declaredLength?.toString(),
+            handleGrowth: length => charge?.setLength(length) ?? true,
+        }).finally(() => charge?.close());
+        memory?.recordDropped(body.isOk() ? body.value.length : 0);
         if (body.isErr()) {
             closeBody(stream);
+            signal.throwIfAborted();
             return createResult(
                 UpstreamResultKind.AnswerTooLarge,
-                `the answer has more than ${request.route.maxAnswerBytes} bytes`,
+                body.error === "no-memory"
+                    ? "there is no memory for the answer"
+                    : `the answer has more than ${request.route.maxAnswerBytes} bytes`,
             );
         }
         const answer = { status, headers: formatEndToEndHeaders(headers), body: body.value };
         return this.options.codec.decode(request, answer);
     }
 
-    /**
-     * Charges a short answer whatever the account holds: the request has run, and all answers together have a bound of
-     * their own. A longer one waits for room and is not read meanwhile.
-     */
-    private async openCharge(bytes: number, signal: AbortSignal): Promise<MemoryCharge | undefined> {
-        const { memory } = this.options;
-        return bytes <= shortAnswerBytes
-            ? memory?.addCharge(MemoryHolder.UpstreamAnswer, bytes)
-            : memory?.waitForCharge(MemoryHolder.UpstreamAnswer, bytes, signal);
-    }
-
     /** Fails with a detail when the address is malformed. */
     private takeConnection(address: string): Result<UpstreamConnection, string> {
         const idleConnection = this.idleConnections.get(address)?.pop();
