Limit the requests that a caller sends ahead of their answers

The memory of requests that wait for their answers had no bound.

Cause: all requests that one read of 64 KB holds were handled at once, so that each connection kept the event loop for long, and no limit applied to their number.

Change: eight requests of a connection are handled at the same time, and each further one in a turn of its own when an earlier one has been answered; answers are sent in order anyway. All connections may send requests ahead only while fewer requests are unanswered than connections are allowed.

--- a/src/edge/http/connection_close_cause.ts
+++ b/src/edge/http/connection_close_cause.ts
@@ -6,6 +6,8 @@
     SlowHead: "slow-head",
     /** The body of a request progressed too slowly. */
     SlowBody: "slow-body",
+    /** More requests were sent ahead of their answers than allowed. */
+    Pipelined: "pipelined",
 } as const;
 
 export type ConnectionCloseCause = (typeof ConnectionCloseCause)[keyof typeof ConnectionCloseCause];
--- a/src/edge/http/http_listener.ts
+++ b/src/edge/http/http_listener.ts
@@ -9,8 +9,10 @@
 import type { DrainableListener } from "../../lifecycle/drainable_listener.ts";
 import { ConnectionCloseCause } from "./connection_close_cause.ts";
 import { ConnectionReadLimiter } from "./connection_read_limiter.ts";
+import { PipeliningLimiter } from "./pipelining_limiter.ts";
 import { selectSurplusConnection } from "./select_surplus_connection.ts";
 import { ServerConnection } from "./server_connection.ts";
+import { ServerExchange } from "./server_exchange.ts";
 import { splitAddress } from "./split_address.ts";
 
 /** Most bytes of a head that any configuration allows. */
@@ -29,7 +31,10 @@
     readonly maxBodyBytes?: number;
     /** Limits in force; those of `defaultCallerLimits` when absent. */
     readonly getLimits?: () => CallerLimits;
-    /** Beyond it, connections without a running request are closed for new ones. */
+    /**
+     * Beyond it, connections without a running request are closed for new ones, and those that send requests ahead of
+     * their answers when as many requests are not answered.
+     */
     readonly maxConnections?: number;
     /** Called when a connection is closed because of a limit. */
     readonly handleClosed?: (cause: ConnectionCloseCause) => void;
@@ -85,10 +90,22 @@
             getLimits,
             ...handleClosed === undefined ? {} : { handleSlow: handleClosed },
         });
+        const pipelining = new PipeliningLimiter(options.maxConnections ?? Infinity);
         const server = createServer((request, response) => {
+            if (request.socket.destroyed) {
+                // One read can hold further requests of a connection that was closed for an earlier one.
+                return;
+            }
             readLimiter.recordRequest(request.socket, response);
-            if (ServerConnection.get(request.socket).addExchange(response, isDraining())) {
-                handler(request, response);
+            const connection = ServerConnection.get(request.socket);
+            if (!pipelining.isAllowed(connection.countRunning())) {
+                handleClosed?.(ConnectionCloseCause.Pipelined);
+                connection.cancel();
+            }
+            else if (connection.addExchange(response, isDraining())) {
+                pipelining.add();
+                ServerExchange.get(response).addEndListener(() => pipelining.remove());
+                connection.startRequest(response, () => handler(request, response));
             }
             else {
                 request.resume();
--- a/src/edge/http/server_connection.ts
+++ b/src/edge/http/server_connection.ts
@@ -6,6 +6,9 @@
 /** Milliseconds to wait for the peer to close its side; a round trip between regions takes up to 40 ms. */
 const lingerTimeoutMs = 1_000;
 
+/** Requests of one connection that are handled at the same time; their answers are sent one after the other. */
+const maxHandledRequests = 8;
+
 /**
  * The unanswered requests of one connection. When a connection closes, Node.js emits `close` only on the
  * response that it is writing; the exchanges of requests pipelined behind that one would never end.
@@ -16,11 +19,18 @@
     /** Undefined between requests: a response retains the answer that it has sent. */
     private latestResponse: ServerResponse | undefined;
     private hasBeenUsed = false;
+    /** Starts the requests that wait until fewer are handled. */
+    private readonly pendingStarts: (() => void)[] = [];
+    private handledRequests = 0;
+    private hasStartedPending = false;
     /** True when the connection closes after the requests that are being handled. */
     private closing = false;
 
     private constructor(private readonly socket: Socket) {
-        socket.once("close", () => this.running.forEach(exchange => exchange.close()));
+        socket.once("close", () => {
+            this.pendingStarts.splice(0);
+            this.running.forEach(exchange => exchange.close());
+        });
         // Node.js calls this after an answer with `connection: close`.
         socket.destroySoon = () => this.close();
     }
@@ -62,6 +72,39 @@
         return true;
     }
 
+    /** Calls `handle` for a request that was added, or later while many earlier ones of the connection are handled. */
+    startRequest(response: ServerResponse, handle: () => void): void {
+        const start = (): void => {
+            this.handledRequests += 1;
+            ServerExchange.get(response).addEndListener(() => {
+                this.handledRequests -= 1;
+                this.startPending();
+            });
+            handle();
+        };
+        if (this.handledRequests < maxHandledRequests && this.pendingStarts.length === 0) {
+            start();
+        }
+        else {
+            this.pendingStarts.push(start);
+        }
+    }
+
+    /** Starts one pending request in each turn of the event loop, so that other connections are served in between. */
+    private startPending(): void {
+        if (this.hasStartedPending || this.pendingStarts.length === 0) {
+            return;
+        }
+        this.hasStartedPending = true;
+        setImmediate(() => {
+            this.hasStartedPending = false;
+            if (this.handledRequests < maxHandledRequests) {
+                this.pendingStarts.shift()?.();
+                this.startPending();
+            }
+        });
+    }
+
     /**
      * Closes the connection after the requests that are being handled, and announces that in the last answer
      * if its head has not been sent.
