Close as many stalled transfers as others need, and bound those that wait

A daemon was over its memory after 1,500 connections had each sent an upload of 100 KB but its last byte, and for as long as they stayed, uploads of 200 KB were refused and long answers ended with 502.

Cause: a round closed one stalled transfer, so that room for one long answer took a minute; each of up to 600 bodies that waited held a read of 64 KB that is not charged; and buffers of refused bodies stayed until the engine collected them.

Change: a round closes the transfers that progress least until they hold what all waiting ones need, frees unused buffers, and runs the waiting ones before it refuses any. From 64 waiting transfers on, the body of a further request is refused at once with 1015; answers of requests that have run still wait.

--- a/proof/fakes/create_test_memory_guard.ts
+++ b/proof/fakes/create_test_memory_guard.ts
@@ -8,7 +8,11 @@
 /** Guard of a process with ample memory, for tests that are not about it. */
 export function createTestMemoryGuard(timers: Timers = new VirtualTime()): MemoryGuard {
     return createMemoryGuard(ampleBytes, {
-        collector: { recordDropped: () => undefined, recordReleased: () => undefined },
+        collector: {
+            recordDropped: () => undefined,
+            recordReleased: () => undefined,
+            purge: () => undefined,
+        },
         timers,
         logger: { write: () => undefined },
         metrics: { addCount: () => undefined, setGauge: () => undefined, recordTime: () => undefined },
--- a/src/edge/system/v8_buffer_collector.ts
+++ b/src/edge/system/v8_buffer_collector.ts
@@ -34,6 +34,12 @@
         this.startCollection();
     }
 
+    purge(): void {
+        this.releasedBytes = 0;
+        this.droppedBytes = 0;
+        this.collect();
+    }
+
     private startCollection(): void {
         if (this.droppedBytes >= maxDroppedBytes || this.releasedBytes >= maxReleasedBytes) {
             this.scheduled ??= setImmediate(() => this.run());
@@ -43,12 +49,11 @@
     private run(): void {
         this.scheduled = undefined;
         if (this.releasedBytes >= maxReleasedBytes) {
-            this.releasedBytes = 0;
-            this.collect();
+            this.purge();
         }
         else {
+            this.droppedBytes = 0;
             this.collect({ type: "minor" });
         }
-        this.droppedBytes = 0;
     }
 }
--- a/src/memory/bounded_memory_account.ts
+++ b/src/memory/bounded_memory_account.ts
@@ -62,6 +62,11 @@
         return holder === undefined ? this.bytes : this.bytesByHolder.get(holder) ?? 0;
     }
 
+    /** Bytes left of the capacity; negative while it is exceeded. */
+    getFreeBytes(): number {
+        return this.options.capacityBytes - this.bytes;
+    }
+
     /** True while charges of bytes that existed already exceed the capacity. */
     isExceeded(): boolean {
         return this.bytes > this.options.capacityBytes;
--- a/src/memory/buffer_collector.ts
+++ b/src/memory/buffer_collector.ts
@@ -4,4 +4,6 @@
     recordDropped(bytes: number): void;
     /** Reports bytes of a transfer that has ended. */
     recordReleased(bytes: number): void;
+    /** Frees all buffers that are not used, which takes milliseconds. */
+    purge(): void;
 }
--- a/src/memory/memory_guard.test.ts
+++ b/src/memory/memory_guard.test.ts
@@ -13,7 +13,11 @@
     readonly guard = new MemoryGuard({
         account: this.account,
         progress: new ProgressTable(),
-        collector: { recordDropped: () => undefined, recordReleased: () => undefined },
+        collector: {
+            recordDropped: () => undefined,
+            recordReleased: () => undefined,
+            purge: () => undefined,
+        },
         timers: this.time,
         logger: { write: () => undefined },
         metrics: { addCount: () => undefined, setGauge: () => undefined, recordTime: () => undefined },
@@ -91,3 +95,26 @@
     await time.run(1);
     assert.notEqual(await waiting, undefined);
 });
+
+test("as many stalled transfers are closed in a round as those that wait need, so that a crowd does not keep others out", async () => {
+    const setup = new Setup();
+    for (let index = 0; index < 9; index += 1) {
+        setup.addTransfer(`stalled ${index}`, 10, () => 7);
+    }
+    setup.addTransfer("moving", 10, () => setup.time.getMonotonicMs());
+    const waiting = [setup.waitForCharge(30), setup.waitForCharge(40)];
+    await setup.time.run(500);
+    assert.equal((await Promise.all(waiting)).filter(charge => charge !== undefined).length, 2);
+    assert.equal(setup.closed.length, 7);
+});
+
+test("a body is refused at once when many transfers wait, and an answer still waits, because its request has run", async () => {
+    const setup = new Setup();
+    setup.guard.addCharge(MemoryHolder.CallerAnswer, 100);
+    const waiting = Array.from({ length: 64 }, () => setup.waitForCharge(1));
+    assert.equal(await setup.waitForCharge(1), undefined);
+    void setup.guard.waitForCharge(MemoryHolder.UpstreamAnswer, 1, new AbortController().signal);
+    assert.equal(setup.guard.countWaiting(), 65);
+    await setup.time.run(1_250);
+    await Promise.all(waiting);
+});
--- a/src/memory/memory_guard.ts
+++ b/src/memory/memory_guard.ts
@@ -1,6 +1,6 @@
 /**
  * Lets transfers wait for room in the memory account. While any waits, or the account is exceeded, it closes in each
- * round the transfer that the progress table selects, and refuses those that have waited too many rounds.
+ * round the transfers that the progress table selects, and refuses those that have waited too many rounds.
  *
  * @example
  * ```ts
@@ -31,6 +31,7 @@
 }
 
 interface Waiter {
+    readonly bytes: number;
     /** Charges the bytes; false when there is still no room. */
     readonly run: () => boolean;
     readonly close: (charged: boolean) => void;
@@ -41,6 +42,11 @@
 const roundMs = 250;
 /** Rounds after which a transfer that waits is refused, so that its caller still has time to try elsewhere. */
 const maxRounds = 4;
+/**
+ * Transfers that wait, from which the body of a further request is refused at once. Each holds up to 64 KB that have been
+ * read with its head and are not charged.
+ */
+const maxWaiting = 64;
 
 export class MemoryGuard {
     private readonly waiters = new Set<Waiter>();
@@ -60,8 +66,11 @@
         bytes: number,
         signal: AbortSignal,
     ): Promise<MemoryCharge | undefined> {
+        if (holder === MemoryHolder.RequestBody && this.waiters.size >= maxWaiting) {
+            return this.openCharge(holder, bytes);
+        }
         let charge: MemoryCharge | undefined;
-        await this.waitForRoom(() => {
+        await this.waitForRoom(bytes, () => {
             charge = this.options.account.openCharge(holder, bytes);
             return charge !== undefined;
         }, signal);
@@ -70,7 +79,7 @@
 
     /** Charges further bytes; false when no room was found in time or the signal was aborted. */
     waitForBytes(charge: MemoryCharge, bytes: number, signal: AbortSignal): Promise<boolean> {
-        return this.waitForRoom(() => charge.add(bytes), signal);
+        return this.waitForRoom(bytes, () => charge.add(bytes), signal);
     }
 
     /** Undefined when there is no room now. */
@@ -114,7 +123,7 @@
         return charge;
     }
 
-    private waitForRoom(run: () => boolean, signal: AbortSignal): Promise<boolean> {
+    private waitForRoom(bytes: number, run: () => boolean, signal: AbortSignal): Promise<boolean> {
         if (signal.aborted) {
             return Promise.resolve(false);
         }
@@ -124,6 +133,7 @@
         return new Promise(resolve => {
             const cancel = (): void => this.closeWaiter(waiter, false);
             const waiter: Waiter = {
+                bytes,
                 run,
                 rounds: 0,
                 close: charged => {
@@ -137,6 +147,12 @@
         });
     }
 
+    /** Bytes that must come free for all that wait; 0 when room was found since the round began. */
+    private computeNeededBytes(): number {
+        const waitingBytes = [...this.waiters].reduce((bytes, waiter) => bytes + waiter.bytes, 0);
+        return Math.max(this.waiters.size > 0 ? 1 : 0, waitingBytes - this.options.account.getFreeBytes());
+    }
+
     private closeWaiter(waiter: Waiter, charged: boolean): void {
         this.waiters.delete(waiter);
         waiter.close(charged);
@@ -173,11 +189,8 @@
     }
 
     private runRound(): void {
-        const { account, logger, metrics, progress } = this.options;
-        const slowest = progress.selectVictim();
-        // Room may have been found since the round began.
-        const victim = this.waiters.size > 0 || account.isExceeded() ? slowest : undefined;
-        if (victim !== undefined) {
+        const { account, collector, logger, metrics, progress } = this.options;
+        for (const victim of progress.selectVictims(this.computeNeededBytes())) {
             metrics.addCount("memory.closed");
             logger.write(LogLevel.Warn, "transfer_closed", {
                 cause: "memory",
@@ -187,6 +200,8 @@
             });
             victim.close();
         }
+        this.runWaiters();
+        collector.purge();
         for (const waiter of this.waiters) {
             waiter.rounds += 1;
             if (waiter.rounds >= maxRounds) {
--- a/src/memory/progress_table.ts
+++ b/src/memory/progress_table.ts
@@ -1,6 +1,6 @@
 /**
- * Transfers that hold charged bytes, and how far each got between two rounds. Answers which one to close when many
- * clients hold memory and stop: the one that progressed least for its size. Uses no clock; rounds count.
+ * Transfers that hold charged bytes, and how far each got between two rounds. Answers which ones to close when many
+ * clients hold memory and stop: those that progressed least for their size. Uses no clock; rounds count.
  *
  * @module
  */
@@ -22,28 +22,32 @@
     }
 
     /**
-     * Ends a round. Returns the transfer that made the least progress for its size since the last one, the largest
-     * of equal ones; undefined when all progress or have not been here for a whole round.
+     * Ends a round. Returns the transfers that made the least progress for their size since the last one, the largest
+     * of equal ones first, until they hold `neededBytes` or more; none that progresses or has not been here for a whole
+     * round.
      */
-    selectVictim(): MemoryUser | undefined {
-        let victim: MemoryUser | undefined;
-        let leastShare = leastProgressShare;
+    selectVictims(neededBytes: number): readonly MemoryUser[] {
+        const stalled: { readonly user: MemoryUser; readonly share: number; readonly heldBytes: number; }[] =
+            [];
         for (const [user, before] of this.users) {
             const progress = user.getProgressBytes();
             const heldBytes = user.getHeldBytes();
             this.users.set(user, progress);
-            if (before === undefined || heldBytes === 0) {
-                continue;
+            const share = before === undefined ? Infinity : (progress - before) / heldBytes;
+            if (heldBytes > 0 && share < leastProgressShare) {
+                stalled.push({ user, share, heldBytes });
             }
-            const share = (progress - before) / heldBytes;
-            if (
-                share < leastShare ||
-                victim !== undefined && share === leastShare && heldBytes > victim.getHeldBytes()
-            ) {
-                victim = user;
-                leastShare = share;
+        }
+        stalled.sort((left, right) => left.share - right.share || right.heldBytes - left.heldBytes);
+        const victims: MemoryUser[] = [];
+        let bytes = 0;
+        for (const { heldBytes, user } of stalled) {
+            if (bytes >= neededBytes) {
+                break;
             }
+            victims.push(user);
+            bytes += heldBytes;
         }
-        return victim;
+        return victims;
     }
 }
