Let long answers wait at their owner until the entry daemon has room

Cause: the pieces of an answer follow their head at once, so the entry daemon had to decide on the spot and could not wait for memory as answers of its own upstream do.

Change: the owner keeps the answer until the entry daemon has charged its length and sends the frame fetch. The entry daemon waits a second for room, as everywhere, and cancels otherwise. The owner drops a kept answer on cancel and at the end of the link, and an entry daemon answers a reply that it no longer expects with cancel. The request stays in flight at the owner until then, so a stop does not cut the answer. Daemons of earlier versions are served as before, which a test on a raw link shows.

Cost: one round trip for answers above 64 KB over a link.

Evidence: "an answer waits at its owner until the entry daemon has room" cannot pass without the change, where the answer is dropped before the wait.

--- a/src/edge/peer_link/incoming_bodies.ts
+++ b/src/edge/peer_link/incoming_bodies.ts
@@ -24,31 +24,32 @@
 /** Bodies that arrive over a link in pieces. */
 export class IncomingBodies {
     private readonly bodies = new Map<number, IncomingBody>();
+    /** Bodies that wait for room. */
+    private readonly waiting = new Map<number, AbortController>();
 
     constructor(private readonly memory: MemoryGuard) {}
 
     /** False when there is no memory for the body; its pieces are then discarded. */
-    open(id: number, length: number, { canClose = true, ...handlers }: OpenOptions): boolean {
+    open(id: number, length: number, options: OpenOptions): boolean {
         const charge = this.memory.openCharge(MemoryHolder.LinkFrame, length);
         if (charge === undefined) {
             return false;
         }
-        const body: IncomingBody = {
-            buffer: Buffer.allocUnsafeSlow(length),
-            charge,
-            handlers,
-            length: 0,
-            getHeldBytes: () => charge.getBytes(),
-            getProgressBytes: () => body.length,
-            close: () => {
-                this.cancel(id);
-                handlers.handleDropped();
-            },
-        };
-        this.bodies.set(id, body);
-        if (canClose) {
-            this.memory.register(body);
+        this.addBody(id, charge, options);
+        return true;
+    }
+
+    /** Waits for room; false when none was found in time, or the body was cancelled. */
+    async waitToOpen(id: number, length: number, options: OpenOptions): Promise<boolean> {
+        const controller = new AbortController();
+        this.waiting.set(id, controller);
+        const charge = await this.memory.waitForCharge(MemoryHolder.LinkFrame, length, controller.signal);
+        this.waiting.delete(id);
+        if (charge === undefined || controller.signal.aborted) {
+            charge?.close();
+            return false;
         }
+        this.addBody(id, charge, options);
         return true;
     }
 
@@ -76,6 +77,7 @@
 
     /** Discards a body and its later pieces. */
     cancel(id: number): void {
+        this.waiting.get(id)?.abort();
         const body = this.bodies.get(id);
         if (body !== undefined) {
             this.bodies.delete(id);
@@ -85,6 +87,25 @@
     }
 
     close(): void {
-        [...this.bodies.keys()].forEach(id => this.cancel(id));
+        [...this.waiting.keys(), ...this.bodies.keys()].forEach(id => this.cancel(id));
+    }
+
+    private addBody(id: number, charge: MemoryCharge, { canClose = true, ...handlers }: OpenOptions): void {
+        const body: IncomingBody = {
+            buffer: Buffer.allocUnsafeSlow(charge.getBytes()),
+            charge,
+            handlers,
+            length: 0,
+            getHeldBytes: () => charge.getBytes(),
+            getProgressBytes: () => body.length,
+            close: () => {
+                this.cancel(id);
+                handlers.handleDropped();
+            },
+        };
+        this.bodies.set(id, body);
+        if (canClose) {
+            this.memory.register(body);
+        }
     }
 }
--- a/src/edge/peer_link/link_listener.ts
+++ b/src/edge/peer_link/link_listener.ts
@@ -23,6 +23,7 @@
 import { encodeFrame } from "./encode_frame.ts";
 import { encodeReply } from "./encode_reply.ts";
 import { FrameSocket } from "./frame_socket.ts";
+import { HeldAnswers } from "./held_answers.ts";
 import { IncomingBodies } from "./incoming_bodies.ts";
 import { linkProtocol } from "./link_protocol.ts";
 import { maxWholeBodyBytes } from "./max_whole_body_bytes.ts";
@@ -41,6 +42,15 @@
     readonly socket: FrameSocket;
     readonly runningAttempts: Map<number, AbortController>;
     readonly incomingBodies: IncomingBodies;
+    readonly heldAnswers: HeldAnswers;
+}
+
+/** An attempt whose reply is to be sent. */
+interface ReplyTarget {
+    readonly link: LinkState;
+    readonly id: number;
+    /** True when the entry daemon asks for an answer in pieces. */
+    readonly fetchesAnswer: boolean;
 }
 
 /** Milliseconds for a peer to close its side of a link; a round trip between regions takes up to 40 ms. */
@@ -85,13 +95,16 @@
         const runningAttempts = new Map<number, AbortController>();
         const incomingBodies = new IncomingBodies(this.options.memory);
         const link: FrameSocket = new FrameSocket(socket, {
-            handleFrame: frame => this.handleFrame({ socket: link, runningAttempts, incomingBodies }, frame),
+            handleFrame: frame =>
+                this.handleFrame({ socket: link, runningAttempts, incomingBodies, heldAnswers }, frame),
             handleClose: () => {
                 this.links.delete(link);
                 incomingBodies.close();
+                heldAnswers.close();
                 runningAttempts.forEach(controller => controller.abort());
             },
         });
+        const heldAnswers = new HeldAnswers(link);
         this.links.add(link);
     }
 
@@ -99,8 +112,12 @@
         if (content.case === "cancel") {
             link.incomingBodies.cancel(id);
             link.socket.cancelBody(id);
+            link.heldAnswers.cancel(id);
             link.runningAttempts.get(id)?.abort();
         }
+        else if (content.case === "fetch") {
+            link.heldAnswers.send(id);
+        }
         else if (content.case === "dispatch") {
             this.handleDispatch(link, id, content.value);
         }
@@ -109,7 +126,9 @@
         }
     }
 
-    private handleDispatch(link: LinkState, id: number, { body, followingBytes, head }: LinkDispatch): void {
+    private handleDispatch(link: LinkState, id: number, frame: LinkDispatch): void {
+        const { body, fetchesAnswer, followingBytes, head } = frame;
+        const target = { link, id, fetchesAnswer };
         if (head === undefined) {
             // The frame is not one of this version; the entry daemon sees that the link was closed.
             link.socket.cancel();
@@ -117,20 +136,16 @@
         }
         const controller = new AbortController();
         if (followingBytes === 0) {
-            void this.runAttempt(link, id, decodeDispatch(head, body, controller.signal), controller);
+            void this.runAttempt(target, decodeDispatch(head, body, controller.signal), controller);
             return;
         }
         const refuse = (): void => {
             const dispatch = decodeDispatch(head, body, controller.signal);
-            this.sendReply(
-                link.socket,
-                id,
-                this.buildFailureReply(dispatch, createFailure(Code.MemoryShort)),
-            );
+            this.sendReply(target, this.buildFailureReply(dispatch, createFailure(Code.MemoryShort)));
         };
         const opened = link.incomingBodies.open(id, followingBytes, {
             handleWhole: whole =>
-                void this.runAttempt(link, id, decodeDispatch(head, whole, controller.signal), controller),
+                void this.runAttempt(target, decodeDispatch(head, whole, controller.signal), controller),
             handleDropped: refuse,
         });
         if (opened) {
@@ -142,19 +157,15 @@
     }
 
     private async runAttempt(
-        link: LinkState,
-        id: number,
+        target: ReplyTarget,
         dispatch: IncomingDispatch,
         controller: AbortController,
     ): Promise<void> {
         const { memory, registerRequest } = this.options;
+        const { id, link } = target;
         const inFlightRequest = registerRequest();
         if (inFlightRequest === undefined) {
-            this.sendReply(
-                link.socket,
-                id,
-                this.buildFailureReply(dispatch, createFailure(Code.OwnerLeaving)),
-            );
+            this.sendReply(target, this.buildFailureReply(dispatch, createFailure(Code.OwnerLeaving)));
             return;
         }
         const charge = memory.addCharge(MemoryHolder.RequestBody, dispatch.body.length);
@@ -165,8 +176,7 @@
         const reply = await this.applyOwner(dispatch);
         link.runningAttempts.delete(id);
         charge.close();
-        this.sendReply(link.socket, id, reply);
-        inFlightRequest.close(!controller.signal.aborted);
+        this.sendReply(target, reply, () => inFlightRequest.close(!controller.signal.aborted));
     }
 
     private sendAccepted(link: FrameSocket, id: number): void {
@@ -185,11 +195,15 @@
         }
     }
 
-    /** Sends the reply, or one without an answer and with its outcome when a value does not fit its field. */
-    private sendReply(link: FrameSocket, id: number, reply: OwnerReply): void {
-        const frame = this.encodeReplyFrame(id, reply).orElse(({ detail }) =>
+    /**
+     * Sends the reply, or one without an answer and with its outcome when a value does not fit its field. Calls
+     * `handleEnd` when all of it has been passed to the connection or dropped.
+     */
+    private sendReply(target: ReplyTarget, reply: OwnerReply, handleEnd: () => void = () => undefined): void {
+        const { fetchesAnswer, id, link } = target;
+        const frame = this.encodeReplyFrame(target, reply).orElse(({ detail }) =>
             this.encodeReplyFrame(
-                id,
+                target,
                 buildOwnerReply(this.options.identity, reply, {
                     code: Code.PeerProtocol,
                     outcome: reply.outcome,
@@ -197,21 +211,31 @@
                 }),
             )
         );
+        frame.map(bytes => link.socket.send(bytes));
         const body = reply.answer?.body;
-        frame.map(bytes => {
-            link.send(bytes);
-            if (body !== undefined && body.length > maxWholeBodyBytes) {
-                const charge = this.options.memory.addCharge(MemoryHolder.LinkFrame, body.length);
-                link.sendBody({ id, bytes: body, handleEnd: () => charge.close() });
-            }
-        });
+        if (frame.isErr() || body === undefined || body.length <= maxWholeBodyBytes) {
+            handleEnd();
+            return;
+        }
+        const charge = this.options.memory.addCharge(MemoryHolder.LinkFrame, body.length);
+        const outgoing = { id, bytes: body, handleEnd: () => charge.close() };
+        if (fetchesAnswer) {
+            link.heldAnswers.add(outgoing, handleEnd);
+        }
+        else {
+            link.socket.sendBody(outgoing);
+            handleEnd();
+        }
     }
 
-    private encodeReplyFrame(id: number, reply: OwnerReply): Result<Uint8Array, Failure> {
+    private encodeReplyFrame(
+        { fetchesAnswer, id }: ReplyTarget,
+        reply: OwnerReply,
+    ): Result<Uint8Array, Failure> {
         const body = reply.answer?.body ?? new Uint8Array();
         const head = encodeReply(reply);
         const value = body.length > maxWholeBodyBytes
-            ? { head, followingBytes: body.length }
+            ? { head, followingBytes: body.length, awaitsFetch: fetchesAnswer }
             : { head, body };
         return encodeFrame({ id, content: { case: "reply", value } });
     }
--- a/src/edge/peer_link/link_pieces.test.ts
+++ b/src/edge/peer_link/link_pieces.test.ts
@@ -1,5 +1,7 @@
 import { ok } from "neverthrow";
 import assert from "node:assert/strict";
+import { once } from "node:events";
+import { connect } from "node:net";
 import { after, test } from "node:test";
 import { createTestMemoryGuard } from "../../../proof/fakes/create_test_memory_guard.ts";
 import { VirtualTime } from "../../../proof/fakes/virtual_time.ts";
@@ -11,6 +13,7 @@
 import { RevokeState } from "../../forward/revoke_state.ts";
 import { MemoryHolder } from "../../memory/memory_holder.ts";
 import { HttpListener } from "../http/http_listener.ts";
+import { encodeFrame } from "./encode_frame.ts";
 import { LinkForwarder } from "./link_forwarder.ts";
 import { LinkListener } from "./link_listener.ts";
 
@@ -22,16 +25,23 @@
 
 /** Opens an owner that answers each attempt with its own body, and a forwarder to it. */
 async function openLink() {
-    const entryMemory = createTestMemoryGuard();
+    const entryTime = new VirtualTime();
+    const entryMemory = createTestMemoryGuard(entryTime);
     const ownerMemory = createTestMemoryGuard();
     let runs = 0;
+    let inFlight = 0;
+    let handleRun = (): Promise<void> => Promise.resolve();
     const links = new LinkListener({
         identity,
         memory: ownerMemory,
-        registerRequest: () => ({ close: () => undefined }),
+        registerRequest: () => {
+            inFlight += 1;
+            return { close: () => inFlight -= 1 };
+        },
         owner: {
             apply: async dispatch => {
                 runs += 1;
+                await handleRun();
                 const answer = { status: 200, headers: [], body: dispatch.body };
                 return ok(buildOwnerReply(identity, dispatch, { code: Code.Ok, answer }));
             },
@@ -54,7 +64,29 @@
         return forwarder.forward({ ...buildOwnerRequest({ body }), ...routing }, signal);
     };
     const isReleased = () => entryMemory.getChargedBytes() + ownerMemory.getChargedBytes() === 0;
-    return { entryMemory, ownerMemory, send, isReleased, countRuns: () => runs };
+    return {
+        entryMemory,
+        entryTime,
+        ownerMemory,
+        port: listener.getPort(),
+        send,
+        isReleased,
+        countRuns: () => runs,
+        countInFlight: () => inFlight,
+        setRunHandler: (handle: () => Promise<void>) => {
+            handleRun = handle;
+        },
+    };
+}
+
+/** Sends a body whose answer waits for memory at the entry daemon. */
+async function waitWithAnswer(signal?: AbortSignal) {
+    const link = await openLink();
+    const filler = link.entryMemory.addCharge(MemoryHolder.CallerAnswer, 1e12);
+    const body = Buffer.alloc(500_000, "b");
+    const reply = link.send(body, signal);
+    await waitUntil("the answer waits", limitMs, () => link.entryMemory.countWaiting() === 1);
+    return { ...link, body, filler, reply };
 }
 
 test("a body and an answer in pieces arrive whole beside others, and their charges are released", async () => {
@@ -85,10 +117,64 @@
 });
 
 test("an answer for which the entry daemon has no memory is not reported as refused, because it ran", async () => {
-    const { countRuns, entryMemory, send } = await openLink();
-    entryMemory.addCharge(MemoryHolder.CallerAnswer, 1e12);
-    const reply = await send(Buffer.alloc(500_000));
-    assert.deepEqual([reply.code, reply.outcome, countRuns()], [Code.AnswerTooLarge, Outcome.Unknown, 1]);
+    const { countRuns, entryTime, filler, isReleased, reply } = await waitWithAnswer();
+    await entryTime.run(1_250);
+    const { code, outcome } = await reply;
+    assert.deepEqual([code, outcome, countRuns()], [Code.AnswerTooLarge, Outcome.Unknown, 1]);
+    filler.close();
+    await waitUntil("the charges are released", limitMs, isReleased);
+});
+
+test("an answer waits at its owner until the entry daemon has room, so that a request that ran is answered", async () => {
+    const { body, countInFlight, entryTime, filler, isReleased, reply } = await waitWithAnswer();
+    // A stop of the owner must not cut the answer.
+    assert.equal(countInFlight(), 1);
+    filler.close();
+    await entryTime.run(1);
+    const { answer, code } = await reply;
+    assert.equal(code, Code.Ok);
+    assert.ok(body.equals(answer?.body ?? Buffer.alloc(0)));
+    await waitUntil("the charges are released", limitMs, isReleased);
+    assert.equal(countInFlight(), 0);
+});
+
+test("an attempt that is cancelled while its answer waits leaves no charge at either daemon", async () => {
+    const controller = new AbortController();
+    const { countInFlight, filler, isReleased, reply } = await waitWithAnswer(controller.signal);
+    controller.abort();
+    await reply;
+    filler.close();
+    await waitUntil("the charges are released", limitMs, isReleased);
+    await waitUntil("the owner has dropped the answer", limitMs, () => countInFlight() === 0);
+});
+
+test("an answer to an attempt that was cancelled while it ran is dropped, so that the owner does not keep it", async () => {
+    const { countInFlight, countRuns, isReleased, send, setRunHandler } = await openLink();
+    let release = (): void => undefined;
+    setRunHandler(() => new Promise(resolve => release = resolve));
+    const controller = new AbortController();
+    const reply = send(Buffer.alloc(500_000), controller.signal);
+    await waitUntil("the attempt runs", limitMs, () => countRuns() === 1);
+    controller.abort();
+    await reply;
+    release();
+    await waitUntil("the owner has dropped the answer", limitMs, () => countInFlight() === 0);
+    await waitUntil("the charges are released", limitMs, isReleased);
+});
+
+test("an entry daemon of a version without fetch frames gets the pieces of an answer at once", async () => {
+    const { isReleased, port } = await openLink();
+    const socket = connect(port, "127.0.0.1");
+    closers.push(() => socket.destroy());
+    socket.write(
+        "GET /v1/link HTTP/1.1\r\nHost: a\r\nConnection: Upgrade\r\nUpgrade: zinniaglade-link\r\n\r\n",
+    );
+    await once(socket, "data");
+    const head = { requestId: "1", idempotencyKey: "1", upstreamId: "u1" };
+    const value = { head, body: Buffer.alloc(100_000, "b") };
+    socket.write(encodeFrame({ id: 1, content: { case: "dispatch", value } })._unsafeUnwrap());
+    await waitUntil("the pieces", limitMs, () => socket.bytesRead > 100_000);
+    await waitUntil("the charges are released", limitMs, isReleased);
 });
 
 test("an attempt that is cancelled while its body is sent leaves no charge and does not run", async () => {
--- a/src/edge/peer_link/peer_link.ts
+++ b/src/edge/peer_link/peer_link.ts
@@ -86,7 +86,8 @@
     sendDispatch(head: DispatchHead, body: Uint8Array, handlers: AttemptHandlers): Result<number, Failure> {
         const id = this.lastId + 1;
         const isSplit = body.length > maxWholeBodyBytes;
-        const value = isSplit ? { head, followingBytes: body.length } : { head, body };
+        const part = isSplit ? { followingBytes: body.length } : { body };
+        const value = { head, ...part, fetchesAnswer: true };
         return encodeFrame({ id, content: { case: "dispatch", value } }).andThen(frame => {
             this.lastId = id;
             this.pendingAttempts.set(id, handlers);
@@ -106,9 +107,7 @@
         if (this.pendingAttempts.delete(id)) {
             this.incomingBodies.cancel(id);
             this.frameSocket?.cancelBody(id);
-            encodeFrame({ id, content: { case: "cancel", value: {} } }).map(frame =>
-                this.send(socket => socket.send(frame))
-            );
+            this.sendEmpty(id, "cancel");
             this.closeIfIdle();
         }
     }
@@ -161,8 +160,14 @@
         if (content.case === "accepted") {
             attempt?.handleAccepted();
         }
-        else if (content.case === "reply" && attempt !== undefined) {
-            this.handleReply(id, attempt, content.value);
+        else if (content.case === "reply") {
+            if (attempt !== undefined) {
+                this.handleReply(id, attempt, content.value);
+            }
+            else if (content.value.awaitsFetch) {
+                // The owner may have received the cancel frame before it had the answer.
+                this.sendEmpty(id, "cancel");
+            }
         }
         else if (content.case === "piece" && !this.incomingBodies.add(id, content.value.bytes)) {
             this.frameSocket?.cancel();
@@ -183,16 +188,41 @@
         }
         const failure = createFailure(Code.AnswerTooLarge, { detail: "there is no memory for the answer" });
         const handleDropped = () => closeAttempt(() => attempt.handleFailure(failure));
-        const opened = this.incomingBodies.open(id, reply.followingBytes, {
-            handleWhole: body => closeAttempt(() => attempt.handleReply({ ...reply, body })),
+        const options = {
+            handleWhole: (body: Uint8Array) => closeAttempt(() => attempt.handleReply({ ...reply, body })),
             handleDropped,
             canClose: false,
-        });
-        if (!opened) {
+        };
+        if (reply.awaitsFetch) {
+            void this.fetchAnswer(id, reply.followingBytes, options);
+        }
+        else if (!this.incomingBodies.open(id, reply.followingBytes, options)) {
             handleDropped();
         }
     }
 
+    /** Asks for the body of a reply once there is room for it. */
+    private async fetchAnswer(
+        id: number,
+        length: number,
+        options: Parameters<IncomingBodies["waitToOpen"]>[2],
+    ): Promise<void> {
+        const opened = await this.incomingBodies.waitToOpen(id, length, options);
+        if (opened) {
+            this.sendEmpty(id, "fetch");
+        }
+        else if (this.pendingAttempts.has(id)) {
+            this.sendEmpty(id, "cancel");
+            options.handleDropped();
+        }
+    }
+
+    private sendEmpty(id: number, kind: "cancel" | "fetch"): void {
+        encodeFrame({ id, content: { case: kind, value: {} } }).map(frame =>
+            this.send(socket => socket.send(frame))
+        );
+    }
+
     private handleEnd(): void {
         if (this.closed) {
             return;
