Give waiting transfers room in the order in which they came

An ordinary answer of 6 MB was not served once in 20 attempts beside 1,500 short uploads that stop a byte short, for as long as the crowd stayed: each attempt ended after a second with 502 (2016).

Cause: a transfer that fits ran before larger ones that wait. Up to 64 bodies of 100 KB waited at any time and took each part of the memory that came free, and new ones took it without waiting. The bytes to be closed in a round also left out the reserved part, which a large transfer does not get.

Change: transfers get room in the order in which they came, and new ones wait behind those that wait. Short transfers, up to 16 KB, do not wait behind others, nor do small ones, up to 512 KB, while all small ones together hold no more than the reserved part; so ordinary requests do not wait behind long answers. What must come free counts the reserved part for large transfers.

Two tests in memory_guard.test.ts fail without the change.

--- a/src/memory/bounded_memory_account.test.ts
+++ b/src/memory/bounded_memory_account.test.ts
@@ -7,7 +7,7 @@
 const bytesPerMb = 1_048_576;
 
 function openAccount(): BoundedMemoryAccount {
-    return new BoundedMemoryAccount({ capacityBytes: 100, reservedBytes: 20, smallBytes: 10 });
+    return new BoundedMemoryAccount({ capacityBytes: 100, reservedBytes: 20, smallBytes: 10, shortBytes: 2 });
 }
 
 test("large transfers leave the reserved part to small ones, so that a crowd does not keep ordinary requests out", () => {
--- a/src/memory/bounded_memory_account.ts
+++ b/src/memory/bounded_memory_account.ts
@@ -4,7 +4,7 @@
  *
  * @example
  * ```ts
- * const account = new BoundedMemoryAccount({ capacityBytes, reservedBytes, smallBytes });
+ * const account = new BoundedMemoryAccount({ capacityBytes, reservedBytes, smallBytes, shortBytes });
  * const charge = account.openCharge(MemoryHolder.RequestBody, 1_000_000);
  * charge?.close();
  * ```
@@ -21,11 +21,15 @@
     readonly reservedBytes: number;
     /** Most bytes of a small charge. */
     readonly smallBytes: number;
+    /** Most bytes of a charge so small that one for each connection leaves most of the capacity. */
+    readonly shortBytes: number;
 }
 
 export class BoundedMemoryAccount implements MemoryAccount {
     private readonly bytesByHolder = new Map<MemoryHolder, number>();
     private bytes = 0;
+    /** Bytes of the small charges among them. */
+    private smallChargedBytes = 0;
     private handleRelease: (bytes: number) => void = () => undefined;
 
     constructor(private readonly options: Options) {}
@@ -36,6 +40,7 @@
 
     addCharge(holder: MemoryHolder, bytes: number): MemoryCharge {
         this.addBytes(holder, bytes);
+        this.updateSmallBytes(0, bytes);
         let chargedBytes = bytes;
         let closed = false;
         return {
@@ -44,6 +49,7 @@
                     return false;
                 }
                 this.addBytes(holder, added);
+                this.updateSmallBytes(chargedBytes, chargedBytes + added);
                 chargedBytes += added;
                 return true;
             },
@@ -52,6 +58,7 @@
                 if (!closed) {
                     closed = true;
                     this.addBytes(holder, -chargedBytes);
+                    this.updateSmallBytes(chargedBytes, 0);
                     this.handleRelease(chargedBytes);
                 }
             },
@@ -62,9 +69,18 @@
         return holder === undefined ? this.bytes : this.bytesByHolder.get(holder) ?? 0;
     }
 
-    /** Bytes left of the capacity; negative while it is exceeded. */
-    getFreeBytes(): number {
-        return this.options.capacityBytes - this.bytes;
+    /** Bytes left for a charge of `totalBytes`; negative while the capacity is exceeded. */
+    getFreeBytes(totalBytes: number): number {
+        return this.getLimitBytes(totalBytes) - this.bytes;
+    }
+
+    /**
+     * True for a charge that may be opened before others that wait: a short one, and a small one while all small ones
+     * together need no more than the reserved part.
+     */
+    isPreferred(bytes: number): boolean {
+        const { reservedBytes, shortBytes, smallBytes } = this.options;
+        return bytes <= shortBytes || bytes <= smallBytes && this.smallChargedBytes + bytes <= reservedBytes;
     }
 
     /** True while charges of bytes that existed already exceed the capacity. */
@@ -79,9 +95,18 @@
 
     /** `totalBytes` are those of the charge with the added ones. */
     private hasRoom(addedBytes: number, totalBytes: number): boolean {
+        return addedBytes <= this.getFreeBytes(totalBytes);
+    }
+
+    /** Most charged bytes with a charge of `totalBytes` among them. */
+    private getLimitBytes(totalBytes: number): number {
         const { capacityBytes, reservedBytes, smallBytes } = this.options;
-        const limitBytes = totalBytes <= smallBytes ? capacityBytes : capacityBytes - reservedBytes;
-        return this.bytes + addedBytes <= limitBytes;
+        return totalBytes <= smallBytes ? capacityBytes : capacityBytes - reservedBytes;
+    }
+
+    private updateSmallBytes(before: number, after: number): void {
+        const countSmall = (bytes: number): number => bytes <= this.options.smallBytes ? bytes : 0;
+        this.smallChargedBytes += countSmall(after) - countSmall(before);
     }
 
     private addBytes(holder: MemoryHolder, bytes: number): void {
--- a/src/memory/memory_guard.test.ts
+++ b/src/memory/memory_guard.test.ts
@@ -8,20 +8,30 @@
 
 class Setup {
     readonly time = new VirtualTime();
-    readonly account = new BoundedMemoryAccount({ capacityBytes: 100, reservedBytes: 0, smallBytes: 0 });
-    readonly closed: string[] = [];
-    readonly guard = new MemoryGuard({
-        account: this.account,
-        progress: new ProgressTable(),
-        collector: {
-            recordDropped: () => undefined,
-            recordReleased: () => undefined,
-            purge: () => undefined,
-        },
-        timers: this.time,
-        logger: { write: () => undefined },
-        metrics: { addCount: () => undefined, setGauge: () => undefined, recordTime: () => undefined },
+    readonly account = new BoundedMemoryAccount({
+        capacityBytes: 100,
+        reservedBytes: 0,
+        smallBytes: 0,
+        shortBytes: 0,
     });
+    readonly closed: string[] = [];
+    readonly guard: MemoryGuard;
+
+    constructor(parts = { reservedBytes: 0, smallBytes: 0, shortBytes: 0 }) {
+        this.account = new BoundedMemoryAccount({ capacityBytes: 100, ...parts });
+        this.guard = new MemoryGuard({
+            account: this.account,
+            progress: new ProgressTable(),
+            collector: {
+                recordDropped: () => undefined,
+                recordReleased: () => undefined,
+                purge: () => undefined,
+            },
+            timers: this.time,
+            logger: { write: () => undefined },
+            metrics: { addCount: () => undefined, setGauge: () => undefined, recordTime: () => undefined },
+        });
+    }
 
     /** Opens a transfer whose progress is read from `getProgressBytes`. */
     addTransfer(name: string, bytes: number, getProgressBytes: () => number): void {
@@ -118,3 +128,34 @@
     await setup.time.run(1_250);
     await Promise.all(waiting);
 });
+
+test("a large answer gets the room that comes free piece by piece, which small bodies behind it would take", async () => {
+    const setup = new Setup({ reservedBytes: 20, smallBytes: 10, shortBytes: 2 });
+    const charges = Array.from({ length: 10 }, () => setup.guard.addCharge(MemoryHolder.RequestBody, 10));
+    const answer = setup.guard.waitForCharge(
+        MemoryHolder.UpstreamAnswer,
+        30,
+        new AbortController().signal,
+    );
+    const bodies = [];
+    for (const charge of charges.slice(0, 5)) {
+        bodies.push(setup.waitForCharge(10));
+        charge.close();
+        await setup.time.run(100);
+    }
+    await setup.time.run(1_250);
+    assert.notEqual(await answer, undefined);
+    await Promise.all(bodies);
+});
+
+test("short transfers, and small ones within the reserved part, do not wait behind a large one that finds no room", async () => {
+    const setup = new Setup({ reservedBytes: 20, smallBytes: 10, shortBytes: 2 });
+    setup.guard.addCharge(MemoryHolder.CallerAnswer, 70);
+    const large = setup.waitForCharge(40);
+    assert.notEqual(await setup.waitForCharge(10), undefined);
+    assert.notEqual(await setup.waitForCharge(10), undefined);
+    const third = setup.waitForCharge(10);
+    assert.notEqual(await setup.waitForCharge(2), undefined);
+    await setup.time.run(1_250);
+    assert.deepEqual([await large, await third], [undefined, undefined]);
+});
--- a/src/memory/memory_guard.ts
+++ b/src/memory/memory_guard.ts
@@ -30,8 +30,14 @@
     readonly metrics: Metrics;
 }
 
-interface Waiter {
+interface Room {
     readonly bytes: number;
+    /** Bytes of the charge with the others that it has. */
+    readonly totalBytes: number;
+}
+
+interface Waiter {
+    readonly room: Room;
     /** Charges the bytes; false when there is still no room. */
     readonly run: () => boolean;
     readonly close: (charged: boolean) => void;
@@ -70,7 +76,7 @@
             return this.openCharge(holder, bytes);
         }
         let charge: MemoryCharge | undefined;
-        await this.waitForRoom(bytes, () => {
+        await this.waitForRoom({ bytes, totalBytes: bytes }, () => {
             charge = this.options.account.openCharge(holder, bytes);
             return charge !== undefined;
         }, signal);
@@ -79,7 +85,11 @@
 
     /** Charges further bytes; false when no room was found in time or the signal was aborted. */
     waitForBytes(charge: MemoryCharge, bytes: number, signal: AbortSignal): Promise<boolean> {
-        return this.waitForRoom(bytes, () => charge.add(bytes), signal);
+        return this.waitForRoom(
+            { bytes, totalBytes: charge.getBytes() + bytes },
+            () => charge.add(bytes),
+            signal,
+        );
     }
 
     /** Undefined when there is no room now. */
@@ -123,17 +133,18 @@
         return charge;
     }
 
-    private waitForRoom(bytes: number, run: () => boolean, signal: AbortSignal): Promise<boolean> {
+    private waitForRoom(room: Room, run: () => boolean, signal: AbortSignal): Promise<boolean> {
         if (signal.aborted) {
             return Promise.resolve(false);
         }
-        if (run()) {
+        const isNext = this.waiters.size === 0 || this.options.account.isPreferred(room.totalBytes);
+        if (isNext && run()) {
             return Promise.resolve(true);
         }
         return new Promise(resolve => {
             const cancel = (): void => this.closeWaiter(waiter, false);
             const waiter: Waiter = {
-                bytes,
+                room,
                 run,
                 rounds: 0,
                 close: charged => {
@@ -149,8 +160,15 @@
 
     /** Bytes that must come free for all that wait; 0 when room was found since the round began. */
     private computeNeededBytes(): number {
-        const waitingBytes = [...this.waiters].reduce((bytes, waiter) => bytes + waiter.bytes, 0);
-        return Math.max(this.waiters.size > 0 ? 1 : 0, waitingBytes - this.options.account.getFreeBytes());
+        const rooms = [...this.waiters].map(({ room }) => room);
+        const waitingBytes = rooms.reduce((bytes, room) => bytes + room.bytes, 0);
+        // A large transfer does not use the reserved part, so less is free for it.
+        const freeBytes = Math.min(
+            ...[0, ...rooms.map(({ totalBytes }) => totalBytes)].map(bytes =>
+                this.options.account.getFreeBytes(bytes)
+            ),
+        );
+        return Math.max(rooms.length > 0 ? 1 : 0, waitingBytes - freeBytes);
     }
 
     private closeWaiter(waiter: Waiter, charged: boolean): void {
@@ -172,12 +190,22 @@
         }
     }
 
-    /** Runs smaller transfers that fit before larger ones that wait. */
+    /**
+     * Runs transfers in the order in which they came. One that does not fit holds up those behind it, unless the account
+     * prefers them: many small ones would otherwise take all room that comes free before it is enough for a larger one.
+     */
     private runWaiters(): void {
+        let isHeldUp = false;
         for (const waiter of this.waiters) {
+            if (isHeldUp && !this.options.account.isPreferred(waiter.room.totalBytes)) {
+                continue;
+            }
             if (waiter.run()) {
                 this.closeWaiter(waiter, true);
             }
+            else {
+                isHeldUp = true;
+            }
         }
     }
 
