Close answers that are not read also when a request follows them

An ordinary answer of 6 MB was not served once in 20 attempts while 40 callers had sent a second request behind an answer of 6 MB that they did not read. The crowd could stay for as long as it liked: no limit applied to it.

Cause: a transfer held nothing in the eyes of the progress table while any other request of its connection was being handled, so that closing would not lose the answers of those. A caller could thus protect an answer from being closed by sending a request behind it.

Change: an answer counts unless an earlier one of its connection is being sent. The answers behind it cannot be sent before the caller has read it, so they are not lost by closing but by the caller, which does not read. An incomplete body still does not count while an earlier request of its connection runs; ConnectionReadLimiter bounds the time of such a body.

--- a/src/edge/caller_http/answer_transfer.ts
+++ b/src/edge/caller_http/answer_transfer.ts
@@ -8,8 +8,8 @@
 
 interface Options {
     readonly memory: MemoryGuard;
-    /** True while other requests of the connection are being handled. */
-    readonly hasOtherRequests: () => boolean;
+    /** True while an earlier answer of the connection is not complete. */
+    readonly isBehindOther: () => boolean;
 }
 
 /** Answers up to this size are written at once. */
@@ -41,9 +41,12 @@
         return Readable.from(this.createPieces(), { objectMode: false });
     }
 
-    /** 0 while other requests of the connection run, because closing it would lose their answers. */
+    /**
+     * 0 behind another answer, which keeps this one from making progress. Later requests of the connection do not count:
+     * their answers cannot be sent before this one has been read.
+     */
     getHeldBytes(): number {
-        return this.options.hasOtherRequests() ? 0 : this.charge.getBytes();
+        return this.options.isBehindOther() ? 0 : this.charge.getBytes();
     }
 
     getProgressBytes(): number {
--- a/src/edge/caller_http/caller_memory.test.ts
+++ b/src/edge/caller_http/caller_memory.test.ts
@@ -2,6 +2,7 @@
 import { once } from "node:events";
 import { connect, type Socket } from "node:net";
 import { after, test } from "node:test";
+import { setTimeout as wait } from "node:timers/promises";
 import { createTestMemoryGuard } from "../../../proof/fakes/create_test_memory_guard.ts";
 import { VirtualTime } from "../../../proof/fakes/virtual_time.ts";
 import { waitUntil } from "../../../standin/wait_until.ts";
@@ -80,6 +81,22 @@
     await waitForBytes(memory, charged => charged === 0);
 });
 
+test("an answer that its caller does not read is closed while memory is short, also with a request behind it", async () => {
+    const { memory, socket, time } = await openApp(20_000_000);
+    const request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    socket.on("error", () => undefined).pause();
+    socket.write(request + request);
+    await waitForBytes(memory, charged => charged === 40_000_000);
+    const taken = memory.addCharge(MemoryHolder.CallerAnswer, 1e12);
+    for (let round = 0; round < 40 && memory.getChargedBytes() > 1e12; round += 1) {
+        await time.run(250);
+        // The buffers of the sockets take a part of the answer first.
+        await wait(10);
+    }
+    assert.equal(memory.getChargedBytes(), 1e12);
+    taken.close();
+});
+
 test("a body without room is refused as not executed with the time to return", async () => {
     const { memory, socket, time } = await openApp(10);
     const taken = memory.addCharge(MemoryHolder.CallerAnswer, 1e12);
--- a/src/edge/caller_http/create_caller_app.ts
+++ b/src/edge/caller_http/create_caller_app.ts
@@ -63,7 +63,10 @@
         if (signal.aborted) {
             return;
         }
-        const transfer = AnswerTransfer.open(context.res, answer.body, { memory, hasOtherRequests });
+        const transfer = AnswerTransfer.open(context.res, answer.body, {
+            memory,
+            isBehindOther: () => !connection.isFirst(exchange),
+        });
         if (transfer !== undefined) {
             exchange.addEndListener(() => transfer.release());
         }
--- a/src/edge/http/server_connection.ts
+++ b/src/edge/http/server_connection.ts
@@ -143,6 +143,12 @@
         return this.running.size;
     }
 
+    /** True for the exchange whose answer is sent next. */
+    isFirst(exchange: ServerExchange): boolean {
+        const [first] = this.running;
+        return first === exchange;
+    }
+
     /** Closes the connection if it has been used and all its requests are answered. */
     closeIdle(): void {
         if (this.hasBeenUsed && this.running.size === 0 && this.socket.writable) {
