Do not keep an answer whose reply could not be encoded

When a value of a reply does not fit its field, the owner sends a reply without the answer in its place. Since owners keep long answers until they are fetched, it also kept the answer, which nobody would fetch: its charge and its request in flight stayed until the link closed. Before, the pieces were sent behind a reply that did not announce them.

Change: only the body that the sent reply announces is kept or sent.

Evidence: the new test in link_pieces.test.ts fails without the change.

--- a/src/edge/peer_link/link_listener.ts
+++ b/src/edge/peer_link/link_listener.ts
@@ -201,7 +201,9 @@
      */
     private sendReply(target: ReplyTarget, reply: OwnerReply, handleEnd: () => void = () => undefined): void {
         const { fetchesAnswer, id, link } = target;
-        const frame = this.encodeReplyFrame(target, reply).orElse(({ detail }) =>
+        const encoded = this.encodeReplyFrame(target, reply);
+        const body = encoded.isOk() ? reply.answer?.body : undefined;
+        encoded.orElse(({ detail }) =>
             this.encodeReplyFrame(
                 target,
                 buildOwnerReply(this.options.identity, reply, {
@@ -210,10 +212,8 @@
                     detail,
                 }),
             )
-        );
-        frame.map(bytes => link.socket.send(bytes));
-        const body = reply.answer?.body;
-        if (frame.isErr() || body === undefined || body.length <= maxWholeBodyBytes) {
+        ).map(frame => link.socket.send(frame));
+        if (body === undefined || body.length <= maxWholeBodyBytes) {
             handleEnd();
             return;
         }
--- a/src/edge/peer_link/link_pieces.test.ts
+++ b/src/edge/peer_link/link_pieces.test.ts
@@ -30,6 +30,7 @@
     const ownerMemory = createTestMemoryGuard();
     let runs = 0;
     let inFlight = 0;
+    let status = 200;
     let handleRun = (): Promise<void> => Promise.resolve();
     const links = new LinkListener({
         identity,
@@ -42,7 +43,7 @@
             apply: async dispatch => {
                 runs += 1;
                 await handleRun();
-                const answer = { status: 200, headers: [], body: dispatch.body };
+                const answer = { status, headers: [], body: dispatch.body };
                 return ok(buildOwnerReply(identity, dispatch, { code: Code.Ok, answer }));
             },
         },
@@ -73,6 +74,9 @@
         isReleased,
         countRuns: () => runs,
         countInFlight: () => inFlight,
+        setStatus: (value: number) => {
+            status = value;
+        },
         setRunHandler: (handle: () => Promise<void>) => {
             handleRun = handle;
         },
@@ -162,6 +166,15 @@
     await waitUntil("the charges are released", limitMs, isReleased);
 });
 
+test("a long answer whose head does not fit the reply is dropped at once, so that its owner does not keep it", async () => {
+    const { countInFlight, isReleased, send, setStatus } = await openLink();
+    setStatus(1.5);
+    const reply = await send(Buffer.alloc(500_000));
+    assert.equal(reply.code, Code.PeerProtocol);
+    assert.equal(countInFlight(), 0);
+    await waitUntil("the charges are released", limitMs, isReleased);
+});
+
 test("an entry daemon of a version without fetch frames gets the pieces of an answer at once", async () => {
     const { isReleased, port } = await openLink();
     const socket = connect(port, "127.0.0.1");
