Do not promise that a payment has not run because its upstream answers 503

Callers saw: a payment that an upstream had run was answered 503 (or 408, 429) with the upstream's signature. On the platform these statuses promise that nothing ran, so the callers paid again, and the payment was recorded twice.

Cause: where the daemon writes its own answer, the outcome of the request decides the status; where it passes on an answer of an upstream, nothing compared the two. The entry daemon knew outcome unknown (code 2030) and returned the 503 unchanged.

Change: the codec of an interface names the statuses that promise there that a request has not run. RefusalStatusFilter at the entry daemon withholds an answer with such a status when the request may not be repeated and its outcome is not not-executed; the caller gets 502 with code 2030, without the signature and Retry-After of the upstream. It works because it is after the last attempt, where the outcome of the whole request is known, so that answers of the local upstream, of links, in pieces and of recorded operations pass it alike. The status stays in the log lines of the request and is counted by caller.answer_withheld. The configuration page says what an operator promises by shedStatuses.

--- a/src/config/table/route_type.ts
+++ b/src/config/table/route_type.ts
@@ -78,7 +78,10 @@
         unit: "HTTP status",
         // No status is assumed: a wrong entry would tell callers that executed work was not executed.
         defaultValue: [],
-        description: "Statuses by which the upstream declares that it did not execute the request.",
+        description:
+            "Statuses by which the upstream declares that it did not execute the request and will not. "
+            + "Callers are told so, and the request is sent again, also one that is not idempotent: list a "
+            + "status only if no upstream of the service ever answers with it after work has begun.",
     },
     priority: {
         type: new NumberType({ minimum: 0, maximum: 9, integer: true }),
--- a/src/receive/caller_codec.ts
+++ b/src/receive/caller_codec.ts
@@ -7,6 +7,8 @@
 
 /** Encodes and decodes the HTTP headers and problem documents of a caller. Makes no decisions. */
 export interface CallerCodec {
+    /** Statuses that promise on this interface that a request has not run and will not run. */
+    readonly refusalStatuses: ReadonlySet<number>;
     /** Fails with BadRequestHeader. */
     decode(incoming: IncomingRequest): Result<RequestMetadata, Failure>;
     /** Adds the identifier of the request and its outcome to an upstream's answer. */
--- a/src/receive/header_caller_codec.ts
+++ b/src/receive/header_caller_codec.ts
@@ -38,6 +38,9 @@
  * callers may send the same one.
  */
 export class HeaderCallerCodec implements CallerCodec {
+    /** Empty: the header with the outcome tells callers whether the request has run, and the status does not. */
+    readonly refusalStatuses: ReadonlySet<number> = new Set();
+
     decode({ headers }: IncomingRequest): Result<RequestMetadata, Failure> {
         const idempotencyKey = findHeader(headers, RequestHeader.IdempotencyKey);
         const budget = findHeader(headers, RequestHeader.Timeout);
--- a/src/wiring/build_entry.ts
+++ b/src/wiring/build_entry.ts
@@ -4,6 +4,7 @@
 import { SaturationTable } from "../admit/saturation_table.ts";
 import { AnswerFilter } from "../answer/answer_filter.ts";
 import { CallerHandler } from "../answer/caller_handler.ts";
+import { RefusalStatusFilter } from "../answer/refusal_status_filter.ts";
 import { ReturnTimeFilter } from "../answer/return_time_filter.ts";
 import { ReturnTimePolicy } from "../answer/return_time_policy.ts";
 import { AuthenticateFilter } from "../authenticate/authenticate_filter.ts";
@@ -146,7 +147,11 @@
             ...base,
             serviceTimes,
             policy: new ReturnTimePolicy(random),
-            inner: admitted,
+            inner: new RefusalStatusFilter({
+                metrics,
+                refusalStatuses: codec.refusalStatuses,
+                inner: admitted,
+            }),
         }),
     );
     const serve = Pipeline.start(new KeyedOutcomeFilter(forward)).pipe(new AnswerFilter(codec));
