Do not end reads of the platform's store that make progress

Cause: a limit on the total time of a read is one on its bytes. A daemon that does not watch the store gave each read up after 600 ms, 525 kB at 7 Mbit/s, and repeated it with the same limit until the store dropped the change from its history. Watches and reads of all values had 2 s, 1.7 MB. Three more timers ended a read whose answer was on its way: a daemon that was ahead for 800 ms, a probe that had found a newer revision 200 ms before, and the end of the wait of a watch 500 ms before.

Change: an answer must begin in the time that it had before, then a byte must follow within 1 s, and the whole must arrive within 5 s. Nothing else ends a call while its answer arrives. A dead connection is noticed as early as before when it delivers nothing, and after 1 s when it stops in the middle. An outage counts from the last byte. The client of the store reports the bytes and keeps 10 s as its own bound. The options of the follower and three functions of the reader move to files of their own.

--- a/proof/control/fakes/fake_platform_store.ts
+++ b/proof/control/fakes/fake_platform_store.ts
@@ -4,6 +4,7 @@
 import type { Failure } from "../../../src/core/failure.ts";
 import type { Timers } from "../../../src/core/timers.ts";
 import type { PlatformStore } from "../../../src/published/platform_store.ts";
+import type { StoreCallOptions } from "../../../src/published/store_call_options.ts";
 import type { StoreChange } from "../../../src/published/store_change.ts";
 import type { StorePage } from "../../../src/published/store_page.ts";
 import type { StoreRevision } from "../../../src/published/store_revision.ts";
@@ -22,16 +23,22 @@
     probedRevision: Result<StoreRevision, Failure> = err(createFailure(Code.PlatformUnreachable));
     peerChanges: readonly StoreChange[] = [];
     private readonly replies: Reply[] = [];
+    private handleBytes: (bytes: number) => void = () => undefined;
     private resolve: ((reply: Reply) => void) | undefined;
 
     constructor(private readonly timers: Timers) {}
 
-    fetchAll(): Promise<Reply> {
-        return this.read("all");
+    fetchAll(options: StoreCallOptions = {}): Promise<Reply> {
+        return this.read("all", options);
     }
 
-    watch(afterRevision: StoreRevision, waitMs: number, signal?: AbortSignal): Promise<Reply> {
-        const reply = this.read(`watch ${afterRevision.revision}`);
+    watch(
+        afterRevision: StoreRevision,
+        waitMs: number,
+        options: StoreCallOptions = {},
+    ): Promise<Reply> {
+        const reply = this.read(`watch ${afterRevision.revision}`, options);
+        const { signal } = options;
         const { resolve } = this;
         signal?.addEventListener("abort", () => {
             this.resolve = this.resolve === resolve ? undefined : this.resolve;
@@ -75,8 +82,14 @@
         }
     }
 
-    private read(name: string): Promise<Reply> {
+    /** Delivers so many bytes of the answer to the pending call. */
+    sendBytes(bytes: number): void {
+        this.handleBytes(bytes);
+    }
+
+    private read(name: string, { handleBytes = () => undefined }: StoreCallOptions): Promise<Reply> {
         this.calls.push(name);
+        this.handleBytes = handleBytes;
         const reply = this.replies.shift();
         return reply !== undefined ? Promise.resolve(reply) : new Promise(resolve => {
             this.resolve = resolve;
--- a/src/published/store_follower.ts
+++ b/src/published/store_follower.ts
@@ -12,55 +12,28 @@
  *
  * @module
  */
-import type { RevocationBounds } from "../authenticate/revocation_bounds.ts";
 import type { PeerRevision } from "../beacon/peer_revision.ts";
 import type { RevisionExchange } from "../beacon/revision_exchange.ts";
-import type { Clock } from "../core/clock.ts";
 import { LogLevel } from "../core/log_level.ts";
-import type { Logger } from "../core/logger.ts";
-import type { Metrics } from "../core/metrics.ts";
-import type { RandomSource } from "../core/random_source.ts";
 import type { Timer } from "../core/timer.ts";
-import type { Timers } from "../core/timers.ts";
-import type { MembershipTable } from "../membership/membership_table.ts";
 import { compareRevisions } from "./compare_revisions.ts";
 import { ConfigProof } from "./config_proof.ts";
 import { ConfigProofMonitor } from "./config_proof_monitor.ts";
-import type { ConfigStore } from "./config_store.ts";
 import type { ControlPlane } from "./control_plane.ts";
 import { noRevision } from "./no_revision.ts";
 import type { PeerChanges } from "./peer_changes.ts";
 import { PeerProgress } from "./peer_progress.ts";
-import type { PlatformStore } from "./platform_store.ts";
 import { StoreChangeApplier } from "./store_change_applier.ts";
 import type { StoreChangesSource } from "./store_changes_source.ts";
 import { StoreContact } from "./store_contact.ts";
+import type { StoreFollowerOptions } from "./store_follower_options.ts";
 import { StoreHistory } from "./store_history.ts";
 import type { StorePage } from "./store_page.ts";
-import type { StorePeers } from "./store_peers.ts";
+import type { StoreRead } from "./store_read.ts";
 import { StoreReadPolicy } from "./store_read_policy.ts";
 import { StoreReader } from "./store_reader.ts";
 import type { StoreRevision } from "./store_revision.ts";
 
-interface Options {
-    readonly store: PlatformStore;
-    readonly peers: StorePeers;
-    readonly configs: ConfigStore;
-    readonly membership: MembershipTable;
-    readonly clock: Clock;
-    readonly timers: Timers;
-    readonly random: RandomSource;
-    readonly logger: Logger;
-    readonly metrics: Metrics;
-    /** Longest time in milliseconds that `start` waits for a configuration. */
-    readonly startWaitMs: number;
-    /** Milliseconds within which the platform wants a change in force. */
-    readonly getApplyMs: () => number;
-    /** Milliseconds after open connections went silent within which changes must be read again. */
-    readonly getSilenceMs: () => number;
-    readonly getBounds: () => RevocationBounds;
-}
-
 /** Milliseconds between a change and the next watch, so that changes in quick succession cost one call. */
 const coalescingDelayMs = 400;
 /**
@@ -98,7 +71,7 @@
         this.resolveReady = resolve;
     });
 
-    constructor(private readonly options: Options) {
+    constructor(private readonly options: StoreFollowerOptions) {
         this.applier = new StoreChangeApplier(options);
         this.policy = new StoreReadPolicy(options);
         this.proof = new ConfigProof({ getVersion: () => options.configs.getActive()?.version });
@@ -106,7 +79,12 @@
         const handleRecovery = (answeredMs: number) =>
             this.applier.upstreams.recordPlatformRecovery(answeredMs);
         const handleContact = () => options.peers.sendContact();
-        this.reader = new StoreReader({ ...options, contact: this.contact, handleContact, handleRecovery });
+        this.reader = new StoreReader({
+            ...options,
+            contact: this.contact,
+            handleContact,
+            handleRecovery,
+        });
     }
 
     async start(): Promise<void> {
@@ -180,7 +158,7 @@
     private async runOnce(): Promise<number> {
         const { clock, peers } = this.options;
         if (this.revision === undefined) {
-            return this.readStore(undefined, 0);
+            return this.readStore({ afterRevision: undefined, waitMs: 0, isFallback: false });
         }
         const rank = peers.getRank();
         if (await this.fetchFromPeer(this.revision)) {
@@ -189,13 +167,14 @@
         const nowMs = clock.getMonotonicMs();
         const proof = { ageMs: nowMs - this.proof.getProvedMs(), blockedMs: this.proof.getBlockedMs(nowMs) };
         if (rank === 0) {
-            return this.readStore(this.revision, this.policy.computeWatchMs(proof));
+            const waitMs = this.policy.computeWatchMs(proof);
+            return this.readStore({ afterRevision: this.revision, waitMs, isFallback: false });
         }
         const contactAgeMs = this.contact.getAgeMs(nowMs);
         const behindMs = nowMs - this.progress.getBehindSinceMs();
         const delayMs = this.policy.computeDelayMs({ rank, contactAgeMs, behindMs, proof });
         if (delayMs > 0) {
-            return Math.min(delayMs, roleCheckMs);
+            return Math.min(Math.ceil(delayMs), roleCheckMs);
         }
         this.options.logger.write(LogLevel.Info, "platform_read_directly", {
             rank,
@@ -203,7 +182,8 @@
             behindMs: Math.round(Math.max(0, behindMs)),
             proofAgeMs: Math.round(Math.min(proof.ageMs, Number.MAX_SAFE_INTEGER)),
         });
-        return this.readStore(this.revision, this.policy.getPollMs());
+        const waitMs = this.policy.getPollMs();
+        return this.readStore({ afterRevision: this.revision, waitMs, isFallback: true });
     }
 
     /** True when another daemon sent newer changes, which are in force now. */
@@ -226,8 +206,9 @@
     }
 
     /** Reads all values, or the changes after a revision, and returns the delay before the next step. */
-    private async readStore(afterRevision: StoreRevision | undefined, waitMs: number): Promise<number> {
-        const result = await this.reader.read(afterRevision, waitMs);
+    private async readStore(read: StoreRead): Promise<number> {
+        const { afterRevision } = read;
+        const result = await this.reader.read(read);
         if (this.closed) {
             return 0;
         }
--- a/src/published/store_reader.ts
+++ b/src/published/store_reader.ts
@@ -1,11 +1,11 @@
 /**
- * Reads the platform's store: one call at a time, with a time limit, probes during a watch, and the delay before
- * the next call after a failure.
+ * Reads the platform's store: one call at a time, with limits on its silence and size, probes during a watch, and the
+ * delay before the next call after a failure.
  *
  * @example
  * ```ts
  * const reader = new StoreReader({ store, contact, clock, timers, random, logger, metrics });
- * const page = await reader.read(revision, 10_000);
+ * const answer = await reader.read({ afterRevision, waitMs: 2_200, isFallback: false });
  * ```
  *
  * @module
@@ -13,7 +13,6 @@
 import { err, ok, type Result } from "neverthrow";
 import type { Clock } from "../core/clock.ts";
 import { Code } from "../core/code.ts";
-import { createFailure } from "../core/create_failure.ts";
 import type { Failure } from "../core/failure.ts";
 import { LogLevel } from "../core/log_level.ts";
 import type { Logger } from "../core/logger.ts";
@@ -21,7 +20,10 @@
 import type { RandomSource } from "../core/random_source.ts";
 import type { Timer } from "../core/timer.ts";
 import type { Timers } from "../core/timers.ts";
+import type { AnsweredCall } from "./answered_call.ts";
+import { checkContinuation } from "./check_continuation.ts";
 import { compareRevisions } from "./compare_revisions.ts";
+import { computeHeldMs } from "./compute_held_ms.ts";
 import type { PlatformStore } from "./platform_store.ts";
 import type { StoreAnswer } from "./store_answer.ts";
 import { StoreCall } from "./store_call.ts";
@@ -29,6 +31,7 @@
 import { StoreOutage } from "./store_outage.ts";
 import type { StorePage } from "./store_page.ts";
 import { StoreProbe } from "./store_probe.ts";
+import type { StoreRead } from "./store_read.ts";
 import type { StoreRevision } from "./store_revision.ts";
 
 interface Options {
@@ -48,13 +51,6 @@
     readonly handleRecovery: (answeredMs: number) => void;
 }
 
-/** Monotonic milliseconds of a call, and those that the store was asked to wait. */
-interface AnsweredCall {
-    readonly startMs: number;
-    readonly waitMs: number;
-    readonly endMs: number;
-}
-
 /** A call that brought no page. */
 interface FailedRead {
     /**
@@ -66,20 +62,20 @@
     readonly delayMs: number;
 }
 
-/** Milliseconds in which the store must answer a call, in addition to the time that it waits for a change. */
-const callTimeoutMs = 2_000;
+/** Milliseconds in which an answer must begin, in addition to the time that the store waits for a change. */
+const responseMs = 2_000;
 /**
  * The same for a read of a daemon that does not watch the store. Other daemons may wait for its result, and the
  * store answers in milliseconds.
  */
-const fallbackTimeoutMs = 600;
+const fallbackResponseMs = 600;
 /** Milliseconds that the store may wait for a change in a call that asks for an answer at once. */
 const pollMs = 1;
 /**
- * Milliseconds in which the store must answer such a call. The end of an outage is noticed later by as much, and a
+ * Milliseconds in which the answer to such a call must begin. The end of an outage is noticed later by as much, and a
  * slow store answers in up to 400 ms.
  */
-const pollTimeoutMs = 1_000;
+const pollResponseMs = 1_000;
 /** Milliseconds in which a watch must deliver a change that a probe has found. */
 const deliveryMs = 200;
 /**
@@ -96,6 +92,8 @@
     private readonly outage = new StoreOutage();
     /** Revision from which the current call reads; undefined when it reads all values. */
     private afterRevision: StoreRevision | undefined;
+    /** Monotonic milliseconds at which the latest byte of the current answer arrived. */
+    private lastByteMs: number | undefined;
     /** True when the call was aborted because the watch is stale while the store serves other daemons. */
     private isWatchStale = false;
     /** True when a probe found that the pending watch delivers nothing. */
@@ -108,36 +106,38 @@
     private overdueTimer: Timer | undefined;
 
     constructor(private readonly options: Options) {
-        this.call = new StoreCall(options);
+        this.call = new StoreCall({
+            ...options,
+            handleBytes: () => {
+                this.lastByteMs = options.clock.getMonotonicMs();
+            },
+        });
     }
 
     /**
-     * Reads all values, or the changes after a revision, for which the store may wait `waitMs` milliseconds. After
-     * a failed call the store is not asked to wait: a watch ends with the next change, which tells neither whether
-     * its connection works nor when an outage ended.
+     * Reads all values, or the changes after a revision. After a failed call the store is not asked to wait: a watch
+     * ends with the next change, which tells neither whether its connection works nor when an outage ended.
      */
-    async read(
-        afterRevision: StoreRevision | undefined,
-        waitMs: number,
-    ): Promise<Result<StoreAnswer, FailedRead>> {
+    async read({ afterRevision, isFallback, waitMs }: StoreRead): Promise<Result<StoreAnswer, FailedRead>> {
         const { clock, contact, store } = this.options;
         this.afterRevision = afterRevision;
+        this.lastByteMs = undefined;
         this.isWatchStale = false;
         this.mustReadAll = false;
         const startMs = clock.getMonotonicMs();
         this.unansweredSinceMs ??= startMs;
         const callWaitMs = this.mustPoll ? Math.min(waitMs, pollMs) : waitMs;
-        const limitMs = callWaitMs + this.getTimeoutMs(waitMs);
+        const limitMs = callWaitMs + this.getResponseMs(isFallback);
         const probe = new StoreProbe({ ...this.options, handleRevision: found => this.recordProbe(found) });
         if (callWaitMs >= minProbedWatchMs) {
             probe.start(contact.getAgeMs(startMs));
             this.startOverdueTimer(callWaitMs);
         }
         const result = await this.call.run(
-            signal =>
+            options =>
                 afterRevision === undefined
-                    ? store.fetchAll(signal)
-                    : store.watch(afterRevision, callWaitMs, signal).then(watched =>
+                    ? store.fetchAll(options)
+                    : store.watch(afterRevision, callWaitMs, options).then(watched =>
                         watched.andThen(page => checkContinuation(page, afterRevision))
                     ),
             limitMs,
@@ -160,8 +160,15 @@
 
     /** Ends a watch that delivers nothing although the store has a newer revision. */
     cancelStaleWatch({ era, revision }: StoreRevision): void {
-        this.isWatchStale = true;
-        this.call.cancel(`the watch is stale: the store has revision ${revision} of era ${era}`);
+        this.cancelSilentWatch(`the watch is stale: the store has revision ${revision} of era ${era}`);
+    }
+
+    /** A watch whose answer arrives is not stale; on a slow link the rest of a large change takes seconds. */
+    private cancelSilentWatch(detail: string): void {
+        if (!this.call.isReceiving()) {
+            this.isWatchStale = true;
+            this.call.cancel(detail);
+        }
     }
 
     /** Records that the store answered a daemon of the failure domain, which ends an outage before that moment. */
@@ -179,15 +186,12 @@
         this.recordAnswer(nowMs);
     }
 
-    /** Milliseconds in which the store must answer in addition to its wait. */
-    private getTimeoutMs(waitMs: number): number {
-        if (this.afterRevision === undefined) {
-            return callTimeoutMs;
-        }
-        if (waitMs < minProbedWatchMs) {
-            return fallbackTimeoutMs;
+    /** Milliseconds in which the answer must begin, in addition to the wait of the store. */
+    private getResponseMs(isFallback: boolean): number {
+        if (isFallback) {
+            return fallbackResponseMs;
         }
-        return this.mustPoll ? pollTimeoutMs : callTimeoutMs;
+        return this.mustPoll && this.afterRevision !== undefined ? pollResponseMs : responseMs;
     }
 
     /**
@@ -206,8 +210,7 @@
      */
     private startOverdueTimer(waitMs: number): void {
         this.overdueTimer = this.options.timers.start(waitMs + overdueMs, () => {
-            this.isWatchStale = true;
-            this.call.cancel("the watch did not end after its wait");
+            this.cancelSilentWatch("the watch did not end after its wait");
         });
     }
 
@@ -241,33 +244,14 @@
             return { mustReadAll: true, delayMs: 0 };
         }
         const endMs = clock.getMonotonicMs();
-        // A watch without an answer may have been the first call of the outage.
-        const unansweredSinceMs = this.unansweredSinceMs ?? startMs;
-        const timedOut = endMs - startMs >= limitMs || unansweredSinceMs < startMs;
+        // The store was reached until its last byte. A watch without an answer may have been the first call of the outage.
+        const unansweredSinceMs = this.lastByteMs ?? this.unansweredSinceMs ?? startMs;
+        this.unansweredSinceMs = unansweredSinceMs;
+        const timedOut = this.lastByteMs !== undefined || endMs - startMs >= limitMs
+            || unansweredSinceMs < startMs;
         if (this.outage.recordFailure({ startMs: unansweredSinceMs, endMs, timedOut })) {
             logger.write(LogLevel.Warn, "platform_failed", { code, detail });
         }
         return { mustReadAll: false, delayMs: this.outage.computeDelayMs(random.getFloat()) };
     }
 }
-
-/**
- * Up to which moment an answer is certain to hold all changes: its arrival proves nothing, because it can lie in the
- * buffers of a stopped process. A watch that waited in vain held until the end of its wait, any other call at its
- * start. A watch also ends early with changes of values that are not read here, which only its revision shows.
- */
-function computeHeldMs(
-    page: StorePage,
-    after: StoreRevision | undefined,
-    { endMs, startMs, waitMs }: AnsweredCall,
-): number {
-    const isInVain = after !== undefined && compareRevisions(page.revision, after) === 0;
-    return isInVain && endMs >= startMs + waitMs ? startMs + waitMs : startMs;
-}
-
-/** A store that came back from an older copy has given the revisions of a watch out again, or lacks them. */
-function checkContinuation(page: StorePage, after: StoreRevision): Result<StorePage, Failure> {
-    return page.revision.era === after.era && compareRevisions(page.revision, after) >= 0
-        ? ok(page)
-        : err(createFailure(Code.PlatformHistoryGone));
-}
