Read all values of the store when the changes are longer

Cause: the daemon asked for the changes since its last revision. The history holds every version of a value, 27 MB; the answer was cut at 16 MB, and the same call was repeated until the store dropped the oldest change.

Change: the reader remembers how long all values were, gives up changes that are more than 256 KB longer, and reads all values, which hold the newest version of each only. At most the length of the values and 256 KB are read in vain. The same bound keeps a daemon on a slow link from falling further behind while large changes follow each other.

--- a/src/published/slow_link.test.ts
+++ b/src/published/slow_link.test.ts
@@ -11,6 +11,8 @@
 const slowRate = 875;
 /** A configuration of 2,800 routes in base64. */
 const largeLength = 670_000;
+/** The largest value, 1,048,576 bytes, in base64. */
+const largestLength = 1_398_104;
 /** Time within which the platform wants a change in force where links are that slow. */
 const applyMs = 2_500;
 
@@ -35,3 +37,21 @@
     }
     fleet.close();
 });
+
+// A daemon that the store had refused read the same 27 MB of history again and again.
+test("a daemon that has missed many versions of a large configuration has the newest in time after the store serves it", async () => {
+    for (const rate of [slowRate, 125_000]) {
+        const fleet = await openFleet([rate, rate, rate], largestLength);
+        fleet.stores[0]!.isServed = false;
+        for (let change = 0; change < 24; change += 1) {
+            fleet.write(largestLength);
+            await fleet.time.run(330);
+        }
+        await fleet.time.run(3_000);
+        fleet.stores[0]!.isServed = true;
+        // It is in touch with the platform again 3 s later.
+        await fleet.time.run(3_000 + applyMs);
+        checkVersions(fleet, 25, `${rate} bytes a millisecond`);
+        fleet.close();
+    }
+});
--- a/src/published/store_call.test.ts
+++ b/src/published/store_call.test.ts
@@ -8,7 +8,7 @@
 import { StoreCall } from "./store_call.ts";
 import type { StorePage } from "./store_page.ts";
 
-const responseMs = 600;
+const limits = { responseMs: 600, maxBytes: 1_000_000 };
 
 /** Starts a call whose answer the test delivers. */
 function startCall() {
@@ -27,7 +27,7 @@
         return new Promise(resolve => {
             sendAnswer = () => resolve(storePages.buildPage(1));
         });
-    }, responseMs).then(ended => {
+    }, limits).then(ended => {
         result = ended;
     });
     return {
@@ -73,3 +73,15 @@
     }
     assert.ok(endless.isAborted());
 });
+
+test("changes that are longer than all values end the call, so that all values are read in their place", async () => {
+    const { getResult, isAborted, sendBytes, time } = startCall();
+    await time.run(10);
+    sendBytes(limits.maxBytes);
+    await time.run(10);
+    assert.equal(getResult(), undefined);
+    sendBytes(limits.maxBytes + 1);
+    await time.run(0);
+    assert.equal(getResult()?._unsafeUnwrapErr().code, Code.PlatformHistoryGone);
+    assert.ok(isAborted());
+});
--- a/src/published/store_call.ts
+++ b/src/published/store_call.ts
@@ -5,7 +5,7 @@
  * @example
  * ```ts
  * const call = new StoreCall({ timers, metrics, handleBytes });
- * const page = await call.run(options => store.fetchAll(options), 600);
+ * const page = await call.run(options => store.fetchAll(options), { responseMs: 600, maxBytes: Infinity });
  * ```
  *
  * @module
@@ -27,6 +27,13 @@
     readonly handleBytes: (bytes: number) => void;
 }
 
+interface Limits {
+    /** Milliseconds until the first byte of the answer. */
+    readonly responseMs: number;
+    /** Most bytes of the answer; beyond them the call fails with PlatformHistoryGone, so that all values are read. */
+    readonly maxBytes: number;
+}
+
 /**
  * Milliseconds without a byte after which an answer that has begun counts as silent. Two lost packets in a row delay
  * the next byte by 0.6 s.
@@ -46,15 +53,14 @@
 
     constructor(private readonly options: Options) {}
 
-    /** The answer must begin within `responseMs` milliseconds. */
     async run(
         start: (options: StoreCallOptions) => Promise<Result<StorePage, Failure>>,
-        responseMs: number,
+        limits: Limits,
     ): Promise<Result<StorePage, Failure>> {
         this.options.metrics.addCount("platform.reads", { document: "store" });
         this.receivedBytes = 0;
         this.running = true;
-        const result = await this.runWithLimits(start, responseMs);
+        const result = await this.runWithLimits(start, limits);
         this.running = false;
         return result;
     }
@@ -71,7 +77,7 @@
 
     private runWithLimits(
         start: (options: StoreCallOptions) => Promise<Result<StorePage, Failure>>,
-        responseMs: number,
+        { maxBytes, responseMs }: Limits,
     ): Promise<Result<StorePage, Failure>> {
         const { handleBytes, timers } = this.options;
         const controller = new AbortController();
@@ -107,6 +113,11 @@
                     transferMs,
                     () => this.cancel("the answer of the platform took too long"),
                 );
+                if (bytes > maxBytes) {
+                    const detail = `the changes have more than ${maxBytes} bytes`;
+                    cancelCall(createFailure(Code.PlatformHistoryGone, { detail }));
+                    return;
+                }
                 handleBytes(bytes);
             };
             void start({ signal: controller.signal, handleBytes: recordBytes }).then(recordEnd);
--- a/src/published/store_reader.ts
+++ b/src/published/store_reader.ts
@@ -21,6 +21,7 @@
 import type { Timer } from "../core/timer.ts";
 import type { Timers } from "../core/timers.ts";
 import type { AnsweredCall } from "./answered_call.ts";
+import { ChangesSizeLimit } from "./changes_size_limit.ts";
 import { checkContinuation } from "./check_continuation.ts";
 import { compareRevisions } from "./compare_revisions.ts";
 import { computeHeldMs } from "./compute_held_ms.ts";
@@ -89,6 +90,7 @@
 /** Makes the calls of one daemon. */
 export class StoreReader {
     private readonly call: StoreCall;
+    private readonly sizeLimit = new ChangesSizeLimit();
     private readonly outage = new StoreOutage();
     /** Revision from which the current call reads; undefined when it reads all values. */
     private afterRevision: StoreRevision | undefined;
@@ -140,7 +142,10 @@
                     : store.watch(afterRevision, callWaitMs, options).then(watched =>
                         watched.andThen(page => checkContinuation(page, afterRevision))
                     ),
-            limitMs,
+            {
+                responseMs: limitMs,
+                maxBytes: afterRevision === undefined ? Infinity : this.sizeLimit.getMaxBytes(),
+            },
         );
         probe.close();
         this.deliveryTimer?.close();
@@ -150,6 +155,7 @@
         if (result.isErr()) {
             return err(this.recordFailure(result.error, startMs, limitMs));
         }
+        this.sizeLimit.recordPage(result.value, afterRevision === undefined);
         this.mustPoll = false;
         this.unansweredSinceMs = undefined;
         const call = { startMs, waitMs: callWaitMs, endMs };
@@ -241,6 +247,7 @@
             return { mustReadAll: this.mustReadAll, delayMs: 0 };
         }
         if (code === Code.PlatformHistoryGone) {
+            logger.write(LogLevel.Info, "platform_reads_all", { detail });
             return { mustReadAll: true, delayMs: 0 };
         }
         const endMs = clock.getMonotonicMs();
