Do not answer invalid bytes while an earlier request is unanswered

Callers saw: a caller that sent bytes that are no request behind a payment got 400 while the payment was running, or 408 when a head behind it was not complete after a minute. On a connection the first answer belongs to the first request, so these statuses spoke of the payment; 408 promises that it has not run.

Cause: a listener without a handler for clientError leaves the answer to Node.js, which writes it whenever the head of the running answer has not been sent.

Change: a connection with invalid bytes gets the answer of Node.js only when all its earlier requests are answered, or when the invalid bytes are the body of its only request, which has not run. Otherwise it closes without an answer, which promises nothing.

--- a/src/edge/http/http_listener.ts
+++ b/src/edge/http/http_listener.ts
@@ -8,6 +8,7 @@
 import type { Failure } from "../../core/failure.ts";
 import type { DrainableListener } from "../../lifecycle/drainable_listener.ts";
 import { BodyPartLimiter } from "./body_part_limiter.ts";
+import { closeInvalidConnection } from "./close_invalid_connection.ts";
 import { ConnectionCloseCause } from "./connection_close_cause.ts";
 import { ConnectionReadLimiter } from "./connection_read_limiter.ts";
 import { MergingMessage } from "./merging_message.ts";
@@ -119,6 +120,7 @@
                 request.resume();
             }
         });
+        server.on("clientError", closeInvalidConnection);
         return new Promise(resolve => {
             server.once("error", error => {
                 readLimiter.close();
