Read only the changes from the store when a daemon does not know their size

Cause: a daemon that has read all values, after the store had lost its history or its watch had delivered nothing, holds no changes.

Change: only changes that are too large make a daemon read all values; where all values are too large, it reads the changes from the store at once. What the other daemon tells of an outage of the store holds in both cases.

Evidence: the new test of large_change.test.ts fails before (all values read) and passes now (changes read).

--- a/src/published/large_change.test.ts
+++ b/src/published/large_change.test.ts
@@ -5,7 +5,7 @@
 import { storePages } from "../../proof/control/fakes/store_pages.ts";
 import { maxSharedLength } from "./max_shared_length.ts";
 
-const { buildConfiguration, buildPage, buildPeer, buildRevision } = storePages;
+const { buildConfiguration, buildPage, buildPeer, buildRevision, buildUpstream } = storePages;
 
 /** Starts a daemon that has read revision 5 and has the rank. */
 async function createFollowing(rank: number) {
@@ -70,3 +70,19 @@
     await time.run(1);
     assert.deepEqual([configs.getActive()?.version, store.calls], [2, ["all"]]);
 });
+
+// A daemon that has read all values holds no changes; the others read a large configuration again for each small one.
+test("a daemon reads only the changes when another one does not know how large they are", async () => {
+    const { follower, listIds, peers, store, time } = await createFollowing(2);
+    peers.changes = ok({
+        revision: buildRevision(6),
+        items: [],
+        complete: true,
+        recoveryMs: 0,
+        tooLarge: true,
+    });
+    store.send(buildPage(6, buildUpstream("u1", 6)));
+    follower.recordPeer(buildPeer(6, 0));
+    await time.run(1);
+    assert.deepEqual([listIds(), store.calls], ["u1", ["watch 5"]]);
+});
--- a/src/published/peer_progress.ts
+++ b/src/published/peer_progress.ts
@@ -41,7 +41,7 @@
     }
 
     /** Records that the store has changes after a revision that are too large to be passed on. */
-    recordLargeChange(afterRevision: StoreRevision): void {
+    private recordLargeChange(afterRevision: StoreRevision): void {
         if (this.largeAfter === undefined || compareRevisions(afterRevision, this.largeAfter) > 0) {
             this.largeAfter = afterRevision;
         }
@@ -52,6 +52,20 @@
         return this.largeAfter !== undefined && compareRevisions(ownRevision, this.largeAfter) <= 0;
     }
 
+    /**
+     * Records that another daemon does not send the changes after a revision, because they are too large or, if it holds
+     * all values in their place, those are. The latter do not tell how large the changes are; this daemon reads them
+     * without waiting.
+     */
+    recordTooLarge(afterRevision: StoreRevision, holdsAllValues: boolean): void {
+        if (holdsAllValues) {
+            this.behindSinceMs = -Infinity;
+        }
+        else {
+            this.recordLargeChange(afterRevision);
+        }
+    }
+
     /** Newest revision that another daemon has read. */
     getRevision(): StoreRevision {
         return this.revision;
--- a/src/published/store_follower.ts
+++ b/src/published/store_follower.ts
@@ -187,7 +187,7 @@
         this.options.logger.write(LogLevel.Info, "platform_read_directly", {
             rank,
             contactAgeMs: Math.round(Math.min(contactAgeMs, Number.MAX_SAFE_INTEGER)),
-            behindMs: Math.round(Math.max(0, behindMs)),
+            behindMs: Math.round(Math.min(Math.max(0, behindMs), Number.MAX_SAFE_INTEGER)),
             proofAgeMs: Math.round(Math.min(proof.ageMs, Number.MAX_SAFE_INTEGER)),
         });
         const waitMs = this.policy.getPollMs();
@@ -217,11 +217,11 @@
             return false;
         }
         const { complete, items, recoveryMs, tooLarge } = changes.value;
+        this.applier.upstreams.startRecovery(recoveryMs);
         if (tooLarge === true) {
-            this.progress.recordLargeChange(revision);
+            this.progress.recordTooLarge(revision, complete);
             return false;
         }
-        this.applier.upstreams.startRecovery(recoveryMs);
         const page = { revision: changes.value.revision, items, changes: store.decode(items) };
         this.apply(page, complete ? undefined : revision);
         return true;
